--- /dev/null
+++ b/api/refusal.go
@@ -0,0 +1,175 @@
+package api
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// NotRun says whether a refused request is known not to have run.
+type NotRun string
+
+// The three things that can be known about a refused request.
+const (
+	// NotRunTrue is said only when it is proven that no back end started the request.
+	NotRunTrue NotRun = "true"
+	// NotRunFalse says that the request ran, wholly or in part.
+	NotRunFalse NotRun = "false"
+	// NotRunUnknown says that the request may or may not have run.
+	NotRunUnknown NotRun = "unknown"
+)
+
+// MarshalJSON writes true and false as JSON booleans and unknown as a string.
+func (n NotRun) MarshalJSON() ([]byte, error) {
+	switch n {
+	case NotRunTrue, NotRunFalse:
+		return []byte(n), nil
+	case NotRunUnknown:
+		return json.Marshal(string(n))
+	}
+	return nil, fmt.Errorf("not_run: no such value %q", string(n))
+}
+
+// UnmarshalJSON reads what MarshalJSON writes.
+func (n *NotRun) UnmarshalJSON(b []byte) error {
+	switch string(b) {
+	case "true", "false":
+		*n = NotRun(b)
+		return nil
+	case `"unknown"`:
+		*n = NotRunUnknown
+		return nil
+	}
+	return fmt.Errorf("not_run: want true, false or \"unknown\", got %s", b)
+}
+
+// Code is the reason of a refusal. Each code has one counter.
+type Code string
+
+// Refusal reasons.
+const (
+	CodeBadRequest       Code = "bad_request"       // the request itself is wrong
+	CodeUnauthorized     Code = "unauthorized"      // the token is missing or wrong
+	CodeUnknownRow       Code = "unknown_row"       // no row of the table has this name
+	CodeTooLarge         Code = "too_large"         // a body, header or stream over its bound
+	CodeQueueFull        Code = "queue_full"        // the row's queue is at its bound
+	CodeRateLimited      Code = "rate_limited"      // the row's request or token rate is used up
+	CodeConcurrency      Code = "concurrency_limit" // the row's concurrency limit is reached
+	CodeNoEndpoint       Code = "no_endpoint"       // no ready endpoint serves the row
+	CodeDraining         Code = "draining"          // the process is stopping
+	CodeDeadline         Code = "deadline_exceeded" // the deadline cannot be or was not met
+	CodeStale            Code = "stale_weights"     // no endpoint within the staleness bound
+	CodeClaimStoreDown   Code = "claim_unavailable" // the table service cannot record the claim
+	CodeDuplicate        Code = "duplicate_request" // the key was used before, and its answer is gone
+	CodeOutcomeUnknown   Code = "outcome_unknown"   // sent, and the answer was lost
+	CodeEndpointFailed   Code = "endpoint_failed"   // the endpoint failed during the run
+	CodeWrongIncarnation Code = "wrong_incarnation" // the agent restarted since the claim
+	CodeFenced           Code = "fenced"            // a newer attempt or order took over
+	CodeCancelled        Code = "cancelled"         // the caller went away
+	CodeRetryBudget      Code = "retry_budget"      // retries would exceed their budget
+	CodeNoTable          Code = "no_table"          // no table version is known yet
+	CodeScorerFailed     Code = "scorer_failed"     // the scoring service failed
+	CodeTransport        Code = "transport"         // a connection between our processes failed
+	CodeInternal         Code = "internal"          // a fault of ours
+)
+
+// Refusal is the one typed error that callers, trainers and our own processes get.
+type Refusal struct {
+	Code    Code   `json:"code" cbor:"1,keyasint"`
+	Message string `json:"message" cbor:"2,keyasint"`
+	// NotRun is true only when it is proven that the request did not run.
+	NotRun NotRun `json:"not_run" cbor:"3,keyasint"`
+	// RetryAfter is when to come back; zero means that repeating cannot help.
+	RetryAfter time.Duration `json:"-" cbor:"4,keyasint"`
+	// Step names the processing step at which the error arose, such as "entry.admit".
+	Step string `json:"step" cbor:"5,keyasint"`
+	// Peer is the id of the process at which the error arose.
+	Peer string `json:"peer" cbor:"6,keyasint"`
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s: %s (step %s, peer %s, not_run %s)", r.Code, r.Message, r.Step, r.Peer, r.NotRun)
+}
+
+type refusalJSON struct {
+	refusalAlias
+	RetryAfterSeconds float64 `json:"retry_after"`
+}
+
+type refusalAlias Refusal
+
+// MarshalJSON adds retry_after in seconds.
+func (r *Refusal) MarshalJSON() ([]byte, error) {
+	return json.Marshal(refusalJSON{refusalAlias(*r), r.RetryAfter.Seconds()})
+}
+
+// UnmarshalJSON reads what MarshalJSON writes.
+func (r *Refusal) UnmarshalJSON(b []byte) error {
+	var j refusalJSON
+	if err := json.Unmarshal(b, &j); err != nil {
+		return err
+	}
+	*r = Refusal(j.refusalAlias)
+	r.RetryAfter = time.Duration(j.RetryAfterSeconds * float64(time.Second))
+	return nil
+}
+
+// ErrorBody is the body of every refused HTTP call: {"error": {...}}.
+type ErrorBody struct {
+	Error *Refusal `json:"error"`
+}
+
+var statusByCode = map[Code]int{
+	CodeBadRequest:       http.StatusBadRequest,
+	CodeUnauthorized:     http.StatusUnauthorized,
+	CodeUnknownRow:       http.StatusNotFound,
+	CodeTooLarge:         http.StatusRequestEntityTooLarge,
+	CodeQueueFull:        http.StatusTooManyRequests,
+	CodeRateLimited:      http.StatusTooManyRequests,
+	CodeConcurrency:      http.StatusTooManyRequests,
+	CodeNoEndpoint:       http.StatusServiceUnavailable,
+	CodeDraining:         http.StatusServiceUnavailable,
+	CodeDeadline:         http.StatusGatewayTimeout,
+	CodeStale:            http.StatusUnprocessableEntity,
+	CodeClaimStoreDown:   http.StatusServiceUnavailable,
+	CodeDuplicate:        http.StatusConflict,
+	CodeOutcomeUnknown:   http.StatusBadGateway,
+	CodeEndpointFailed:   http.StatusBadGateway,
+	CodeWrongIncarnation: http.StatusBadGateway,
+	CodeFenced:           http.StatusConflict,
+	CodeCancelled:        499,
+	CodeRetryBudget:      http.StatusServiceUnavailable,
+	CodeNoTable:          http.StatusServiceUnavailable,
+	CodeScorerFailed:     http.StatusBadGateway,
+	CodeTransport:        http.StatusBadGateway,
+	CodeInternal:         http.StatusInternalServerError,
+}
+
+// Status is the HTTP status code of the refusal.
+func (r *Refusal) Status() int {
+	if s, ok := statusByCode[r.Code]; ok {
+		return s
+	}
+	return http.StatusInternalServerError
+}
+
+// RetryAfterHeader is the Retry-After header's value in whole seconds, rounded
+// up, or "" when repeating cannot help.
+func (r *Refusal) RetryAfterHeader() string {
+	if r.RetryAfter <= 0 {
+		return ""
+	}
+	return strconv.Itoa(int((r.RetryAfter + time.Second - 1) / time.Second))
+}
+
+// Codes lists every refusal code in a fixed order of its own choosing; used for counters and docs.
+func Codes() []Code {
+	codes := make([]Code, 0, len(statusByCode))
+	for c := range statusByCode {
+		codes = append(codes, c)
+	}
+	return codes
+}
--- /dev/null
+++ b/cmd/mulberryctl/command.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"context"
+	"net/url"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"mulberryscale.example/daemon"
+	"mulberryscale.example/platform/httpplatform"
+	"mulberryscale.example/settings"
+	"mulberryscale.example/table"
+	"mulberryscale.example/tablestore"
+)
+
+// Flags of the whole program.
+const (
+	flagTableService = "table-service"
+	flagTimeout      = "timeout"
+)
+
+const defaultTimeout = 30 * time.Second
+
+const examples = `Examples:
+  mulberryctl check table.csv
+  mulberryctl get > table.csv                  the file names the version it was made from
+  mulberryctl apply table.csv                  shows the difference and asks
+  mulberryctl apply --base 7 --yes table.csv   for version control
+  mulberryctl rollback 6
+  mulberryctl status --operators 127.0.0.1:9400,127.0.0.1:9401 --wait 30s
+
+Exit status: 0 done, 1 failed or refused, 2 wrong usage or a table file with mistakes.`
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:        "mulberryctl",
+		Usage:       "edit and watch the table of a mulberryscale service",
+		Description: examples,
+		Flags: []cli.Flag{
+			// Values from the environment are checked where they are used, so
+			// that a wrong one does not stop the commands that need none.
+			&cli.StringFlag{
+				Name:    flagTableService,
+				Usage:   "the platform's table service, http://ip:port",
+				Sources: cli.EnvVars(settings.EnvName(flagTableService)),
+			},
+			&cli.StringFlag{
+				Name:    flagTimeout,
+				Usage:   "bound of the command, the time that an operator thinks not counted",
+				Sources: cli.EnvVars(settings.EnvName(flagTimeout)),
+				Value:   defaultTimeout.String(),
+			},
+			daemon.OutputFlag(),
+		},
+		Commands: []*cli.Command{
+			checkCommand(),
+			applyCommand(),
+			getCommand(),
+			diffCommand(),
+			historyCommand(),
+			rollbackCommand(),
+			statusCommand(),
+			drainCommand(),
+			keysCommand(),
+		},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			if name := cmd.Args().First(); name != "" {
+				return daemon.Usagef("no command %q; see mulberryctl --help", name)
+			}
+			return daemon.Usagef("name a command; see mulberryctl --help")
+		},
+	}
+}
+
+// bounded adds the bound of the whole command to an action.
+func bounded(action cli.ActionFunc) cli.ActionFunc {
+	return func(ctx context.Context, cmd *cli.Command) error {
+		timeout, err := timeoutOf(cmd)
+		if err != nil {
+			return err
+		}
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		return action(ctx, cmd)
+	}
+}
+
+// edit is a command in two steps between which the operator may think: plan
+// shows the difference, commit writes. Each step has the bound by itself.
+type edit struct {
+	plan   func(ctx context.Context, cmd *cli.Command) (question string, changes []table.Change, err error)
+	commit func(ctx context.Context, cmd *cli.Command) error
+}
+
+// run asks between the steps, unless the plan has no question.
+func (e edit) run(ctx context.Context, cmd *cli.Command) error {
+	var question string
+	var changes []table.Change
+	err := bounded(func(ctx context.Context, cmd *cli.Command) (err error) {
+		question, changes, err = e.plan(ctx, cmd)
+		return err
+	})(ctx, cmd)
+	if err != nil {
+		return err
+	}
+	if question != "" {
+		if err := confirm(cmd, changes, question); err != nil {
+			return err
+		}
+	}
+	return bounded(e.commit)(ctx, cmd)
+}
+
+func timeoutOf(cmd *cli.Command) (time.Duration, error) {
+	text := cmd.String(flagTimeout)
+	if text == "" {
+		return defaultTimeout, nil
+	}
+	timeout, err := time.ParseDuration(text)
+	if err != nil || timeout <= 0 {
+		return 0, daemon.Usagef("--%s: want a duration of more than 0s, got %q", flagTimeout, text)
+	}
+	return timeout, nil
+}
+
+func openStore(cmd *cli.Command) (*tablestore.Store, error) {
+	address := cmd.String(flagTableService)
+	if address == "" {
+		return nil, daemon.Usagef("--%s or %s is needed", flagTableService, settings.EnvName(flagTableService))
+	}
+	u, err := url.Parse(address)
+	if err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
+		return nil, daemon.Usagef("--%s: want http://ip:port, got %q", flagTableService, address)
+	}
+	return tablestore.New(httpplatform.NewTable(address)), nil
+}
+
+// wantArgs checks the number of arguments.
+func wantArgs(cmd *cli.Command, low, high int) error {
+	if n := cmd.Args().Len(); n < low || n > high {
+		return daemon.Usagef("want: mulberryctl %s %s", cmd.Name, cmd.ArgsUsage)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/mulberryctl/fleet.go
@@ -0,0 +1,179 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/urfave/cli/v3"
+
+	"mulberryscale.example/api"
+	"mulberryscale.example/daemon"
+	"mulberryscale.example/settings"
+)
+
+// Flags of status and drain.
+const (
+	flagOperators = "operators"
+	flagToken     = "admin-token"
+	flagWait      = "wait"
+)
+
+const (
+	maxAnswer    = 16 << 20
+	callTimeout  = 5 * time.Second
+	waitInterval = 500 * time.Millisecond
+)
+
+func operatorsFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{
+			Name:     flagOperators,
+			Usage:    "operators' listeners, ip:port,...",
+			Sources:  cli.EnvVars(settings.EnvName(flagOperators)),
+			Required: true,
+		},
+		&cli.StringFlag{
+			Name:        flagToken,
+			Usage:       "operators' bearer token; better given by the environment",
+			Sources:     cli.EnvVars(settings.EnvName(flagToken)),
+			HideDefault: true,
+		},
+	}
+}
+
+// operators calls operators' listeners.
+type operators struct {
+	addresses []string
+	token     string
+}
+
+func operatorsOf(cmd *cli.Command) (*operators, error) {
+	o := &operators{token: cmd.String(flagToken)}
+	for _, text := range strings.Split(cmd.String(flagOperators), ",") {
+		addr, err := netip.ParseAddrPort(strings.TrimSpace(text))
+		if err != nil {
+			return nil, daemon.Usagef("--%s: want ip:port, got %q", flagOperators, text)
+		}
+		o.addresses = append(o.addresses, addr.String())
+	}
+	return o, nil
+}
+
+// direct passes over the environment's proxies, which must not see the token.
+var direct = &http.Client{Transport: &http.Transport{}}
+
+// call makes one call and decodes a JSON answer into v, unless v is nil.
+func (o *operators) call(ctx context.Context, method, addr, path string, v any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, nil)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if o.token != "" {
+		req.Header.Set("Authorization", "Bearer "+o.token)
+	}
+	resp, err := direct.Do(req)
+	if err != nil {
+		return trace.Wrap(err, "step operators.call, peer %s", addr)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return trace.Wrap(err, "step operators.call, peer %s", addr)
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return callError(addr, resp.Status, body)
+	}
+	if v == nil {
+		return nil
+	}
+	return trace.Wrap(json.Unmarshal(body, v), "step operators.call, peer %s", addr)
+}
+
+// callError is the typed refusal in an answer, or else its status.
+func callError(addr, status string, body []byte) error {
+	var refused api.ErrorBody
+	if json.Unmarshal(body, &refused) == nil && refused.Error != nil {
+		return refused.Error
+	}
+	return fmt.Errorf("step operators.call, peer %s: %s", addr, status)
+}
+
+// each calls all listeners at once and joins their errors.
+func (o *operators) each(call func(i int, addr string) error) error {
+	errs := make([]error, len(o.addresses))
+	var all sync.WaitGroup
+	for i, addr := range o.addresses {
+		all.Go(func() { errs[i] = call(i, addr) })
+	}
+	all.Wait()
+	return errors.Join(errs...)
+}
+
+func drainCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "drain",
+		Usage: "let processes finish what runs, take nothing new, and stop",
+		Flags: operatorsFlags(),
+		Action: bounded(func(ctx context.Context, cmd *cli.Command) error {
+			if err := wantArgs(cmd, 0, 0); err != nil {
+				return err
+			}
+			o, err := operatorsOf(cmd)
+			if err != nil {
+				return err
+			}
+			err = o.each(func(_ int, addr string) error {
+				return o.call(ctx, http.MethodPost, addr, daemon.PathDrain, nil)
+			})
+			if err != nil {
+				return err
+			}
+			text := fmt.Sprintf("draining: %d processes", len(o.addresses))
+			return write(cmd, daemon.Table{Rows: [][]string{{text}}}, map[string][]string{"draining": o.addresses})
+		}),
+	}
+}
+
+// statuses asks all listeners. Of two answers about one process it keeps the fresher.
+func (o *operators) statuses(ctx context.Context) ([]api.ProcessStatus, error) {
+	answers := make([][]api.ProcessStatus, len(o.addresses))
+	err := o.each(func(i int, addr string) error {
+		return o.call(ctx, http.MethodGet, addr, api.PathStatus, &answers[i])
+	})
+	return mergeStatuses(answers), err
+}
+
+func mergeStatuses(answers [][]api.ProcessStatus) []api.ProcessStatus {
+	freshest := make(map[string]api.ProcessStatus)
+	for _, answer := range answers {
+		for _, p := range answer {
+			known, ok := freshest[p.ID]
+			if !ok || p.SeenSeconds < known.SeenSeconds {
+				freshest[p.ID] = p
+			}
+		}
+	}
+	merged := make([]api.ProcessStatus, 0, len(freshest))
+	for _, p := range freshest {
+		merged = append(merged, p)
+	}
+	slices.SortFunc(merged, func(a, b api.ProcessStatus) int {
+		if a.Role != b.Role {
+			return strings.Compare(b.Role, a.Role) // entries before agents
+		}
+		return strings.Compare(a.ID, b.ID)
+	})
+	return merged
+}
--- /dev/null
+++ b/cmd/mulberryctl/status.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"mulberryscale.example/api"
+	"mulberryscale.example/daemon"
+	"mulberryscale.example/tablestore"
+)
+
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "status",
+		Usage: "show which version of the table is in force where, and which processes lag",
+		Description: "Lag is counted against the table service's version if --table-service is given and answers,\n" +
+			"else against the newest version met.",
+		Flags: append(operatorsFlags(), &cli.DurationFlag{
+			Name:  flagWait,
+			Usage: "wait this long until no process lags; exit status 1 if one still does",
+		}),
+		Action: bounded(runStatus),
+	}
+}
+
+// fleetStatus is the JSON of status.
+type fleetStatus struct {
+	// Newest is the version against which lag is counted.
+	Newest uint64 `json:"newest"`
+	// TableServiceError is set when the table service did not answer.
+	TableServiceError string          `json:"table_service_error,omitempty"`
+	Processes         []processResult `json:"processes"`
+	Lagging           int             `json:"lagging"`
+}
+
+type processResult struct {
+	api.ProcessStatus
+	Lags bool `json:"lags"`
+}
+
+func runStatus(ctx context.Context, cmd *cli.Command) error {
+	if err := wantArgs(cmd, 0, 0); err != nil {
+		return err
+	}
+	o, err := operatorsOf(cmd)
+	if err != nil {
+		return err
+	}
+	status, err := askFleet(ctx, cmd, o)
+	wait := cmd.Duration(flagWait)
+	for end := time.Now().Add(wait); (err != nil || status.Lagging > 0) && time.Now().Before(end); {
+		fmt.Fprintf(cmd.Root().ErrWriter, "waiting: %d of %d lag\n", status.Lagging, len(status.Processes))
+		select {
+		case <-ctx.Done():
+			end = time.Time{}
+		case <-time.After(waitInterval):
+			status, err = askFleet(ctx, cmd, o)
+		}
+	}
+	if writeErr := printStatus(cmd, status); writeErr != nil {
+		return writeErr
+	}
+	if err == nil && wait > 0 && status.Lagging > 0 {
+		return fmt.Errorf("%d of %d processes lag behind version %d", status.Lagging, len(status.Processes), status.Newest)
+	}
+	return err
+}
+
+// askFleet gives what was learnt also when some listeners did not answer.
+func askFleet(ctx context.Context, cmd *cli.Command, o *operators) (fleetStatus, error) {
+	processes, err := o.statuses(ctx)
+	status := fleetStatus{Processes: []processResult{}}
+	status.Newest, status.TableServiceError = askTableService(ctx, cmd)
+	for _, p := range processes {
+		status.Newest = max(status.Newest, p.TableVersion)
+	}
+	for _, p := range processes {
+		lags := p.TableVersion < status.Newest
+		if lags {
+			status.Lagging++
+		}
+		status.Processes = append(status.Processes, processResult{p, lags})
+	}
+	return status, err
+}
+
+func askTableService(ctx context.Context, cmd *cli.Command) (version uint64, problem string) {
+	if cmd.String(flagTableService) == "" {
+		return 0, ""
+	}
+	store, err := openStore(cmd)
+	if err != nil {
+		return 0, daemon.OneLine(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	entry, err := store.Current(ctx)
+	if err != nil && !errors.Is(err, tablestore.ErrNoTable) {
+		return 0, daemon.OneLine(err)
+	}
+	return entry.Version, ""
+}
+
+func printStatus(cmd *cli.Command, status fleetStatus) error {
+	out := daemon.Table{Header: []string{"ID", "ROLE", "ZONE", "VERSION", "STATE", "TABLE SERVICE", "SEEN", "INCARNATION"}}
+	for _, p := range status.Processes {
+		out.Rows = append(out.Rows, []string{
+			p.ID, p.Role, p.Zone, fmt.Sprint(p.TableVersion), stateText(p),
+			ageText(p.AgeSeconds), ageText(p.SeenSeconds), p.Incarnation,
+		})
+	}
+	out.Rows = append(out.Rows, []string{summary(status)})
+	return write(cmd, out, status)
+}
+
+func stateText(p processResult) string {
+	state := "in force"
+	if p.Lags {
+		state = "lags"
+	}
+	if p.Draining {
+		state += ", draining"
+	}
+	return state
+}
+
+func summary(status fleetStatus) string {
+	text := fmt.Sprintf("newest version %d, %d of %d processes lag", status.Newest, status.Lagging, len(status.Processes))
+	if status.TableServiceError != "" {
+		text += "; the table service did not answer: " + status.TableServiceError
+	}
+	return text
+}
+
+func ageText(seconds float64) string {
+	if seconds < 0 {
+		return "unknown"
+	}
+	return time.Duration(seconds * float64(time.Second)).Round(time.Second).String()
+}
--- /dev/null
+++ b/daemon/doc.go
@@ -0,0 +1,11 @@
+// Package daemon is what the mains of our programs share: the command with its
+// settings, version and shell completion, exit statuses and one-line errors,
+// signals and the drain, the operators' HTTP listener, and output as a table
+// or JSON.
+//
+// A main is a few lines:
+//
+//	func main() {
+//		os.Exit(daemon.Main(command(), os.Args, os.Stderr))
+//	}
+package daemon
--- /dev/null
+++ b/endpoint/httpendpoint/service.go
@@ -0,0 +1,88 @@
+package httpendpoint
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/gravitational/trace"
+
+	"mulberryscale.example/endpoint"
+	"mulberryscale.example/internal/httponce"
+)
+
+// maxServiceAnswer bounds a plain service's answer, in bytes.
+const maxServiceAnswer = 8 << 20
+
+// hopHeaders concern one connection only and are not passed on (RFC 9110, section 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// Service implements endpoint.Service.
+type Service struct {
+	base string
+	once *httponce.Client
+}
+
+var _ endpoint.Service = (*Service)(nil)
+
+// NewService makes a client of the plain service at baseURL ("http://ip:port").
+func NewService(baseURL string) *Service {
+	return &Service{base: strings.TrimSuffix(baseURL, "/"), once: httponce.New()}
+}
+
+// Call implements endpoint.Service. Every status is an answer, not an error;
+// redirects are passed back.
+func (s *Service) Call(ctx context.Context, in endpoint.ServiceRequest) (endpoint.ServiceResponse, error) {
+	var out endpoint.ServiceResponse
+	req, err := s.request(ctx, in)
+	if err != nil {
+		return out, &endpoint.NotStartedError{Err: trace.Wrap(err, "service.call: service %s", s.base)}
+	}
+	resp, err := s.once.Do(req)
+	if err != nil {
+		return out, trace.Wrap(mapUnsent(err), "service.call: service %s", s.base)
+	}
+	defer resp.Body.Close()
+	body, err := httponce.ReadBody(resp.Body, maxServiceAnswer)
+	if err != nil {
+		return out, trace.Wrap(err, "service.call: service %s", s.base)
+	}
+	return endpoint.ServiceResponse{Status: resp.StatusCode, Header: endToEnd(resp.Header), Body: body}, nil
+}
+
+func (s *Service) request(ctx context.Context, in endpoint.ServiceRequest) (*http.Request, error) {
+	if !strings.HasPrefix(in.Path, "/") {
+		return nil, trace.BadParameter("path %q does not begin with /", in.Path)
+	}
+	if _, err := url.ParseRequestURI(in.Path); err != nil {
+		return nil, trace.BadParameter("path: %v", err)
+	}
+	req, err := http.NewRequestWithContext(ctx, in.Method, s.base+in.Path, bytes.NewReader(in.Body))
+	if err != nil {
+		return nil, trace.BadParameter("%v", err)
+	}
+	req.Header = endToEnd(in.Header)
+	return req, nil
+}
+
+// endToEnd copies the headers that are passed on.
+func endToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	if out == nil {
+		out = http.Header{}
+	}
+	for _, listed := range h.Values("Connection") {
+		for _, name := range strings.Split(listed, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/deployment/nodes.go
@@ -0,0 +1,185 @@
+package deployment
+
+import (
+	"context"
+
+	"github.com/gravitational/trace"
+
+	"mulberryscale.example/endpoint"
+	"mulberryscale.example/internal/standin/engine"
+	"mulberryscale.example/observe"
+	"mulberryscale.example/platform"
+	"mulberryscale.example/service/agent"
+	"mulberryscale.example/service/entry"
+	"mulberryscale.example/tablesync"
+	"mulberryscale.example/transport"
+)
+
+// process is what entries and agents have in common: a start that can be
+// stopped gracefully or killed, and made again.
+type process struct {
+	listener transport.Listener
+	dialer   transport.Dialer
+	cancel   context.CancelFunc
+	ended    chan error
+}
+
+// run starts serve in a goroutine.
+func (p *process) run(base context.Context, serve func(context.Context) error) {
+	ctx, cancel := context.WithCancel(base)
+	p.cancel = cancel
+	p.ended = make(chan error, 1)
+	go func() { p.ended <- serve(ctx) }()
+}
+
+func (p *process) stop() error {
+	if p.cancel == nil {
+		return nil
+	}
+	p.cancel()
+	p.cancel = nil
+	p.listener.Close()
+	p.dialer.Close()
+	return <-p.ended
+}
+
+// running says whether the process was started and not stopped.
+func (p *process) running() bool { return p.cancel != nil }
+
+// Agent is an agent beside its endpoint.
+type Agent struct {
+	process
+	d           *Deployment
+	engineSpec  *EngineSpec
+	serviceSpec *ServiceSpec
+	ID          string
+	// Core is the engine beside the agent; nil for plain services.
+	Core     *engine.Engine
+	engine   endpoint.Engine
+	service  endpoint.Service
+	Counters *observe.Counters
+	agent    *agent.Agent
+}
+
+func (a *Agent) zone() string {
+	if a.engineSpec != nil {
+		return a.engineSpec.Zone
+	}
+	return a.serviceSpec.Zone
+}
+
+// makeEndpoint starts the stand-in beside the agent; it outlives the agent.
+func (a *Agent) makeEndpoint() (err error) {
+	if a.serviceSpec != nil {
+		a.service, err = a.d.opts.Fabric.Service(a.serviceSpec.Core)
+		return trace.Wrap(err)
+	}
+	a.Core = engine.New(a.engineSpec.Options)
+	a.engine, err = a.d.opts.Fabric.Engine(a.Core)
+	return trace.Wrap(err)
+}
+
+// Start starts the agent, or starts it again with a new incarnation, and registers it.
+func (a *Agent) Start() (err error) {
+	fabric := a.d.opts.Fabric
+	if a.listener, err = fabric.Listen(a.ID); err != nil {
+		return trace.Wrap(err, "agent %v", a.ID)
+	}
+	if a.dialer, err = fabric.Dialer(a.ID); err != nil {
+		return trace.Wrap(err, "agent %v", a.ID)
+	}
+	a.Counters = observe.NewCounters()
+	cfg := agent.Config{
+		ID: a.ID, Zone: a.zone(), Listener: a.listener, Dialer: a.dialer, Engine: a.engine, Service: a.service,
+		Holder: tablesync.NewHolder(), Logger: a.d.opts.Log, Counters: a.Counters, Seed: a.d.opts.Seed + 1,
+	}
+	if a.serviceSpec != nil {
+		cfg.Services = a.serviceSpec.Rows
+	} else {
+		cfg.Targets = a.d.Weights
+		cfg.Fencer = agent.NewTableFencer(a.d.Table, a.ID)
+	}
+	if a.d.opts.Agent != nil {
+		a.d.opts.Agent(&cfg)
+	}
+	if a.agent, err = agent.New(cfg); err != nil {
+		return trace.Wrap(err, "agent %v", a.ID)
+	}
+	a.run(a.d.base, a.agent.Run)
+	a.d.Instances.Register(platform.Instance{ID: a.ID, Role: platform.RoleAgent, Zone: a.zone(), Addr: a.listener.Addr()})
+	return nil
+}
+
+// Kill ends the agent at once; the instance list goes on naming it.
+func (a *Agent) Kill() {
+	if !a.running() {
+		return
+	}
+	a.d.opts.Fabric.Kill(a.ID)
+	a.stop()
+}
+
+// Stop drains the agent and ends it.
+func (a *Agent) Stop(ctx context.Context) error {
+	err := a.agent.Drain(ctx)
+	a.stop()
+	a.d.Instances.Remove(a.ID)
+	return err
+}
+
+// Entry is an entry instance.
+type Entry struct {
+	process
+	d        *Deployment
+	ID       string
+	Zone     string
+	URL      string
+	Counters *observe.Counters
+	Entry    *entry.Entry
+	stopHTTP func()
+}
+
+// Start starts the entry, or starts it again, and registers it.
+func (e *Entry) Start() (err error) {
+	fabric := e.d.opts.Fabric
+	if e.listener, err = fabric.Listen(e.ID); err != nil {
+		return trace.Wrap(err, "entry %v", e.ID)
+	}
+	if e.dialer, err = fabric.Dialer(e.ID); err != nil {
+		return trace.Wrap(err, "entry %v", e.ID)
+	}
+	e.Counters = observe.NewCounters()
+	e.Entry, err = entry.New(entry.Config{
+		ID: e.ID, Zone: e.Zone, Listener: e.listener, Dialer: e.dialer, Holder: tablesync.NewHolder(),
+		Instances: e.d.Instances, Table: e.d.Table, Counters: e.Counters, Log: e.d.opts.Log,
+		Linger: e.d.opts.Linger, Seed: e.d.opts.Seed,
+	})
+	if err != nil {
+		return trace.Wrap(err, "entry %v", e.ID)
+	}
+	e.run(e.d.base, e.Entry.Run)
+	if e.URL, e.stopHTTP, err = fabric.Serve(e.ID, e.Entry.Handler()); err != nil {
+		return trace.Wrap(err, "entry %v", e.ID)
+	}
+	e.d.Instances.Register(platform.Instance{ID: e.ID, Role: platform.RoleEntry, Zone: e.Zone, Addr: e.listener.Addr()})
+	return nil
+}
+
+// Kill ends the entry at once; the instance list goes on naming it.
+func (e *Entry) Kill() {
+	if !e.running() {
+		return
+	}
+	e.stopHTTP()
+	e.d.opts.Fabric.Kill(e.ID)
+	e.stop()
+}
+
+// Stop drains the entry and ends it.
+func (e *Entry) Stop(ctx context.Context) error {
+	err := e.Entry.Drain(ctx)
+	e.stopHTTP()
+	e.stop()
+	e.d.Instances.Remove(e.ID)
+	return err
+}
--- /dev/null
+++ b/internal/standin/lagging/lagging.go
@@ -0,0 +1,35 @@
+// Package lagging keeps the past states of a value, so that a stand-in can
+// tell an old one.
+package lagging
+
+import (
+	"slices"
+	"sort"
+	"time"
+)
+
+// maxEntries bounds the states kept.
+const maxEntries = 4096
+
+type entry[T any] struct {
+	at    time.Time
+	value T
+}
+
+// History holds past states, oldest first. It is not safe for concurrent use.
+type History[T any] struct{ entries []entry[T] }
+
+// Note adds the state from now on.
+func (h *History[T]) Note(now time.Time, value T) {
+	h.entries = append(h.entries, entry[T]{now, value})
+	if len(h.entries) > maxEntries {
+		h.entries = slices.Clone(h.entries[maxEntries/2:])
+	}
+}
+
+// At is the state that was current at t, or the oldest kept. At least one
+// state must have been noted.
+func (h *History[T]) At(t time.Time) T {
+	after := sort.Search(len(h.entries), func(i int) bool { return h.entries[i].at.After(t) })
+	return h.entries[max(0, after-1)].value
+}
--- /dev/null
+++ b/membership/view.go
@@ -0,0 +1,153 @@
+package membership
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mulberryscale.example/platform"
+	"mulberryscale.example/wire"
+)
+
+// View gathers evidence on agents and publishes snapshots. It is safe for
+// concurrent use; Snapshot takes no lock.
+type View struct {
+	mu      sync.Mutex
+	agents  map[string]*Agent
+	current atomic.Pointer[Snapshot]
+	entries atomic.Pointer[[]platform.Instance]
+	changed chan struct{}
+}
+
+// NewView returns an empty view.
+func NewView() *View {
+	v := &View{agents: map[string]*Agent{}, changed: make(chan struct{})}
+	v.current.Store(&Snapshot{})
+	v.entries.Store(&[]platform.Instance{})
+	return v
+}
+
+// Snapshot returns the newest snapshot.
+func (v *View) Snapshot() *Snapshot { return v.current.Load() }
+
+// Changed is closed when the next snapshot is published.
+func (v *View) Changed() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
+
+// Entries returns the other entries that the instance list named last. Callers must not change it.
+func (v *View) Entries() []platform.Instance { return *v.entries.Load() }
+
+// ListedEntries takes in the other entries of the instance list.
+func (v *View) ListedEntries(entries []platform.Instance) { v.entries.Store(&entries) }
+
+// Listed takes in the watched lines of the instance list. Agents that the list
+// no longer names are forgotten only when they are not live by their own
+// reports, since the list lags.
+func (v *View) Listed(instances []platform.Instance) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	named := make(map[string]bool, len(instances))
+	for _, in := range instances {
+		named[in.ID] = true
+		v.list(in)
+	}
+	maps.DeleteFunc(v.agents, func(id string, a *Agent) bool {
+		return !named[id] && a.State != StateLive
+	})
+	v.publish()
+}
+
+func (v *View) list(in platform.Instance) {
+	a := v.copyOf(in.ID)
+	if a.Addr != in.Addr {
+		// Another instance under the same id: what was known does not hold for it.
+		*a = Agent{ID: in.ID, State: StateNew, Sends: a.Sends}
+	}
+	a.Addr = in.Addr
+	a.Zone = in.Zone
+	if in.State == platform.InstanceLeaving {
+		a.State = StateLeaving
+	}
+	v.agents[in.ID] = a
+}
+
+// Reported takes in an agent's report and says whether it was newer than the
+// one known. A report that arrives late or out of order is dropped.
+func (v *View) Reported(h wire.Header, r wire.Report, now time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	old, known := v.agents[h.From]
+	if !known {
+		return false
+	}
+	sameIncarnation := old.Incarnation == h.Incarnation
+	if sameIncarnation && r.Seq <= old.Report.Seq {
+		return false
+	}
+	a := v.copyOf(h.From)
+	a.State = nextState(old.State, sameIncarnation, r.Draining)
+	a.Incarnation = h.Incarnation
+	a.Report = r
+	a.ReportedAt = now
+	a.sendsAtReport = a.Sends.Now()
+	v.agents[a.ID] = a
+	v.publish()
+	return true
+}
+
+func nextState(old State, sameIncarnation, draining bool) State {
+	if draining {
+		return StateLeaving
+	}
+	if old == StateLeaving && sameIncarnation {
+		return StateLeaving
+	}
+	return StateLive
+}
+
+// Suspect records that an agent's reports stopped or that a call to it failed.
+func (v *View) Suspect(id string) {
+	v.setState(id, StateSuspect)
+}
+
+// Leaving records that an agent said that it is draining.
+func (v *View) Leaving(id string) {
+	v.setState(id, StateLeaving)
+}
+
+func (v *View) setState(id string, s State) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	old, known := v.agents[id]
+	if !known || old.State == s || old.State == StateLeaving {
+		return
+	}
+	a := v.copyOf(id)
+	a.State = s
+	v.agents[id] = a
+	v.publish()
+}
+
+func (v *View) copyOf(id string) *Agent {
+	old, known := v.agents[id]
+	if !known {
+		return &Agent{ID: id, State: StateNew, Sends: &Sends{}}
+	}
+	a := *old
+	return &a
+}
+
+func (v *View) publish() {
+	agents := slices.SortedFunc(maps.Values(v.agents), func(a, b *Agent) int {
+		return strings.Compare(a.ID, b.ID)
+	})
+	v.current.Store(&Snapshot{Agents: agents})
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
--- /dev/null
+++ b/observe/counters.go
@@ -0,0 +1,201 @@
+package observe
+
+import (
+	"expvar"
+	"net/http"
+	"runtime/metrics"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mulberryscale.example/api"
+)
+
+const (
+	// maxRows bounds the rows that one name is counted by, since a caller may
+	// ask for any row's name.
+	maxRows = 1024
+	// RowOther counts what is beyond that bound.
+	RowOther = "other"
+	// RowNone counts what belongs to no row.
+	RowNone = "-"
+)
+
+// Counters are the counters, gauges and histograms of one process. A test may
+// hold many of them. The zero value is not usable.
+type Counters struct {
+	root    *expvar.Map
+	mu      sync.Mutex // guards the making of maps and histograms
+	dropped atomic.Int64
+}
+
+// NewCounters returns counters at zero, with the gauges of every process.
+func NewCounters() *Counters {
+	c := &Counters{root: new(expvar.Map).Init()}
+	start := time.Now()
+	c.Gauge(NameUptime, func() any { return time.Since(start).Seconds() })
+	c.Gauge(NameGoroutines, func() any { return readMetric("/sched/goroutines:goroutines") })
+	c.Gauge(NameHeap, func() any { return readMetric("/memory/classes/heap/objects:bytes") })
+	c.Gauge(NameDroppedRows, func() any { return c.dropped.Load() })
+	return c
+}
+
+func readMetric(name string) uint64 {
+	sample := []metrics.Sample{{Name: name}}
+	metrics.Read(sample)
+	if sample[0].Value.Kind() != metrics.KindUint64 {
+		return 0
+	}
+	return sample[0].Value.Uint64()
+}
+
+// Refusal counts one refusal of a row; an empty row is RowNone.
+func (c *Counters) Refusal(row string, code api.Code) {
+	c.addReason(NameRefusals, row, string(code))
+}
+
+// Retry counts one repeat of a call of a row; an empty row is RowNone.
+func (c *Counters) Retry(row string, reason string) {
+	c.addReason(NameRetries, row, reason)
+}
+
+func (c *Counters) addReason(name Name, row, reason string) {
+	byRow := c.mapOf(c.root, string(name))
+	c.mapOf(byRow, c.boundedRow(byRow, row)).Add(reason, 1)
+}
+
+// Refusals is the number of refusals of a row, of all rows if it is empty.
+func (c *Counters) Refusals(row string, code api.Code) int64 {
+	return c.reasons(NameRefusals, row, string(code))
+}
+
+// Retries is the number of repeats for a reason of a row, of all rows if it is empty.
+func (c *Counters) Retries(row, reason string) int64 {
+	return c.reasons(NameRetries, row, reason)
+}
+
+func (c *Counters) reasons(name Name, row, reason string) int64 {
+	byRow, ok := c.root.Get(string(name)).(*expvar.Map)
+	if !ok {
+		return 0
+	}
+	var sum int64
+	byRow.Do(func(kv expvar.KeyValue) {
+		byReason, ok := kv.Value.(*expvar.Map)
+		if ok && (row == "" || row == kv.Key) {
+			sum += intOf(byReason.Get(reason))
+		}
+	})
+	return sum
+}
+
+// Add adds delta to a counter of a row; an empty row is RowNone.
+func (c *Counters) Add(name Name, row string, delta int64) {
+	byRow := c.mapOf(c.root, string(name))
+	byRow.Add(c.boundedRow(byRow, row), delta)
+}
+
+// Value is a counter's value for a row, the sum over all rows if it is empty.
+func (c *Counters) Value(name Name, row string) int64 {
+	byRow, ok := c.root.Get(string(name)).(*expvar.Map)
+	if !ok {
+		return 0
+	}
+	if row != "" {
+		return intOf(byRow.Get(row))
+	}
+	var sum int64
+	byRow.Do(func(kv expvar.KeyValue) { sum += intOf(kv.Value) })
+	return sum
+}
+
+func intOf(v expvar.Var) int64 {
+	i, ok := v.(*expvar.Int)
+	if !ok {
+		return 0
+	}
+	return i.Value()
+}
+
+// Gauge shows what f returns, encoded as JSON, whenever the counters are read.
+// f must be safe for concurrent use. A later gauge of the same name replaces it.
+func (c *Counters) Gauge(name Name, f func() any) {
+	c.root.Set(string(name), expvar.Func(f))
+}
+
+// Observe records a duration in the histogram of a row; an empty row is RowNone.
+func (c *Counters) Observe(name Name, row string, d time.Duration) {
+	byRow := c.mapOf(c.root, string(name))
+	c.histogramOf(byRow, c.boundedRow(byRow, row)).record(d)
+}
+
+// Quantile is a quantile, 0 to 1, of a row's histogram; 0 when nothing was recorded.
+func (c *Counters) Quantile(name Name, row string, q float64) time.Duration {
+	byRow, ok := c.root.Get(string(name)).(*expvar.Map)
+	if !ok {
+		return 0
+	}
+	h, ok := byRow.Get(row).(*histogram)
+	if !ok {
+		return 0
+	}
+	return h.quantile(q)
+}
+
+// Handler serves all of it as one JSON object.
+func (c *Counters) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		_, _ = w.Write([]byte(c.root.String())) // the reader may have gone
+	})
+}
+
+// mapOf returns the map at key within parent and makes it when there is none.
+func (c *Counters) mapOf(parent *expvar.Map, key string) *expvar.Map {
+	if m, ok := parent.Get(key).(*expvar.Map); ok {
+		return m
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if m, ok := parent.Get(key).(*expvar.Map); ok {
+		return m
+	}
+	m := new(expvar.Map).Init()
+	parent.Set(key, m)
+	return m
+}
+
+func (c *Counters) histogramOf(parent *expvar.Map, key string) *histogram {
+	if h, ok := parent.Get(key).(*histogram); ok {
+		return h
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if h, ok := parent.Get(key).(*histogram); ok {
+		return h
+	}
+	h := newHistogram()
+	parent.Set(key, h)
+	return h
+}
+
+// boundedRow is the key that a row is counted by.
+func (c *Counters) boundedRow(byRow *expvar.Map, row string) string {
+	if row == "" {
+		return RowNone
+	}
+	if byRow.Get(row) != nil {
+		return row
+	}
+	if size(byRow) < maxRows {
+		return row
+	}
+	c.dropped.Add(1)
+	return RowOther
+}
+
+func size(m *expvar.Map) int {
+	n := 0
+	m.Do(func(expvar.KeyValue) { n++ })
+	return n
+}
--- /dev/null
+++ b/observe/fields.go
@@ -0,0 +1,21 @@
+package observe
+
+// Names of the fields of log lines. Log lines carry neither prompt or sample
+// text nor key material.
+const (
+	FieldRequest = "request" // id that the entry gave the request
+	FieldRow     = "row"
+	FieldTrainer = "trainer" // the trainer's row
+	FieldStep    = "step"    // a trainer's step, or the processing step of an error
+	FieldSample  = "sample"
+	FieldEngine  = "engine" // id of the agent beside the engine
+	FieldZone    = "zone"
+	FieldVersion = "version" // of the table or of weights
+	FieldPeer    = "peer"
+)
+
+// Fields that the repeat filter and daemons add.
+const (
+	FieldSuppressed = "suppressed" // repeats dropped since the last line like this one
+	FieldProcess    = "process"    // id of the process that logs
+)
--- /dev/null
+++ b/observe/names.go
@@ -0,0 +1,46 @@
+package observe
+
+// Name names a counter, gauge or histogram in /debug/vars. Names are in lower
+// case with underscores. Every name is declared in this file, each with a
+// comment that gives its kind, its unit and what it counts.
+type Name string
+
+// Counters that are kept by row and reason; see Counters.Refusal and Counters.Retry.
+const (
+	// NameRefusals counts refusals by row and reason code.
+	NameRefusals Name = "refusals"
+	// NameRetries counts repeats of a call by row and reason.
+	NameRetries Name = "retries"
+)
+
+// Gauges of every process.
+const (
+	// NameUptime is a gauge: seconds since the process's counters were made.
+	NameUptime Name = "uptime_seconds"
+	// NameGoroutines is a gauge: goroutines that exist now.
+	NameGoroutines Name = "goroutines"
+	// NameHeap is a gauge: bytes of live and not yet collected heap objects.
+	NameHeap Name = "heap_bytes"
+	// NameDroppedRows is a gauge: row names that were counted as "other"
+	// because there were too many of them.
+	NameDroppedRows Name = "rows_counted_as_other"
+)
+
+// Measures of an agent.
+const (
+	// NameQueueWait is a histogram by row: seconds from a run's arrival at an
+	// agent to its start on the endpoint.
+	NameQueueWait Name = "agent_queue_wait_seconds"
+	// NameRunTime is a histogram by row: seconds from a run's start on the
+	// endpoint to its end.
+	NameRunTime Name = "agent_run_seconds"
+	// NameOrders counts orders to load weights; the row is empty.
+	NameOrders Name = "agent_orders"
+	// NameOrdersFailed counts orders that failed or whose replies were lost;
+	// the row is empty.
+	NameOrdersFailed Name = "agent_orders_failed"
+	// NameAgent is a gauge: the agent's report (queue depths by row, slots,
+	// versions in force), the phase of each model, the table's version and the
+	// bytes of kept results.
+	NameAgent Name = "agent"
+)
--- /dev/null
+++ b/rollout/runner.go
@@ -0,0 +1,170 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"mulberryscale.example/api"
+	"mulberryscale.example/attempt"
+	"mulberryscale.example/membership"
+	"mulberryscale.example/observe"
+	"mulberryscale.example/retry"
+	"mulberryscale.example/routing"
+	"mulberryscale.example/table"
+)
+
+// DefaultLinger is how long an agent keeps a run and its result for a trainer
+// whose entry is gone.
+const DefaultLinger = 2 * time.Minute
+
+// Scorer gives a finished sample its score.
+type Scorer interface {
+	// Score scores a sample of a trainer's row; its error is an *api.Refusal.
+	Score(ctx context.Context, row *table.Row, s *api.Sample) (float64, error)
+}
+
+// Runner runs steps. Its fields are set once, before the first step.
+type Runner struct {
+	// ID is the entry's own id, named in refusals.
+	ID     string
+	Zone   string
+	Client *attempt.Client
+	View   *membership.View
+	Router *routing.Router
+	Budget *retry.Budget
+	// Scorer may be nil when no row has one.
+	Scorer   Scorer
+	Linger   time.Duration
+	Counters *observe.Counters
+	Log      logrus.FieldLogger
+	// Seed seeds the placing of each step.
+	Seed uint64
+}
+
+// Sink takes in what a step brings; it is called by one goroutine. An error
+// means that the trainer's connection is gone.
+type Sink interface {
+	Sample(s *api.Sample) error
+	Placement(p api.Placement) error
+}
+
+// errStepEnded is the cause with which samples still running are left.
+var errStepEnded = errors.New("the step has ended")
+
+// step is one running step.
+type step struct {
+	*Runner
+	row        *table.Row
+	req        *api.StepRequest
+	minVersion uint64
+	placer     *placer
+	events     chan event
+}
+
+// event is what a sample's task tells the step; one field is set.
+type event struct {
+	sample    *api.Sample
+	placement *api.Placement
+	refused   *refusedSample
+}
+
+type refusedSample struct {
+	id     string
+	reason *api.Refusal
+}
+
+// Run runs a step until its trainer has as many samples as it waits for, every
+// sample is settled, or ctx ends. The error is the sink's or ctx's.
+func (r *Runner) Run(ctx context.Context, row *table.Row, req *api.StepRequest, minVersion uint64, sink Sink) (*api.StepEnd, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	s := &step{
+		Runner: r, row: row, req: req, minVersion: minVersion,
+		placer: newPlacer(r.View, r.Router, rand.New(rand.NewPCG(r.Seed, req.Session))),
+		events: make(chan event),
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { s.placer.run(ctx) })
+	tasks := make([]*task, len(req.Samples))
+	for i := range req.Samples {
+		tasks[i] = newTask(s, &req.Samples[i])
+		wg.Go(func() { tasks[i].run(ctx) })
+	}
+	end, err := s.collect(ctx, sink)
+	cancel(errStepEnded)
+	wg.Wait()
+	if err != nil {
+		return nil, err
+	}
+	s.settle(ctx, tasks, end)
+	return end, nil
+}
+
+// collect passes on what the tasks bring until enough is delivered.
+func (s *step) collect(ctx context.Context, sink Sink) (*api.StepEnd, error) {
+	end := &api.StepEnd{}
+	waitFor := WaitFor(s.row, s.req)
+	for settled := 0; settled < len(s.req.Samples) && end.Delivered < waitFor; {
+		select {
+		case <-ctx.Done():
+			return nil, context.Cause(ctx)
+		case ev := <-s.events:
+			if ev.placement == nil {
+				settled++
+			}
+			if err := take(ev, sink, end); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return end, nil
+}
+
+func take(ev event, sink Sink, end *api.StepEnd) error {
+	switch {
+	case ev.sample != nil:
+		end.Delivered++
+		return sink.Sample(ev.sample)
+	case ev.placement != nil:
+		return sink.Placement(*ev.placement)
+	}
+	end.Undelivered = append(end.Undelivered, api.Undelivered{ID: ev.refused.id, Reason: ev.refused.reason})
+	return nil
+}
+
+// settle names the samples that the step ends without, and cancels them unless
+// the row carries them over.
+func (s *step) settle(ctx context.Context, tasks []*task, end *api.StepEnd) {
+	carry := s.row.Leftover != table.LeftoverCancel
+	forget := map[peer][]string{}
+	for _, t := range tasks {
+		if t.settled {
+			continue
+		}
+		end.Undelivered = append(end.Undelivered, api.Undelivered{ID: t.req.ID, CarriedOver: carry})
+		if !carry && t.at != (peer{}) {
+			forget[t.at] = append(forget[t.at], t.key)
+		}
+	}
+	s.Forget(context.WithoutCancel(ctx), forget)
+}
+
+// WaitFor is how many more samples the trainer of a step waits for: what the
+// request names, else the row's share rounded up, less what it holds already.
+func WaitFor(row *table.Row, req *api.StepRequest) int {
+	n := len(req.Samples)
+	total := n + req.Held
+	want := total
+	if row.WaitShare > 0 && row.WaitShare < 1 {
+		want = int(math.Ceil(row.WaitShare * float64(total)))
+	}
+	if req.WaitFor > 0 {
+		want = req.WaitFor
+	}
+	return min(n, max(0, want-req.Held))
+}
--- /dev/null
+++ b/rollout/task.go
@@ -0,0 +1,257 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/google/uuid"
+
+	"mulberryscale.example/api"
+	"mulberryscale.example/attempt"
+	"mulberryscale.example/generation"
+	"mulberryscale.example/membership"
+	"mulberryscale.example/retry"
+	"mulberryscale.example/routing"
+	"mulberryscale.example/wire"
+)
+
+// Delays between the attempts of one sample, and the time an attach may take
+// to begin.
+const (
+	firstDelay = 20 * time.Millisecond
+	mostDelay  = time.Second
+)
+
+// StepSample is the step named in refusals of samples.
+const StepSample = "entry.sample"
+
+// task brings one sample to its end.
+type task struct {
+	s        *step
+	req      *api.SampleRequest
+	key      string
+	progress generation.Progress
+	at       peer // where it was last sent
+	avoid    map[string]bool
+	settled  bool // delivered or refused; written before the event is sent
+}
+
+func newTask(s *step, req *api.SampleRequest) *task {
+	return &task{s: s, req: req, key: Key(s.row.Name, req.ID), avoid: map[string]bool{}}
+}
+
+// Key is a sample's identity at agents.
+func Key(row, sampleID string) string { return row + "/" + sampleID }
+
+// run tries until the sample is done, refused for good, or ctx ends.
+func (t *task) run(ctx context.Context) {
+	done, reason := t.finish(ctx)
+	if ctx.Err() != nil {
+		return
+	}
+	ev := event{refused: &refusedSample{id: t.req.ID, reason: reason}}
+	if reason == nil {
+		sample, scored := t.scored(ctx, done)
+		ev = event{sample: sample}
+		if scored != nil {
+			ev = event{refused: &refusedSample{id: t.req.ID, reason: scored}}
+		}
+	}
+	t.send(ctx, ev)
+}
+
+// send gives an event to the step. A settling event that the step did not take
+// leaves the sample unsettled.
+func (t *task) send(ctx context.Context, ev event) {
+	select {
+	case t.s.events <- ev:
+		t.settled = ev.placement == nil
+	case <-ctx.Done():
+	}
+}
+
+// finish returns the sample's result, or the refusal that ends it.
+func (t *task) finish(ctx context.Context) (*wire.Done, *api.Refusal) {
+	if hint, ok := t.s.req.Hints[t.req.ID]; ok {
+		if done := t.attachTo(ctx, hint); done != nil {
+			return done, nil
+		}
+	}
+	delays := retry.NewBackoff(firstDelay, mostDelay)
+	for {
+		before := t.progress.Tokens()
+		done, refusal := t.attempt(ctx)
+		if refusal == nil && generation.Fresh(done.Spans, t.s.minVersion) {
+			return done, nil
+		}
+		if refusal == nil {
+			refusal = t.stale(done)
+		}
+		if ctx.Err() != nil || !retry.Repeatable(refusal, true) {
+			return nil, refusal
+		}
+		t.count(refusal)
+		if t.progress.Tokens() > before {
+			delays.Reset()
+		}
+		t.wait(ctx, delays.NextBackOff(), refusal)
+	}
+}
+
+// wait waits before the next attempt: longer when attempts that ran have used up the budget.
+func (t *task) wait(ctx context.Context, delay time.Duration, refusal *api.Refusal) {
+	if refusal.NotRun != api.NotRunTrue && !t.s.Budget.Take() {
+		delay = mostDelay
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(delay):
+	}
+}
+
+// attempt places the sample and runs it, once.
+func (t *task) attempt(ctx context.Context) (*wire.Done, *api.Refusal) {
+	if !t.progress.FreshFor(t.s.minVersion) {
+		t.progress = generation.Progress{}
+	}
+	req := &routing.Request{
+		Model: t.s.row.Model, Zone: t.s.Zone, MinVersion: t.s.minVersion,
+		PrefixKey: routing.PrefixKey(t.req.Prompt), Exclude: t.avoid,
+	}
+	pl, err := t.s.placer.place(ctx, req, t.remaining())
+	if err != nil {
+		return nil, t.refusal(api.CodeCancelled, err, api.NotRunUnknown)
+	}
+	defer pl.end()
+	t.at = peerOf(pl.agent)
+	t.send(ctx, event{placement: &api.Placement{ID: t.req.ID, Hint: t.at.hint()}})
+	done, refusal := t.runAt(ctx, pl.agent, t.newRun(), pl.started)
+	if refusal == nil {
+		return done, nil
+	}
+	if refusal.Code == api.CodeTransport && refusal.NotRun != api.NotRunTrue {
+		done, refusal = t.reattach(ctx, pl.agent, refusal)
+	}
+	if refusal != nil {
+		t.avoid = map[string]bool{pl.agent.ID: true}
+	}
+	return done, refusal
+}
+
+// reattach asks an agent whose stream broke for the run, which goes on there
+// when only the connection was lost.
+func (t *task) reattach(ctx context.Context, a *membership.Agent, broke *api.Refusal) (*wire.Done, *api.Refusal) {
+	t.s.Counters.Retry(t.s.row.Name, string(retry.ReasonAttach))
+	run := t.newRun()
+	run.AttachOnly = true
+	done, refusal := t.runAt(ctx, a, run, func() {})
+	if refusal != nil {
+		return nil, broke
+	}
+	return done, nil
+}
+
+// attachTo asks the agent that an earlier session placed the sample at.
+func (t *task) attachTo(ctx context.Context, hint string) *wire.Done {
+	p, err := parseHint(hint)
+	if err != nil {
+		t.s.Log.WithError(err).WithField("sample", t.req.ID).Warn("placement hint ignored")
+		return nil
+	}
+	a := t.s.View.Snapshot().Agent(p.id)
+	if a == nil || a.Addr != p.addr {
+		a = &membership.Agent{ID: p.id, Addr: p.addr, Sends: &membership.Sends{}}
+	}
+	a.Sends.Begin()
+	defer a.Sends.End()
+	t.at = p
+	run := t.newRun()
+	run.AttachOnly = true
+	t.s.Counters.Retry(t.s.row.Name, string(retry.ReasonAttach))
+	done, refusal := t.runAt(ctx, a, run, func() {})
+	if refusal != nil || !generation.Fresh(done.Spans, t.s.minVersion) {
+		return nil
+	}
+	return done
+}
+
+// runAt sends a run and keeps what it generates.
+func (t *task) runAt(ctx context.Context, a *membership.Agent, run *wire.Run, started func()) (*wire.Done, *api.Refusal) {
+	done, err := t.s.Client.Run(ctx, a, run, func(c *wire.Chunk) {
+		started()
+		t.progress.Add(c)
+	})
+	if err != nil {
+		return nil, attempt.AsRefusal(err, StepSample, a.ID)
+	}
+	return done, nil
+}
+
+func (t *task) newRun() *wire.Run {
+	return &wire.Run{
+		RunID: uuid.NewString(), Key: t.key, Row: t.s.row.Name, Class: wire.ClassTraining,
+		Budget: t.s.row.Deadline, Linger: t.s.Linger, MinVersion: t.s.minVersion,
+		ExpectedTokens: t.remaining(),
+		Generate: &wire.Generate{
+			Model: t.s.row.Model, Prompt: t.req.Prompt, MaxTokens: t.req.MaxTokens,
+			Temperature: t.req.Temperature, Seed: t.req.Seed,
+			Prefix: t.progress.Text, PrefixSpans: t.progress.Clone().Spans,
+		},
+	}
+}
+
+// remaining is the expected remaining work in tokens.
+func (t *task) remaining() int {
+	expected := t.req.ExpectedTokens
+	if expected == 0 {
+		expected = t.req.MaxTokens
+	}
+	return max(1, expected-t.progress.Tokens())
+}
+
+// stale drops a result whose weights were too old.
+func (t *task) stale(done *wire.Done) *api.Refusal {
+	t.progress = generation.Progress{}
+	return t.refusal(api.CodeStale, errStale, api.NotRunFalse)
+}
+
+var errStale = errors.New("the sample was produced by weights older than the staleness bound allows")
+
+func (t *task) refusal(code api.Code, err error, notRun api.NotRun) *api.Refusal {
+	return &api.Refusal{Code: code, Message: err.Error(), NotRun: notRun, Step: StepSample, Peer: t.s.ID}
+}
+
+var reasonByCode = map[api.Code]retry.Reason{
+	api.CodeTransport:      retry.ReasonBroken,
+	api.CodeEndpointFailed: retry.ReasonEndpoint,
+	api.CodeStale:          retry.ReasonStale,
+}
+
+// count counts a retry by its reason.
+func (t *task) count(refusal *api.Refusal) {
+	reason, ok := reasonByCode[refusal.Code]
+	if !ok {
+		reason = retry.ReasonRefused
+	}
+	t.s.Counters.Retry(t.s.row.Name, string(reason))
+	t.s.Log.WithError(refusal).WithField("sample", t.req.ID).Debug("sample is tried again")
+}
+
+// scored makes the sample and has it scored where its row says so.
+func (t *task) scored(ctx context.Context, done *wire.Done) (*api.Sample, *api.Refusal) {
+	sample := &api.Sample{
+		ID: t.req.ID, Group: t.req.Group, Text: done.Text,
+		Tokens: generation.CountTokens(done.Spans), FinishReason: done.FinishReason,
+		Versions: done.Spans, RunID: done.RunID,
+	}
+	if t.s.row.Scorer == "" {
+		return sample, nil
+	}
+	score, err := t.s.Scorer.Score(ctx, t.s.row, sample)
+	if err != nil {
+		return nil, attempt.AsRefusal(err, StepSample, t.s.ID)
+	}
+	sample.Score = &score
+	return sample, nil
+}
--- /dev/null
+++ b/routing/filters.go
@@ -0,0 +1,106 @@
+package routing
+
+import "mulberryscale.example/membership"
+
+// Names of the filters.
+const (
+	FilterServing  = "serving"
+	FilterHealthy  = "healthy"
+	FilterLeaving  = "leaving"
+	FilterSuspect  = "suspect"
+	FilterVersion  = "version"
+	FilterExcluded = "excluded"
+	FilterFree     = "free"
+)
+
+// Serving keeps agents whose endpoint has the model, or is the plain service, of the request.
+type Serving struct{}
+
+// Name implements Filter.
+func (Serving) Name() string { return FilterServing }
+
+// Keep implements Filter.
+func (Serving) Keep(req *Request, a *membership.Agent) bool {
+	if req.Service != "" {
+		return a.Serves(req.Service)
+	}
+	_, ok := a.Model(req.Model)
+	return ok
+}
+
+// Healthy keeps agents whose endpoint answers and whose weights are whole.
+type Healthy struct{}
+
+// Name implements Filter.
+func (Healthy) Name() string { return FilterHealthy }
+
+// Keep implements Filter.
+func (Healthy) Keep(req *Request, a *membership.Agent) bool {
+	if !a.Report.Healthy {
+		return false
+	}
+	if req.Model == "" {
+		return true
+	}
+	m, ok := a.Model(req.Model)
+	return ok && m.Ready
+}
+
+// Leaving drops agents that leave.
+type Leaving struct{}
+
+// Name implements Filter.
+func (Leaving) Name() string { return FilterLeaving }
+
+// Keep implements Filter.
+func (Leaving) Keep(_ *Request, a *membership.Agent) bool {
+	return a.State != membership.StateLeaving && !a.Report.Draining
+}
+
+// Suspect drops agents that are not heard from.
+type Suspect struct{}
+
+// Name implements Filter.
+func (Suspect) Name() string { return FilterSuspect }
+
+// Keep implements Filter.
+func (Suspect) Keep(_ *Request, a *membership.Agent) bool {
+	return a.State == membership.StateLive
+}
+
+// Version drops agents whose weights are older than the request allows.
+type Version struct{}
+
+// Name implements Filter.
+func (Version) Name() string { return FilterVersion }
+
+// Keep implements Filter.
+func (Version) Keep(req *Request, a *membership.Agent) bool {
+	if req.MinVersion == 0 {
+		return true
+	}
+	m, ok := a.Model(req.Model)
+	return ok && m.Version >= req.MinVersion
+}
+
+// Excluded drops agents that the request names.
+type Excluded struct{}
+
+// Name implements Filter.
+func (Excluded) Name() string { return FilterExcluded }
+
+// Keep implements Filter.
+func (Excluded) Keep(req *Request, a *membership.Agent) bool {
+	return !req.Exclude[a.ID]
+}
+
+// Free drops agents without a free slot, for requests that can wait at the entry.
+type Free struct{}
+
+// Name implements Filter.
+func (Free) Name() string { return FilterFree }
+
+// Keep implements Filter.
+func (Free) Keep(req *Request, a *membership.Agent) bool {
+	return !req.NeedFree || a.Free() > 0 || req.Unstarted[a.ID] < req.Backlog
+}
--- /dev/null
+++ b/service/agent/endpointrun.go
@@ -0,0 +1,131 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"mulberryscale.example/api"
+	"mulberryscale.example/endpoint"
+	"mulberryscale.example/observe"
+	"mulberryscale.example/wire"
+)
+
+// finishLength is the finish reason of a text that reached max_tokens.
+const finishLength = "length"
+
+// generate runs a generation and returns the tokens that the engine made. A
+// prefix that has max_tokens already, since only its end was lost, is the answer.
+func (a *Agent) generate(j *job) (tokens int) {
+	g := j.req.Generate
+	if countTokens(g.PrefixSpans) >= g.MaxTokens {
+		j.run.FinishText(time.Now(), finishLength)
+		return 0
+	}
+	stream, err := a.cfg.Engine.Generate(j.ctx, endpoint.GenerateRequest{
+		RunID:        j.run.ID(),
+		Model:        g.Model,
+		Prompt:       g.Prompt,
+		MaxTokens:    g.MaxTokens,
+		Temperature:  g.Temperature,
+		Seed:         g.Seed,
+		Prefix:       g.Prefix,
+		PrefixTokens: countTokens(g.PrefixSpans),
+	})
+	if err != nil {
+		a.fail(j, err, api.NotRunUnknown)
+		return 0
+	}
+	defer stream.Close()
+	// A stream that does not heed its context still ends by Close.
+	stop := context.AfterFunc(j.ctx, func() { stream.Close() })
+	defer stop()
+	return a.follow(j, stream)
+}
+
+// follow copies the stream's chunks into the run until either ends.
+func (a *Agent) follow(j *job, stream endpoint.Stream) (tokens int) {
+	bytes := 0
+	for {
+		chunk, err := stream.Next()
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				err = errors.New("the stream ended without a finish reason")
+			}
+			a.fail(j, err, api.NotRunFalse)
+			return tokens
+		}
+		tokens += chunk.Tokens
+		bytes += len(chunk.Text)
+		if refusal := a.badChunk(j, chunk, bytes); refusal != nil {
+			j.run.Fail(time.Now(), refusal)
+			return tokens
+		}
+		j.run.Append(chunk.Text, chunk.Version, chunk.Tokens)
+		if chunk.FinishReason != "" {
+			j.run.FinishText(time.Now(), chunk.FinishReason)
+			return tokens
+		}
+	}
+}
+
+// badChunk refuses a chunk that may not go into the answer.
+func (a *Agent) badChunk(j *job, chunk endpoint.Chunk, bytes int) *api.Refusal {
+	if chunk.Tokens > 0 && chunk.Version < j.req.MinVersion {
+		return a.refuseRetry(api.CodeStale, api.NotRunFalse, stepRun, "the engine went on with weights older than the staleness bound")
+	}
+	if bytes > a.cfg.MaxAnswerBytes {
+		return a.refuse(api.CodeTooLarge, api.NotRunFalse, stepRun, "the answer is over its bound of bytes")
+	}
+	return nil
+}
+
+// call makes a plain service's call, once.
+func (a *Agent) call(j *job) {
+	c := j.req.Call
+	resp, err := a.cfg.Service.Call(j.ctx, endpoint.ServiceRequest{
+		Method: c.Method,
+		Path:   c.Path,
+		Header: http.Header(c.Header),
+		Body:   c.Body,
+	})
+	if err != nil {
+		a.fail(j, err, api.NotRunUnknown)
+		return
+	}
+	if len(resp.Body) > a.cfg.MaxAnswerBytes {
+		j.run.Fail(time.Now(), a.refuse(api.CodeTooLarge, api.NotRunFalse, stepRun, "the answer is over its bound of bytes"))
+		return
+	}
+	j.run.FinishAnswer(time.Now(), &wire.Answer{Status: resp.Status, Header: resp.Header, Body: resp.Body})
+}
+
+// fail ends a job with the reason that its context or its endpoint gives.
+func (a *Agent) fail(j *job, err error, notRun api.NotRun) {
+	if notStarted(err) {
+		notRun = api.NotRunTrue
+	}
+	if j.ctx.Err() == nil {
+		a.wakePoll() // the engine may have failed as a whole
+	}
+	refusal := a.failure(j, err, notRun)
+	a.logRun(j).WithField(observe.FieldStep, refusal.Step).WithError(err).Info("run failed")
+	j.run.Fail(time.Now(), refusal)
+}
+
+func (a *Agent) failure(j *job, err error, notRun api.NotRun) *api.Refusal {
+	cause := context.Cause(j.ctx)
+	switch {
+	case errors.Is(cause, errDeadline):
+		return a.refuse(api.CodeDeadline, notRun, stepRun, "the deadline passed during the run")
+	case errors.Is(cause, errUnwanted):
+		return a.refuse(api.CodeCancelled, notRun, stepRun, cause.Error())
+	case errors.Is(cause, errStalled):
+		return a.refuseRetry(api.CodeEndpointFailed, notRun, stepRun, cause.Error())
+	case j.req.NonIdempotent && notRun == api.NotRunUnknown:
+		return a.refuse(api.CodeOutcomeUnknown, notRun, stepRun, "the answer was lost: "+err.Error())
+	}
+	return a.refuseRetry(api.CodeEndpointFailed, notRun, stepRun, "the endpoint failed: "+err.Error())
+}
--- /dev/null
+++ b/service/agent/fuzz_test.go
@@ -0,0 +1,161 @@
+package agent
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"mulberryscale.example/api"
+	"mulberryscale.example/internal/standin/engine"
+	"mulberryscale.example/transport"
+	"mulberryscale.example/wire"
+)
+
+// asked is a request on its way and the stream that an impatient entry closes.
+type asked struct {
+	key string
+	s   transport.Stream
+	ch  chan answer
+	cut bool
+	// known is how many runs of the key the engine had when the answer ended.
+	known int
+}
+
+// fuzz is one agent under random use and faults, with what it answered.
+type fuzz struct {
+	*rig
+	p     *publisher
+	asked []*asked
+	// fenced are the keys that never ran, as their fences said.
+	fenced map[string]bool
+	n      int
+}
+
+// bubbleTB hides the test's Deadline, which may not be asked in a bubble.
+type bubbleTB struct{ testing.TB }
+
+// TestAgentFuzz drives an agent at random; its oracle is what the stand-in
+// engine records.
+func TestAgentFuzz(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(bubbleTB{t}, func(rt *rapid.T) {
+			f := &fuzz{p: &publisher{}, fenced: make(map[string]bool)}
+			f.rig = newRig(t, engine.Options{Slots: 2, LoadTime: 300 * time.Millisecond}, func(c *Config) {
+				c.Targets, c.Fencer, c.TargetInterval = f.p, countingFencer{}, time.Second
+			})
+			defer func() {
+				f.engine.Thaw()
+				f.close()
+				time.Sleep(time.Second) // until the engine's loads have ended
+			}()
+			f.run(rt)
+			f.engine.Thaw()
+			for _, a := range f.asked {
+				f.check(rt, a, <-a.ch)
+			}
+		})
+	})
+}
+
+func (f *fuzz) run(rt *rapid.T) {
+	version := uint64(3)
+	key := func(t *rapid.T) string { return rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(t, "key") }
+	rt.Repeat(map[string]func(*rapid.T){
+		"run": func(t *rapid.T) {
+			f.n++
+			req := generation(fmt.Sprintf("%s-%d", key(t), f.n))
+			k, _, _ := strings.Cut(req.RunID, "-")
+			req.Key, req.Generate.Prompt = "row/"+k, "prompt of "+k
+			req.Budget = time.Duration(rapid.IntRange(1, 4000).Draw(t, "budget")) * time.Millisecond
+			req.Linger = time.Duration(rapid.IntRange(0, 2).Draw(t, "linger")) * time.Second
+			req.MinVersion = version - uint64(rapid.IntRange(0, 1).Draw(t, "behind"))
+			a := &asked{key: k, s: f.open(wire.Request{Run: req}), ch: make(chan answer, 1)}
+			go func() {
+				got := read(a.s)
+				a.known = len(f.records(k))
+				a.ch <- got
+			}()
+			f.asked = append(f.asked, a)
+		},
+		"leave": func(t *rapid.T) {
+			if len(f.asked) > 0 {
+				a := rapid.SampledFrom(f.asked).Draw(t, "asked")
+				a.cut = true
+				a.s.Close()
+			}
+		},
+		"fence": func(t *rapid.T) {
+			k := key(t)
+			a := f.call(wire.Request{Fence: &wire.Fence{Key: "row/" + k}})
+			if a.final.Fenced.State == wire.FenceNeverRan {
+				f.fenced[k] = true
+			}
+		},
+		"forget": func(t *rapid.T) {
+			f.call(wire.Request{Forget: &wire.Forget{Keys: []string{"row/" + key(t)}}})
+		},
+		"publish": func(*rapid.T) { version++; f.p.publish(version) },
+		"faults": func(t *rapid.T) {
+			switch rapid.IntRange(0, 5).Draw(t, "fault") {
+			case 0:
+				f.engine.CutNextStream(8)
+			case 1:
+				f.engine.FailNextLoads(1)
+			case 2:
+				f.engine.LoseNextLoadReplies(1)
+			case 3:
+				f.engine.Crash()
+			case 4:
+				f.engine.Freeze()
+			case 5:
+				f.engine.Thaw()
+			}
+		},
+		"pass": func(t *rapid.T) {
+			time.Sleep(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
+		},
+		"": func(t *rapid.T) {
+			synctest.Wait()
+			for k := range f.fenced {
+				if len(f.records(k)) > 0 {
+					t.Fatalf("%s never ran, says its fence, and the engine has it", k)
+				}
+			}
+			if rep := f.agent.Report(); rep.Running > 2 {
+				t.Fatalf("report %+v of an engine with two slots", rep)
+			}
+		},
+	})
+}
+
+// records are the engine's runs of a key.
+func (f *fuzz) records(key string) []engine.Record {
+	var found []engine.Record
+	for _, rec := range f.engine.Records() {
+		if rec.Prompt == "prompt of "+key {
+			found = append(found, rec)
+		}
+	}
+	return found
+}
+
+// check compares an answer with the engine's records.
+func (f *fuzz) check(t *rapid.T, a *asked, got answer) {
+	switch {
+	case got.final.Done != nil:
+		rec := f.record(got.final.Done.RunID)
+		if rec.Prompt != "prompt of "+a.key || got.final.Done.Text != rec.Text || fmt.Sprint(got.final.Done.Spans) != fmt.Sprint(rec.Spans) {
+			t.Fatalf("%s got %+v, the engine made %+v", a.key, got.final.Done, rec)
+		}
+	case got.final.Refusal == nil:
+		if !a.cut {
+			t.Fatalf("%s got no end: %v", a.key, got.err)
+		}
+	case got.final.Refusal.NotRun == api.NotRunTrue && a.known > 0:
+		t.Fatalf("%s ran %d times and got %v", a.key, a.known, got.final.Refusal)
+	}
+}
--- /dev/null
+++ b/service/agent/interactive_test.go
@@ -0,0 +1,111 @@
+package agent
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"mulberryscale.example/internal/standin/engine"
+	"mulberryscale.example/wire"
+)
+
+const lookups = 150
+
+// lookupTimes are in microseconds.
+type lookupTimes struct {
+	first, whole *hdrhistogram.Histogram
+	// training is the tokens a second that trainers got beside the lookups.
+	training float64
+}
+
+func newTimes() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, time.Minute.Microseconds(), 3)
+}
+
+// measureLookups sends lookups at random times, beside trainers that keep
+// their queues full, and measures each until its first and its last chunk.
+func measureLookups(t *testing.T, reserve, trainers int) lookupTimes {
+	times := lookupTimes{first: newTimes(), whole: newTimes()}
+	inBubble(t, engine.Options{Slots: 8, ChunkTokens: 16}, func(c *Config) { c.InteractiveReserve = reserve }, func(t *testing.T, r *rig) {
+		stop := make(chan struct{})
+		var all sync.WaitGroup
+		for i := range trainers * 6 {
+			all.Go(func() {
+				for n := 0; ; n++ {
+					select {
+					case <-stop:
+						return
+					default:
+						req := generation(fmt.Sprintf("t%d-%d", i, n))
+						req.Row = fmt.Sprint("trainer-", i%trainers)
+						if a := r.run(req); a.final.Done == nil {
+							t.Errorf("a sample got %+v", a.final)
+						}
+					}
+				}
+			})
+		}
+		began := time.Now()
+		rng := rand.New(rand.NewPCG(1, 2))
+		var mu sync.Mutex
+		var asked sync.WaitGroup
+		for i := range lookups {
+			time.Sleep(time.Duration(rng.ExpFloat64() * float64(200*time.Millisecond)))
+			asked.Go(func() {
+				req := generation(fmt.Sprint("lookup", i))
+				req.Row, req.Class, req.Key = "web", wire.ClassInteractive, ""
+				a := r.run(req)
+				if a.final.Done == nil {
+					t.Errorf("a lookup got %+v", a.final)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				times.first.RecordValue(a.started.Microseconds())
+				times.whole.RecordValue(a.took.Microseconds())
+			})
+		}
+		asked.Wait()
+		times.training = float64(r.trainingTokens()) / time.Since(began).Seconds()
+		close(stop)
+		all.Wait()
+	})
+	return times
+}
+
+func (r *rig) trainingTokens() int {
+	n := 0
+	for _, rec := range r.engine.Records() {
+		if rec.RunID[0] == 't' {
+			n += countTokens(rec.Spans)
+		}
+	}
+	return n
+}
+
+// TestInteractiveBesideTraining: saturated trainers lengthen the lookups' p99
+// to no more than 1.5 times what it is alone, and the mean time to the first
+// chunk to no more than 1.2 times. Without a reserve that is over 1.3 times.
+func TestInteractiveBesideTraining(t *testing.T) {
+	measure := func(name string, reserve, trainers int) lookupTimes {
+		m := measureLookups(t, reserve, trainers)
+		t.Logf("%s: first chunk mean %.0f p99 %d µs, whole p50 %d p99 %d µs, training %.0f tokens/s", name,
+			m.first.Mean(), p99(m.first), m.whole.ValueAtQuantile(50), p99(m.whole), m.training)
+		return m
+	}
+	alone := measure("alone", DefaultInteractiveReserve, 0)
+	beside := measure("beside three trainers", DefaultInteractiveReserve, 3)
+	measure("with a reserve of two", 2, 3)
+	without := measure("without a reserve", NoReserve, 3)
+	if 2*p99(beside.whole) > 3*p99(alone.whole) || beside.first.Mean() > 1.2*alone.first.Mean() {
+		t.Error("beside trainers the lookups take too long")
+	}
+	if without.first.Mean() <= 1.3*alone.first.Mean() {
+		t.Error("without the reserve nothing changes: this test shows nothing")
+	}
+}
+
+func p99(h *hdrhistogram.Histogram) int64 { return h.ValueAtQuantile(99) }
--- /dev/null
+++ b/service/agent/run.go
@@ -0,0 +1,197 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"mulberryscale.example/api"
+	"mulberryscale.example/results"
+	"mulberryscale.example/transport"
+	"mulberryscale.example/wire"
+)
+
+// answerRun admits a run, or attaches to one, and sends its chunks and its end.
+func (a *Agent) answerRun(ctx context.Context, s transport.Stream, req *wire.Run) {
+	a.countAnswering(1)
+	defer a.countAnswering(-1)
+	reader, refusal := a.admit(time.Now(), req)
+	if refusal != nil {
+		a.finalReply(s, req.Row, refused(refusal))
+		return
+	}
+	defer func() { reader.Close(time.Now()) }()
+	a.stream(ctx, s, req.Row, reader)
+}
+
+func (a *Agent) countAnswering(n int) {
+	a.mu.Lock()
+	a.answering += n
+	a.mu.Unlock()
+	a.settled.Fire()
+}
+
+func (a *Agent) stream(ctx context.Context, s transport.Stream, row string, reader *results.Reader) {
+	for {
+		event, err := reader.Next(ctx)
+		switch {
+		case err != nil:
+			return
+		case event.Done != nil:
+			if a.finalReply(s, row, &wire.Reply{Done: event.Done}) {
+				reader.Delivered()
+			}
+			return
+		case event.Refusal != nil:
+			a.finalReply(s, row, refused(event.Refusal))
+			return
+		}
+		if a.reply(s, &wire.Reply{Chunk: event.Chunk}) != nil {
+			return
+		}
+	}
+}
+
+// finalReply sends the last reply of a run with the agent's report on it, and
+// says whether it went out.
+func (a *Agent) finalReply(s transport.Stream, row string, r *wire.Reply) bool {
+	if r.Refusal != nil {
+		a.cfg.Counters.Refusal(row, r.Refusal.Code)
+	}
+	r.Report = a.Report()
+	return a.reply(s, r) == nil && s.CloseSend() == nil
+}
+
+// admit checks a request and begins its run or attaches to it.
+func (a *Agent) admit(now time.Time, req *wire.Run) (*results.Reader, *api.Refusal) {
+	if refusal := a.checkRun(req); refusal != nil {
+		return nil, refusal
+	}
+	reader, refusal := a.results.Begin(now, req, a.closed(req))
+	if refusal != nil {
+		return nil, refusal
+	}
+	if reader.Attached() {
+		a.extend(now, reader.Run(), req.Budget)
+		return reader, nil
+	}
+	if refusal := a.enqueue(now, reader.Run(), req); refusal != nil {
+		refusal = reader.Run().Refuse(now, refusal)
+		reader.Close(now)
+		return nil, refusal
+	}
+	a.dispatch()
+	return reader, nil
+}
+
+// checkRun refuses what is wrong with the request itself.
+func (a *Agent) checkRun(req *wire.Run) *api.Refusal {
+	if req.Incarnation != "" && req.Incarnation != a.incarnation {
+		return a.refuse(api.CodeWrongIncarnation, api.NotRunUnknown, stepAdmit, "the agent has restarted since")
+	}
+	if req.AttachOnly {
+		return nil
+	}
+	if req.RunID == "" || req.Row == "" {
+		return a.badRun("a run needs its id and its row")
+	}
+	if req.Budget < 0 {
+		return a.refuse(api.CodeDeadline, api.NotRunTrue, stepAdmit, "the deadline has passed")
+	}
+	if (req.Generate == nil) == (req.Call == nil) {
+		return a.badRun("a run is either a generation or a call")
+	}
+	if runBytes(req) > a.cfg.MaxRequestBytes {
+		return a.refuse(api.CodeTooLarge, api.NotRunTrue, stepAdmit, "the request is over its bound of bytes")
+	}
+	if req.Generate != nil {
+		return a.checkGenerate(req)
+	}
+	return a.checkCall(req)
+}
+
+func (a *Agent) badRun(message string) *api.Refusal {
+	return a.refuse(api.CodeBadRequest, api.NotRunTrue, stepAdmit, message)
+}
+
+func (a *Agent) checkGenerate(req *wire.Run) *api.Refusal {
+	g := req.Generate
+	switch {
+	case a.cfg.Engine == nil:
+		return a.badRun("no model engine is here")
+	case g.Model == "":
+		return a.badRun("a generation needs its model")
+	case g.MaxTokens < 1:
+		return a.badRun("a generation needs max_tokens of at least 1")
+	case len(g.PrefixSpans) > 0 && api.OldestVersion(g.PrefixSpans) < req.MinVersion:
+		return a.refuse(api.CodeStale, api.NotRunTrue, stepAdmit, "the prefix is older than the staleness bound")
+	}
+	return nil
+}
+
+func (a *Agent) checkCall(req *wire.Run) *api.Refusal {
+	if a.cfg.Service == nil {
+		return a.badRun("no plain service is here")
+	}
+	for _, row := range a.cfg.Services {
+		if row == req.Row {
+			return nil
+		}
+	}
+	return a.refuse(api.CodeNoEndpoint, api.NotRunTrue, stepAdmit, "the row is not served here")
+}
+
+// closed is the refusal for new runs, nil while they are taken.
+func (a *Agent) closed(req *wire.Run) *api.Refusal {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.draining {
+		return a.drainingRefusal()
+	}
+	if !a.engine.healthy {
+		return a.refuseRetry(api.CodeNoEndpoint, api.NotRunTrue, stepAdmit, "the endpoint does not answer")
+	}
+	if req.Generate != nil {
+		return a.closedModel(req)
+	}
+	return nil
+}
+
+func (a *Agent) closedModel(req *wire.Run) *api.Refusal {
+	m, ok := a.engine.models[req.Generate.Model]
+	if !ok {
+		return a.refuseRetry(api.CodeNoEndpoint, api.NotRunTrue, stepAdmit, "the engine does not serve the model")
+	}
+	if a.quarantined(req.Generate.Model) {
+		return a.quarantineRefusal(stepAdmit)
+	}
+	if m.version < req.MinVersion && m.target < req.MinVersion {
+		return a.refuseRetry(api.CodeStale, api.NotRunTrue, stepAdmit, "the engine's weights are older than the staleness bound")
+	}
+	return nil
+}
+
+func countTokens(spans []api.VersionSpan) int {
+	n := 0
+	for _, s := range spans {
+		n += s.Tokens
+	}
+	return n
+}
+
+// runBytes is the memory that a waiting request holds.
+func runBytes(req *wire.Run) int {
+	n := len(req.Key) + len(req.RunID)
+	if g := req.Generate; g != nil {
+		n += len(g.Prompt) + len(g.Prefix)
+	}
+	if c := req.Call; c != nil {
+		n += len(c.Path) + len(c.Body)
+		for k, vs := range c.Header {
+			n += len(k)
+			for _, v := range vs {
+				n += len(v)
+			}
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/service/entry/entry.go
@@ -0,0 +1,208 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+	"github.com/sirupsen/logrus"
+
+	"mulberryscale.example/attempt"
+	"mulberryscale.example/claims"
+	"mulberryscale.example/limits"
+	"mulberryscale.example/membership"
+	"mulberryscale.example/observe"
+	"mulberryscale.example/platform"
+	"mulberryscale.example/retry"
+	"mulberryscale.example/rollout"
+	"mulberryscale.example/routing"
+	"mulberryscale.example/tablesync"
+	"mulberryscale.example/transport"
+	"mulberryscale.example/wire"
+)
+
+// Defaults of Config.
+const (
+	DefaultMaxBody       = 64 << 20 // bytes
+	DefaultRetryRatio    = 0.1      // retries for each first attempt
+	DefaultRetryBurst    = 64
+	DefaultClaimTimeout  = 2 * time.Second
+	drainingRetryAfter   = time.Second
+	noEndpointRetryAfter = time.Second
+)
+
+// Config holds an entry's dependencies and settings.
+type Config struct {
+	ID   string
+	Zone string
+	// Listener takes streams from our other processes; nil when there are none.
+	Listener  transport.Listener
+	Dialer    transport.Dialer
+	Holder    *tablesync.Holder
+	Instances platform.InstanceList
+	Table     platform.TableService
+	Counters  *observe.Counters
+	Log       logrus.FieldLogger
+	// Subset is how many agents the entry watches at most.
+	Subset int
+	// Linger is how long agents keep a trainer's runs when the entry is gone.
+	Linger time.Duration
+	// MaxBody bounds the body of a caller's request, in bytes.
+	MaxBody int64
+	// Seed seeds the choice among endpoints.
+	Seed uint64
+}
+
+func (c *Config) check() error {
+	switch {
+	case c.ID == "":
+		return trace.BadParameter("entry: ID is required")
+	case c.Zone == "":
+		return trace.BadParameter("entry: Zone is required")
+	case c.Dialer == nil, c.Holder == nil, c.Instances == nil, c.Table == nil:
+		return trace.BadParameter("entry: Dialer, Holder, Instances and Table are required")
+	case c.Counters == nil, c.Log == nil:
+		return trace.BadParameter("entry: Counters and Log are required")
+	}
+	return nil
+}
+
+func (c *Config) setDefaults() {
+	if c.Linger == 0 {
+		c.Linger = rollout.DefaultLinger
+	}
+	if c.MaxBody == 0 {
+		c.MaxBody = DefaultMaxBody
+	}
+}
+
+// Entry is one entry instance.
+type Entry struct {
+	cfg         Config
+	incarnation string
+	view        *membership.View
+	watcher     *membership.Watcher
+	client      *attempt.Client
+	claims      *claims.Store
+	limits      *limits.Set
+	interactive *routing.Router
+	budget      *retry.Budget
+	runner      *rollout.Runner
+	sync        *tableSync
+	sessions    *sessions
+	handler     http.Handler
+	draining    atomic.Bool
+	// active counts the calls in progress, which a drain waits for.
+	active sync.WaitGroup
+	// admitting guards draining against active.
+	admitting sync.RWMutex
+}
+
+// New returns an entry; Run starts it.
+func New(cfg Config) (*Entry, error) {
+	if err := cfg.check(); err != nil {
+		return nil, err
+	}
+	cfg.setDefaults()
+	e := &Entry{
+		cfg: cfg, incarnation: uuid.NewString(), view: membership.NewView(),
+		limits: limits.NewSet(), interactive: routing.NewInteractive(),
+		budget: retry.NewBudget(DefaultRetryRatio, DefaultRetryBurst), sessions: newSessions(),
+	}
+	e.sync = newTableSync(e)
+	e.client = &attempt.Client{Dialer: cfg.Dialer, View: e.view, Header: e.header, Observe: e.sync.observe}
+	e.claims = &claims.Store{Table: cfg.Table}
+	e.watcher = membership.NewWatcher(membership.WatcherConfig{
+		EntryID: cfg.ID, Zone: cfg.Zone, View: e.view, Dialer: cfg.Dialer, List: cfg.Instances,
+		Header: e.header, Observe: e.sync.observe, Subset: cfg.Subset, Log: cfg.Log,
+	})
+	e.runner = e.newRunner()
+	handler, err := e.newHandler()
+	if err != nil {
+		return nil, err
+	}
+	e.handler = handler
+	return e, nil
+}
+
+func (e *Entry) newRunner() *rollout.Runner {
+	return &rollout.Runner{
+		ID: e.cfg.ID, Zone: e.cfg.Zone, Client: e.client, View: e.view,
+		Router: routing.NewTraining(), Budget: e.budget, Scorer: &scorer{e},
+		Linger: e.cfg.Linger, Counters: e.cfg.Counters, Log: e.cfg.Log, Seed: e.cfg.Seed,
+	}
+}
+
+// Handler serves the callers' HTTP API.
+func (e *Entry) Handler() http.Handler { return e.handler }
+
+// Ready says whether the platform's balancer may send callers here.
+func (e *Entry) Ready() bool {
+	return !e.draining.Load() && e.cfg.Holder.Current() != nil
+}
+
+// LiveAgents counts the agents whose reports arrive and whose endpoints answer.
+func (e *Entry) LiveAgents() int {
+	n := 0
+	for _, a := range e.view.Snapshot().Agents {
+		if a.State == membership.StateLive && a.Report.Healthy {
+			n++
+		}
+	}
+	return n
+}
+
+// Run keeps the entry's view and table up to date and serves our other
+// processes until ctx ends.
+func (e *Entry) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	wg.Go(func() { e.watcher.Run(ctx) })
+	wg.Go(func() { e.sync.run(ctx) })
+	defer wg.Wait()
+	if e.cfg.Listener == nil {
+		<-ctx.Done()
+		return nil
+	}
+	return e.cfg.Listener.Serve(ctx, e.servePeer)
+}
+
+// Drain refuses new calls and waits until those in progress have ended or ctx ends.
+func (e *Entry) Drain(ctx context.Context) error {
+	e.admitting.Lock()
+	e.draining.Store(true)
+	e.admitting.Unlock()
+	ended := make(chan struct{})
+	go func() {
+		e.active.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return nil
+	case <-ctx.Done():
+		return trace.Wrap(ctx.Err(), "step entry.drain: calls are still in progress")
+	}
+}
+
+// begin counts a call in; it is false when the entry is draining.
+func (e *Entry) begin() bool {
+	e.admitting.RLock()
+	defer e.admitting.RUnlock()
+	if e.draining.Load() {
+		return false
+	}
+	e.active.Add(1)
+	return true
+}
+
+func (e *Entry) header() wire.Header {
+	h := wire.Header{From: e.cfg.ID, Incarnation: e.incarnation, TableVersion: e.cfg.Holder.Version()}
+	if e.cfg.Listener != nil {
+		h.Addr = e.cfg.Listener.Addr()
+	}
+	return h
+}
--- /dev/null
+++ b/service/entry/http.go
@@ -0,0 +1,190 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/kataras/iris/v12"
+
+	"mulberryscale.example/api"
+	"mulberryscale.example/attempt"
+	"mulberryscale.example/table"
+)
+
+// Steps named in refusals.
+const (
+	StepRead   = "entry.read"
+	StepAdmit  = "entry.admit"
+	StepRoute  = "entry.route"
+	StepClaim  = "entry.claim"
+	StepAttach = "entry.attach"
+	StepRun    = "entry.run"
+	StepStep   = "entry.step"
+	StepScore  = "entry.score"
+)
+
+// maxKeyLength bounds an Idempotency-Key, in bytes.
+const maxKeyLength = 256
+
+func (e *Entry) newHandler() (http.Handler, error) {
+	app := iris.New()
+	app.Logger().SetLevel("disable")
+	app.Get(api.PathLive, func(c iris.Context) { c.StatusCode(http.StatusOK) })
+	app.Get(api.PathReady, e.handleReady)
+	app.Post(api.PathCompletions, e.counted(e.handleCompletion))
+	app.Any(api.PathServices+"{row:string}/{path:path}", e.counted(e.handleService))
+	app.Any(api.PathServices+"{row:string}", e.counted(e.handleService))
+	app.Post(api.PathTrainers+"{row:string}/steps/{step:string}", e.counted(e.handleStep))
+	app.Post(api.PathTrainers+"{row:string}/steps/{step:string}/confirm", e.counted(e.handleConfirm))
+	if err := app.Build(); err != nil {
+		return nil, err
+	}
+	return app, nil
+}
+
+func (e *Entry) handleReady(c iris.Context) {
+	if !e.Ready() {
+		c.StatusCode(http.StatusServiceUnavailable)
+		return
+	}
+	c.StatusCode(http.StatusOK)
+}
+
+// counted refuses calls while the entry drains and counts the others as active.
+func (e *Entry) counted(handle func(iris.Context)) iris.Handler {
+	return func(c iris.Context) {
+		if !e.begin() {
+			e.refuse(c, "", e.refusal(api.CodeDraining, "this entry instance is stopping", StepAdmit, drainingRetryAfter))
+			return
+		}
+		defer e.active.Done()
+		handle(c)
+	}
+}
+
+// refusal makes a refusal of a request that did not run.
+func (e *Entry) refusal(code api.Code, message, step string, retryAfter time.Duration) *api.Refusal {
+	return &api.Refusal{
+		Code: code, Message: message, NotRun: api.NotRunTrue,
+		RetryAfter: retryAfter, Step: step, Peer: e.cfg.ID,
+	}
+}
+
+// refuse answers a call with a refusal and counts it.
+func (e *Entry) refuse(c iris.Context, row string, r *api.Refusal) {
+	e.countRefusal(row, r)
+	w := c.ResponseWriter()
+	w.Header().Set("Content-Type", "application/json")
+	if after := r.RetryAfterHeader(); after != "" {
+		w.Header().Set("Retry-After", after)
+	}
+	w.WriteHeader(r.Status())
+	if err := json.NewEncoder(w).Encode(api.ErrorBody{Error: r}); err != nil {
+		e.cfg.Log.WithError(err).Debug("refusal not written")
+	}
+}
+
+func (e *Entry) countRefusal(row string, r *api.Refusal) {
+	e.cfg.Counters.Refusal(row, r.Code)
+	e.cfg.Log.WithError(r).WithField("row", row).Info("request refused")
+}
+
+// readJSON reads a bounded body into v.
+func (e *Entry) readJSON(c iris.Context, v any) *api.Refusal {
+	body, refusal := e.readBody(c)
+	if refusal != nil {
+		return refusal
+	}
+	if err := json.Unmarshal(body, v); err != nil {
+		return e.refusal(api.CodeBadRequest, "the body is not the expected JSON: "+err.Error(), StepRead, 0)
+	}
+	return nil
+}
+
+func (e *Entry) readBody(c iris.Context) ([]byte, *api.Refusal) {
+	limited := http.MaxBytesReader(c.ResponseWriter(), c.Request().Body, e.cfg.MaxBody)
+	body, err := io.ReadAll(limited)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, e.refusal(api.CodeTooLarge, "the body is larger than this entry takes", StepRead, 0)
+	}
+	if err != nil {
+		return nil, e.refusal(api.CodeBadRequest, "the body could not be read: "+err.Error(), StepRead, 0)
+	}
+	return body, nil
+}
+
+// row finds the row of the table in force and checks its kind.
+func (e *Entry) row(name string, kinds ...table.Kind) (*table.Row, *api.Refusal) {
+	snap := e.cfg.Holder.Current()
+	if snap == nil {
+		return nil, e.refusal(api.CodeNoTable, "no version of the table is known here yet", StepAdmit, noEndpointRetryAfter)
+	}
+	row, ok := snap.Row(name)
+	if !ok {
+		return nil, e.refusal(api.CodeUnknownRow, "the table has no row of this name", StepAdmit, 0)
+	}
+	for _, k := range kinds {
+		if row.Kind == k {
+			return row, nil
+		}
+	}
+	return nil, e.refusal(api.CodeBadRequest, "the row "+name+" is of kind "+string(row.Kind)+", which this call does not serve", StepAdmit, 0)
+}
+
+// withDeadline bounds a call by the caller's deadline header, else by the row's.
+func (e *Entry) withDeadline(c iris.Context, row *table.Row) (context.Context, context.CancelFunc, *api.Refusal) {
+	deadline := row.Deadline
+	if text := c.GetHeader(api.HeaderDeadline); text != "" {
+		d, err := time.ParseDuration(text)
+		if err != nil || d <= 0 {
+			return nil, nil, e.refusal(api.CodeBadRequest, api.HeaderDeadline+" must be a positive duration such as \"1.5s\"", StepRead, 0)
+		}
+		deadline = d
+	}
+	ctx := c.Request().Context()
+	if deadline <= 0 {
+		ctx, cancel := context.WithCancel(ctx)
+		return ctx, cancel, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, deadline)
+	return ctx, cancel, nil
+}
+
+// budgetOf is the time left until ctx's deadline, 0 when it has none.
+func budgetOf(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return 0
+	}
+	return max(time.Until(deadline), time.Nanosecond)
+}
+
+// identity is how a caller names a request that may come again.
+type identity struct {
+	key           string
+	nonIdempotent bool
+}
+
+func (e *Entry) identity(c iris.Context) (identity, *api.Refusal) {
+	id := identity{key: c.GetHeader(api.HeaderIdempotencyKey)}
+	if len(id.key) > maxKeyLength {
+		return id, e.refusal(api.CodeBadRequest, api.HeaderIdempotencyKey+" is longer than 256 bytes", StepRead, 0)
+	}
+	switch c.GetHeader(api.HeaderNonIdempotent) {
+	case "", "false":
+	case "true":
+		id.nonIdempotent = true
+	default:
+		return id, e.refusal(api.CodeBadRequest, api.HeaderNonIdempotent+" must be true or false", StepRead, 0)
+	}
+	return id, nil
+}
+
+func (e *Entry) asRefusal(err error, step string) *api.Refusal {
+	return attempt.AsRefusal(err, step, e.cfg.ID)
+}
--- /dev/null
+++ b/service/entry/run.go
@@ -0,0 +1,166 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/google/uuid"
+
+	"mulberryscale.example/api"
+	"mulberryscale.example/generation"
+	"mulberryscale.example/membership"
+	"mulberryscale.example/retry"
+	"mulberryscale.example/routing"
+	"mulberryscale.example/table"
+	"mulberryscale.example/wire"
+)
+
+// Delays between the attempts of one interactive call.
+const (
+	firstDelay = 10 * time.Millisecond
+	mostDelay  = 500 * time.Millisecond
+)
+
+// call is one interactive request on its way to an endpoint.
+type call struct {
+	row *table.Row
+	// route says which endpoints can take it.
+	route routing.Request
+	// work is a run without id, identity and budget, which each attempt fills in.
+	work wire.Run
+	// idempotent says whether it may be sent again after it may have run.
+	idempotent bool
+	progress   generation.Progress
+	// onText takes in the progress after each chunk; it may be nil.
+	onText func(*generation.Progress)
+}
+
+// runCall makes attempts until one succeeds or the call must be given up. A
+// generation goes on elsewhere after what was generated.
+func (e *Entry) runCall(ctx context.Context, c *call) (*wire.Done, *api.Refusal) {
+	e.budget.Attempted()
+	delays := retry.NewBackoff(firstDelay, mostDelay)
+	c.route.Exclude = map[string]bool{}
+	for {
+		agent, refusal := e.pick(&c.route)
+		if refusal != nil {
+			return nil, c.hasRun(refusal)
+		}
+		done, refusal := e.attempt(ctx, c, agent)
+		if refusal == nil {
+			return done, nil
+		}
+		if ctx.Err() != nil || !retry.Repeatable(refusal, c.idempotent) {
+			return nil, c.hasRun(refusal)
+		}
+		if !e.budget.Take() {
+			e.cfg.Counters.Refusal(c.row.Name, api.CodeRetryBudget)
+			return nil, c.hasRun(refusal)
+		}
+		e.countRetry(c.row.Name, refusal)
+		c.route.Exclude[agent.ID] = true
+		if refusal = e.waitToRetry(ctx, delays.NextBackOff(), refusal); refusal != nil {
+			return nil, c.hasRun(refusal)
+		}
+	}
+}
+
+// hasRun corrects a refusal of a later attempt when an earlier one has run.
+func (c *call) hasRun(r *api.Refusal) *api.Refusal {
+	if r.NotRun != api.NotRunTrue || c.progress.Tokens() == 0 {
+		return r
+	}
+	corrected := *r
+	corrected.NotRun = api.NotRunFalse
+	return &corrected
+}
+
+// waitToRetry waits, unless the deadline would pass meanwhile: then the call is
+// refused at once.
+func (e *Entry) waitToRetry(ctx context.Context, delay time.Duration, refusal *api.Refusal) *api.Refusal {
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= delay {
+		return refusal
+	}
+	select {
+	case <-ctx.Done():
+		return refusal
+	case <-time.After(delay):
+		return nil
+	}
+}
+
+// attempt sends the call to an agent once.
+func (e *Entry) attempt(ctx context.Context, c *call, agent *membership.Agent) (*wire.Done, *api.Refusal) {
+	agent.Sends.Begin()
+	defer agent.Sends.End()
+	run := c.work
+	run.RunID = uuid.NewString()
+	run.Row = c.row.Name
+	run.Budget = budgetOf(ctx)
+	run.NonIdempotent = !c.idempotent
+	run.Generate = resumed(c.work.Generate, &c.progress)
+	done, err := e.client.Run(ctx, agent, &run, func(chunk *wire.Chunk) {
+		c.progress.Add(chunk)
+		if c.onText != nil {
+			c.onText(&c.progress)
+		}
+	})
+	if err != nil {
+		return nil, e.asRefusal(err, StepRun)
+	}
+	return done, nil
+}
+
+// resumed is a generation that goes on after what was generated.
+func resumed(g *wire.Generate, p *generation.Progress) *wire.Generate {
+	if g == nil {
+		return nil
+	}
+	after := *g
+	after.Prefix = p.Text
+	after.PrefixSpans = p.Clone().Spans
+	return &after
+}
+
+// pick routes a request, or refuses it.
+func (e *Entry) pick(req *routing.Request) (*membership.Agent, *api.Refusal) {
+	agent, err := e.interactive.Pick(req, e.view.Snapshot(), newRand())
+	if err == nil {
+		return agent, nil
+	}
+	var none *routing.NoEndpointError
+	if errors.As(err, &none) && none.DroppedBy(routing.FilterVersion) > 0 {
+		return nil, e.refusal(api.CodeStale, err.Error(), StepRoute, noEndpointRetryAfter)
+	}
+	return nil, e.refusal(api.CodeNoEndpoint, err.Error(), StepRoute, noEndpointRetryAfter)
+}
+
+// newRand returns a cheap source for one choice, seeded by the runtime.
+func newRand() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
+
+// admit applies the row's limits.
+func (e *Entry) admit(row *table.Row) (func(tokens int), *api.Refusal) {
+	ticket, exceeded := e.limits.Admit(row, time.Now())
+	if exceeded != nil {
+		return nil, e.refusal(exceeded.Code, "the row's limit is reached", StepAdmit, exceeded.RetryAfter)
+	}
+	return func(tokens int) { ticket.Done(tokens, time.Now()) }, nil
+}
+
+var reasonByCode = map[api.Code]retry.Reason{
+	api.CodeTransport:      retry.ReasonBroken,
+	api.CodeEndpointFailed: retry.ReasonEndpoint,
+	api.CodeStale:          retry.ReasonStale,
+}
+
+func (e *Entry) countRetry(row string, refusal *api.Refusal) {
+	reason, ok := reasonByCode[refusal.Code]
+	if !ok {
+		reason = retry.ReasonRefused
+	}
+	e.cfg.Counters.Retry(row, string(reason))
+}
--- /dev/null
+++ b/service/entry/scoring.go
@@ -0,0 +1,81 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"mulberryscale.example/api"
+	"mulberryscale.example/claims"
+	"mulberryscale.example/routing"
+	"mulberryscale.example/table"
+	"mulberryscale.example/wire"
+)
+
+// scorePath is where a scoring service takes samples.
+const scorePath = "/score"
+
+// headerRequest names the scored sample to the scoring service.
+const headerRequest = "X-Request"
+
+// scoreRequest is the body of a scoring call.
+type scoreRequest struct {
+	ID    string `json:"id"`
+	Group string `json:"group"`
+	Text  string `json:"text"`
+}
+
+// scoreResponse is its answer.
+type scoreResponse struct {
+	Score *float64 `json:"score"`
+}
+
+// scorer scores samples through the plain service that their row names.
+type scorer struct{ e *Entry }
+
+// Score implements rollout.Scorer. A scoring service whose row is not
+// repeatable is called under a claim, at most once for each text of a sample:
+// a sample that was generated anew after its engine and agent were lost is
+// another request.
+func (s *scorer) Score(ctx context.Context, row *table.Row, sample *api.Sample) (float64, error) {
+	service, refusal := s.e.row(row.Scorer, table.KindPlain)
+	if refusal != nil {
+		return 0, refusal
+	}
+	body, err := json.Marshal(scoreRequest{ID: sample.ID, Group: sample.Group, Text: sample.Text})
+	if err != nil {
+		return 0, err
+	}
+	name := row.Name + "/" + sample.ID + "/" + claims.Digest(sample.Text)
+	work := &call{
+		row: service, idempotent: service.Repeatable,
+		route: routing.Request{Service: service.Name, Zone: s.e.cfg.Zone},
+		work: wire.Run{Class: wire.ClassTraining, ExpectedTokens: 1, Call: &wire.Call{
+			Method: http.MethodPost, Path: scorePath, Body: body,
+			Header: map[string][]string{"Content-Type": {"application/json"}, headerRequest: {name}},
+		}},
+	}
+	id := identity{key: name, nonIdempotent: !service.Repeatable}
+	done, refusal := s.e.runIdentified(ctx, work, id, claims.Digest(name))
+	if refusal != nil {
+		return 0, refusal
+	}
+	return s.read(done)
+}
+
+func (s *scorer) read(done *wire.Done) (float64, error) {
+	if done.Answer == nil || done.Answer.Status != http.StatusOK {
+		return 0, s.failed("the scoring service did not answer with status 200")
+	}
+	var answer scoreResponse
+	if err := json.Unmarshal(done.Answer.Body, &answer); err != nil || answer.Score == nil {
+		return 0, s.failed("the scoring service's answer holds no score")
+	}
+	return *answer.Score, nil
+}
+
+func (s *scorer) failed(message string) *api.Refusal {
+	return &api.Refusal{
+		Code: api.CodeScorerFailed, Message: message, NotRun: api.NotRunFalse, Step: StepScore, Peer: s.e.cfg.ID,
+	}
+}
--- /dev/null
+++ b/service/entry/steps.go
@@ -0,0 +1,241 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/kataras/iris/v12"
+	"github.com/tmaxmax/go-sse"
+
+	"mulberryscale.example/api"
+	"mulberryscale.example/generation"
+	"mulberryscale.example/table"
+)
+
+const (
+	// maxStepSamples bounds the samples of one step request.
+	maxStepSamples = 1 << 16
+	// heartbeatInterval is how often a step's answer shows that its entry lives.
+	heartbeatInterval = time.Second
+)
+
+// handleStep serves POST /v1/trainers/{row}/steps/{step}.
+func (e *Entry) handleStep(c iris.Context) {
+	row, refusal := e.row(c.Params().Get("row"), table.KindTrainer)
+	if refusal != nil {
+		e.refuse(c, c.Params().Get("row"), refusal)
+		return
+	}
+	var req api.StepRequest
+	if refusal := e.readJSON(c, &req); refusal != nil {
+		e.refuse(c, row.Name, refusal)
+		return
+	}
+	if err := checkStep(&req); err != nil {
+		e.refuse(c, row.Name, e.refusal(api.CodeBadRequest, err.Error(), StepRead, 0))
+		return
+	}
+	ctx, cancel, refusal := e.withDeadline(c, row)
+	if refusal != nil {
+		e.refuse(c, row.Name, refusal)
+		return
+	}
+	defer cancel()
+	end, ok := e.sessions.begin(sessionKey{row.Name, c.Params().Get("step")}, req.Session, cancel)
+	if !ok {
+		e.refuse(c, row.Name, e.refusal(api.CodeFenced, "a newer session of this step is known here", StepStep, 0))
+		return
+	}
+	defer end()
+	e.answerStep(ctx, c, row, &req)
+}
+
+func checkStep(req *api.StepRequest) error {
+	if len(req.Samples) == 0 {
+		return errors.New("samples must name at least one sample")
+	}
+	if len(req.Samples) > maxStepSamples {
+		return fmt.Errorf("a step has at most %d samples", maxStepSamples)
+	}
+	if req.WaitFor < 0 || req.Held < 0 {
+		return errors.New("wait_for and held must not be negative")
+	}
+	seen := make(map[string]bool, len(req.Samples))
+	for i := range req.Samples {
+		if err := checkSample(&req.Samples[i], seen); err != nil {
+			return fmt.Errorf("samples[%d]: %w", i, err)
+		}
+	}
+	return nil
+}
+
+func checkSample(s *api.SampleRequest, seen map[string]bool) error {
+	switch {
+	case s.ID == "":
+		return errors.New("id is missing")
+	case seen[s.ID]:
+		return fmt.Errorf("id %q stands twice", s.ID)
+	case s.Prompt == "":
+		return errors.New("prompt is missing")
+	case s.MaxTokens <= 0 || s.MaxTokens > maxTokensBound:
+		return fmt.Errorf("max_tokens must be between 1 and %d", maxTokensBound)
+	}
+	seen[s.ID] = true
+	return nil
+}
+
+// answerStep runs the step and streams its samples.
+func (e *Entry) answerStep(ctx context.Context, c iris.Context, row *table.Row, req *api.StepRequest) {
+	sink := newStepSink(c.ResponseWriter())
+	stop := sink.startHeartbeats()
+	defer stop()
+	minVersion := generation.OldestAllowed(req.Version, row.StalenessBound)
+	end, err := e.runner.Run(ctx, row, req, minVersion, sink)
+	if err != nil {
+		refusal := e.stepRefusal(err)
+		e.countRefusal(row.Name, refusal)
+		sink.event(api.EventRefusal, refusal)
+		return
+	}
+	sink.event(api.EventEnd, end)
+}
+
+// stepRefusal closes a step that did not come to its end: some of its samples
+// may have run, and the trainer asks for them again.
+func (e *Entry) stepRefusal(err error) *api.Refusal {
+	r := e.refusal(api.CodeCancelled, "the step's connection is gone: "+err.Error(), StepStep, drainingRetryAfter)
+	if errors.Is(err, context.DeadlineExceeded) {
+		r.Code = api.CodeDeadline
+		r.Message = "the step's deadline passed"
+	}
+	r.NotRun = api.NotRunUnknown
+	return r
+}
+
+// handleConfirm serves POST /v1/trainers/{row}/steps/{step}/confirm.
+func (e *Entry) handleConfirm(c iris.Context) {
+	row, refusal := e.row(c.Params().Get("row"), table.KindTrainer)
+	if refusal != nil {
+		e.refuse(c, c.Params().Get("row"), refusal)
+		return
+	}
+	var req api.ConfirmRequest
+	if refusal := e.readJSON(c, &req); refusal != nil {
+		e.refuse(c, row.Name, refusal)
+		return
+	}
+	if err := e.runner.Confirm(c.Request().Context(), row.Name, &req); err != nil {
+		e.refuse(c, row.Name, e.refusal(api.CodeBadRequest, err.Error(), StepRead, 0))
+		return
+	}
+	c.StatusCode(http.StatusNoContent)
+}
+
+// stepSink writes a step's events. It is safe for concurrent use.
+type stepSink struct {
+	mu sync.Mutex
+	w  http.ResponseWriter
+}
+
+func newStepSink(w http.ResponseWriter) *stepSink {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Cache-Control", "no-cache")
+	w.WriteHeader(http.StatusOK)
+	return &stepSink{w: w}
+}
+
+// Sample implements rollout.Sink.
+func (s *stepSink) Sample(sample *api.Sample) error { return s.event(api.EventSample, sample) }
+
+// Placement implements rollout.Sink.
+func (s *stepSink) Placement(p api.Placement) error { return s.event(api.EventPlacement, p) }
+
+func (s *stepSink) event(name string, v any) error {
+	body, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return writeEvent(s.w, name, body)
+}
+
+// startHeartbeats sends comments until the returned function is called.
+func (s *stepSink) startHeartbeats() (stop func()) {
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		ticker := time.NewTicker(heartbeatInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-ticker.C:
+				s.heartbeat()
+			}
+		}
+	})
+	return func() {
+		close(done)
+		wg.Wait()
+	}
+}
+
+func (s *stepSink) heartbeat() {
+	m := &sse.Message{}
+	m.AppendComment("heartbeat")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, err := m.WriteTo(s.w); err == nil {
+		// A failed flush shows in the next event's error.
+		_ = http.NewResponseController(s.w).Flush()
+	}
+}
+
+// sessionKey names a step of a trainer's row.
+type sessionKey struct{ row, step string }
+
+// sessions holds the newest session of each step that runs at this entry, so
+// that an older connection of the same step is given up.
+type sessions struct {
+	mu      sync.Mutex
+	running map[sessionKey]*session
+}
+
+type session struct {
+	number uint64
+	cancel context.CancelFunc
+}
+
+func newSessions() *sessions { return &sessions{running: map[sessionKey]*session{}} }
+
+// begin makes number the step's session and cancels an older one; ok is false
+// when a newer one runs. end is called when the session ends.
+func (s *sessions) begin(key sessionKey, number uint64, cancel context.CancelFunc) (end func(), ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.running[key]
+	if old != nil && old.number > number {
+		return nil, false
+	}
+	if old != nil {
+		old.cancel()
+	}
+	mine := &session{number: number, cancel: cancel}
+	s.running[key] = mine
+	return func() { s.end(key, mine) }, true
+}
+
+func (s *sessions) end(key sessionKey, mine *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running[key] == mine {
+		delete(s.running, key)
+	}
+}
--- /dev/null
+++ b/tablestore/apply.go
@@ -0,0 +1,264 @@
+package tablestore
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"mulberryscale.example/platform"
+	"mulberryscale.example/table"
+)
+
+// Bounds of the attempts that settle an apply whose reply was lost.
+const (
+	maxAttempts = 8
+	firstDelay  = 100 * time.Millisecond
+	maxDelay    = 2 * time.Second
+)
+
+// ApplyRequest is one edit of the whole table.
+type ApplyRequest struct {
+	// Base is the version from which the edit was made, 0 before the first.
+	Base uint64
+	// ApplyID is unique for each edit and the same when it is repeated.
+	ApplyID string
+	Author  string
+	// Format is table.FormatCSV or table.FormatYAML.
+	Format string
+	Body   []byte
+	// rollbackOf is set by Rollback.
+	rollbackOf uint64
+}
+
+// RollbackRequest makes the text of an older version the newest one again.
+type RollbackRequest struct {
+	// To is the version whose text is wanted.
+	To uint64
+	// Base is the version that the operator saw as current.
+	Base    uint64
+	ApplyID string
+	Author  string
+}
+
+// Apply makes an edit the next version. Its errors are table.Errors for a text
+// that does not parse; ConflictError when another edit came first;
+// OutcomeUnknownError when it cannot be told whether the edit took effect;
+// ApplyIDReusedError; any other error means that this call wrote nothing.
+//
+// The write carries the preconditions that the current version is still Base
+// and that the apply id is unused. It can therefore be repeated after a lost
+// reply, and at most one of the repeats takes effect.
+func (s *Store) Apply(ctx context.Context, req ApplyRequest) (Entry, error) {
+	if req.ApplyID == "" {
+		return Entry{}, trace.BadParameter("step table.apply: the apply id is empty")
+	}
+	if _, err := table.Parse(req.Format, req.Body); err != nil {
+		return Entry{}, trace.Wrap(err, "step table.apply")
+	}
+	var err error
+	mayHaveTakenEffect := false
+	delay := firstDelay
+	for range maxAttempts {
+		var result attempt
+		result, err = s.tryApply(ctx, req)
+		switch {
+		case err == nil:
+			return result.entry, nil
+		case result.settled:
+			return Entry{}, err
+		case result.unknown:
+			mayHaveTakenEffect = true
+		case !mayHaveTakenEffect && !errors.Is(err, platform.ErrPrecondition):
+			return Entry{}, err
+		}
+		if sleep(ctx, delay) != nil {
+			break
+		}
+		delay = min(2*delay, maxDelay)
+	}
+	if mayHaveTakenEffect {
+		return Entry{}, &OutcomeUnknownError{ApplyID: req.ApplyID, Err: err}
+	}
+	return Entry{}, err
+}
+
+// Rollback applies the text of an older version as a new version.
+func (s *Store) Rollback(ctx context.Context, req RollbackRequest) (Entry, error) {
+	doc, err := s.Version(ctx, req.To)
+	if err != nil {
+		return Entry{}, err
+	}
+	return s.Apply(ctx, ApplyRequest{
+		Base:       req.Base,
+		ApplyID:    req.ApplyID,
+		Author:     req.Author,
+		Format:     doc.Format,
+		Body:       doc.Body,
+		rollbackOf: req.To,
+	})
+}
+
+// attempt is the result of one attempt of an apply.
+type attempt struct {
+	entry Entry
+	// settled: the error is final.
+	settled bool
+	// unknown: the write may or may not have taken effect.
+	unknown bool
+}
+
+// tryApply makes one attempt. Each of its reads may be stale; only the write's
+// preconditions and immutable records are relied on.
+func (s *Store) tryApply(ctx context.Context, req ApplyRequest) (attempt, error) {
+	h, err := s.readHead(ctx)
+	if err != nil {
+		return attempt{}, err
+	}
+	entry, found, err := s.findApplied(ctx, req)
+	if found {
+		return attempt{entry: entry}, nil
+	}
+	if err != nil {
+		var reused *ApplyIDReusedError
+		return attempt{settled: errors.As(err, &reused)}, err
+	}
+	if h.Version != req.Base {
+		return s.overtaken(ctx, req, h.Entry)
+	}
+	entry, err = s.commit(ctx, req, h)
+	if err == nil {
+		return attempt{entry: entry}, nil
+	}
+	notWritten := errors.Is(err, platform.ErrPrecondition) || errors.Is(err, platform.ErrUnavailable)
+	return attempt{unknown: !notWritten}, err
+}
+
+// findApplied looks for an earlier effect of the same apply.
+func (s *Store) findApplied(ctx context.Context, req ApplyRequest) (Entry, bool, error) {
+	record, err := s.service.Get(ctx, applyKey(req.ApplyID))
+	if errors.Is(err, platform.ErrNotFound) {
+		return Entry{}, false, nil
+	}
+	if err != nil {
+		return Entry{}, false, trace.Wrap(err, "step table.apply, peer table service")
+	}
+	var applied appliedRecord
+	if err := json.Unmarshal(record.Value, &applied); err != nil {
+		return Entry{}, false, trace.Wrap(err, "step table.apply, peer table service")
+	}
+	if applied.Digest != digest(req.Body) {
+		return Entry{}, false, &ApplyIDReusedError{ApplyID: req.ApplyID, Version: applied.Version}
+	}
+	doc, err := s.Version(ctx, applied.Version)
+	if err != nil {
+		return Entry{}, false, err
+	}
+	return doc.Entry, true, nil
+}
+
+// overtaken handles a base that is not the current version. Only the version
+// after Base can be this apply's, so its record, which never changes, tells
+// whether an earlier attempt took effect or never can.
+func (s *Store) overtaken(ctx context.Context, req ApplyRequest, current Entry) (attempt, error) {
+	if current.Version < req.Base {
+		return attempt{}, trace.BadParameter("step table.apply: made from version %d, the current one is %d",
+			req.Base, current.Version)
+	}
+	next, err := s.Version(ctx, req.Base+1)
+	if err != nil {
+		return attempt{}, err
+	}
+	if next.ApplyID == req.ApplyID && next.Digest == digest(req.Body) {
+		return attempt{entry: next.Entry}, nil
+	}
+	return attempt{settled: true}, s.conflict(ctx, req, current)
+}
+
+// commit writes the next version in one transaction.
+func (s *Store) commit(ctx context.Context, req ApplyRequest, h head) (Entry, error) {
+	entry := Entry{
+		Version:    h.Version + 1,
+		Base:       req.Base,
+		ApplyID:    req.ApplyID,
+		Digest:     digest(req.Body),
+		Author:     req.Author,
+		AcceptedAt: time.Now().UTC(),
+		RollbackOf: req.rollbackOf,
+	}
+	current, err := json.Marshal(entry)
+	if err != nil {
+		return Entry{}, trace.Wrap(err, "step table.apply")
+	}
+	document, err := json.Marshal(Document{Entry: entry, Format: req.Format, Body: req.Body})
+	if err != nil {
+		return Entry{}, trace.Wrap(err, "step table.apply")
+	}
+	applied, err := json.Marshal(appliedRecord{Version: entry.Version, Digest: entry.Digest})
+	if err != nil {
+		return Entry{}, trace.Wrap(err, "step table.apply")
+	}
+	_, err = s.service.Commit(ctx, []platform.Write{
+		{Key: keyCurrent, Value: current, If: h.etag},
+		{Key: versionKey(entry.Version), Value: document},
+		{Key: applyKey(req.ApplyID), Value: applied},
+	})
+	if err != nil {
+		return Entry{}, trace.Wrap(err, "step table.apply, peer table service")
+	}
+	return entry, nil
+}
+
+// conflict compares the refused edit with the version that came first.
+func (s *Store) conflict(ctx context.Context, req ApplyRequest, current Entry) error {
+	e := &ConflictError{Base: req.Base, Current: current}
+	base, err := s.rows(ctx, req.Base)
+	if err != nil {
+		e.Unread = err
+		return e
+	}
+	theirs, err := s.rows(ctx, current.Version)
+	if err != nil {
+		e.Unread = err
+		return e
+	}
+	mine, err := table.Parse(req.Format, req.Body)
+	if err != nil {
+		e.Unread = err
+		return e
+	}
+	merge, err := table.Merge3(base, mine, theirs)
+	if err != nil {
+		e.Unread = err
+		return e
+	}
+	e.Mine = table.Diff(base, mine)
+	e.Theirs = table.Diff(base, theirs)
+	e.Merge = merge
+	return e
+}
+
+// rows reads the rows of a version; version 0 has none.
+func (s *Store) rows(ctx context.Context, version uint64) ([]table.Row, error) {
+	if version == 0 {
+		return nil, nil
+	}
+	doc, err := s.Version(ctx, version)
+	if err != nil {
+		return nil, err
+	}
+	return table.Parse(doc.Format, doc.Body)
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/tablestore/store_test.go
@@ -0,0 +1,353 @@
+package tablestore
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"mulberryscale.example/internal/standin/tableservice"
+	"mulberryscale.example/platform"
+	"mulberryscale.example/table"
+)
+
+// TestMain fixes rapid's seed; -rapid.seed on the command line wins.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+func body(rows ...string) []byte {
+	var b strings.Builder
+	b.WriteString("rows:\n")
+	for _, r := range rows {
+		fmt.Fprintf(&b, "- {name: %s, kind: plain}\n", r)
+	}
+	return []byte(b.String())
+}
+
+func request(base uint64, id string, rows ...string) ApplyRequest {
+	return ApplyRequest{Base: base, ApplyID: id, Author: "ann", Format: table.FormatYAML, Body: body(rows...)}
+}
+
+func newStore() (*Store, *tableservice.Service) {
+	service := tableservice.New(tableservice.Options{})
+	return New(service), service
+}
+
+func mustApply(t *testing.T, s *Store, req ApplyRequest) Entry {
+	t.Helper()
+	entry, err := s.Apply(t.Context(), req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return entry
+}
+
+func TestEmptyStore(t *testing.T) {
+	s, _ := newStore()
+	if _, err := s.Get(t.Context()); !errors.Is(err, ErrNoTable) {
+		t.Fatalf("got %v", err)
+	}
+	if _, err := s.Version(t.Context(), 1); !errors.Is(err, ErrNoVersion) {
+		t.Fatalf("got %v", err)
+	}
+	if docs, err := s.History(t.Context(), 3); err != nil || len(docs) != 0 {
+		t.Fatalf("got %v, %v", docs, err)
+	}
+}
+
+func TestApplyHistoryRollback(t *testing.T) {
+	s, _ := newStore()
+	mustApply(t, s, request(0, "first", "a"))
+	mustApply(t, s, request(1, "second", "a", "b"))
+	entry, err := s.Rollback(t.Context(), RollbackRequest{To: 1, Base: 2, ApplyID: "third", Author: "bob"})
+	if err != nil || entry.Version != 3 || entry.RollbackOf != 1 {
+		t.Fatalf("got %+v, %v", entry, err)
+	}
+	doc, err := s.Get(t.Context())
+	if err != nil || string(doc.Body) != string(body("a")) {
+		t.Fatalf("got %q, %v", doc.Body, err)
+	}
+	docs, err := s.History(t.Context(), 2)
+	if err != nil || len(docs) != 2 || docs[0].Version != 3 || docs[1].Version != 2 {
+		t.Fatalf("got %+v, %v", docs, err)
+	}
+}
+
+func TestSecondOperatorGetsThreeWayDifference(t *testing.T) {
+	s, _ := newStore()
+	mustApply(t, s, request(0, "first", "a"))
+	mustApply(t, s, request(1, "theirs", "a", "theirs"))
+	_, err := s.Apply(t.Context(), request(1, "mine", "a", "mine"))
+	var conflict *ConflictError
+	if !errors.As(err, &conflict) {
+		t.Fatalf("got %v", err)
+	}
+	got := fmt.Sprintf("%d %s %s %d",
+		conflict.Current.Version, conflict.Mine[0].Row, conflict.Theirs[0].Row, len(conflict.Merge.Rows))
+	if want := "2 mine theirs 3"; got != want {
+		t.Fatalf("got %q, want %q", got, want)
+	}
+}
+
+func TestOldApplyIsRecognised(t *testing.T) {
+	s, _ := newStore()
+	first := mustApply(t, s, request(0, "first", "a"))
+	mustApply(t, s, request(1, "second", "b"))
+	for _, base := range []uint64{0, 2} {
+		if again := mustApply(t, s, request(base, "first", "a")); again != first {
+			t.Fatalf("got %+v, want %+v", again, first)
+		}
+	}
+	var reused *ApplyIDReusedError
+	if _, err := s.Apply(t.Context(), request(2, "first", "c")); !errors.As(err, &reused) {
+		t.Fatalf("got %v", err)
+	}
+}
+
+func TestLostReplyIsResolved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, service := newStore()
+		service.LoseNextReplies(1)
+		entry := mustApply(t, s, request(0, "first", "a"))
+		current, err := s.Current(t.Context())
+		if err != nil || entry != current || entry.Version != 1 {
+			t.Fatalf("got %+v, current %+v, %v", entry, current, err)
+		}
+	})
+}
+
+// TestLostReplyThenStaleReads: an apply that took effect is never called
+// refused, however old the state is that later reads show.
+func TestLostReplyThenStaleReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, service := newStore()
+		service.StaleReads(true) // of the empty table
+		service.LoseNextReplies(1)
+		var unknown *OutcomeUnknownError
+		if _, err := s.Apply(t.Context(), request(0, "first", "a")); !errors.As(err, &unknown) {
+			t.Fatalf("got %v", err)
+		}
+		service.StaleReads(false)
+		if entry := mustApply(t, s, request(0, "first", "a")); entry.Version != 1 {
+			t.Fatalf("got %+v", entry)
+		}
+	})
+}
+
+// hidden is a table service whose reads of some keys are so stale that they
+// find nothing, once hide is set.
+type hidden struct {
+	platform.TableService
+	hide map[string]bool
+}
+
+func (h *hidden) Get(ctx context.Context, key string) (platform.Record, error) {
+	if h.hide[key] {
+		return platform.Record{}, platform.ErrNotFound
+	}
+	return h.TableService.Get(ctx, key)
+}
+
+// TestLostReplyThenStaleRecord: reads that are stale each to another degree
+// make no accepted apply look refused.
+func TestLostReplyThenStaleRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := tableservice.New(tableservice.Options{})
+		view := &hidden{TableService: service}
+		s := New(view)
+		mustApply(t, s, request(0, "first", "a"))
+
+		view.hide = map[string]bool{applyKey("second"): true}
+		service.LoseNextReplies(1)
+		if entry := mustApply(t, s, request(1, "second", "b")); entry.Version != 2 {
+			t.Fatalf("got %+v", entry)
+		}
+
+		view.hide = map[string]bool{applyKey("second"): true, keyCurrent: true}
+		var conflict *ConflictError
+		if _, err := s.Apply(t.Context(), request(1, "second", "b")); err == nil || errors.As(err, &conflict) {
+			t.Fatalf("got %v, want an error that is not a conflict", err)
+		}
+	})
+}
+
+func TestOutageIsNotApplied(t *testing.T) {
+	s, service := newStore()
+	service.Outage(true)
+	if _, err := s.Apply(t.Context(), request(0, "first", "a")); !errors.Is(err, platform.ErrUnavailable) {
+		t.Fatalf("got %v", err)
+	}
+}
+
+func TestBadApplies(t *testing.T) {
+	s, _ := newStore()
+	var errs table.Errors
+	if _, err := s.Apply(t.Context(), request(0, "first")); !errors.As(err, &errs) {
+		t.Fatalf("empty table: got %v", err)
+	}
+	if _, err := s.Apply(t.Context(), request(0, "", "a")); err == nil {
+		t.Fatal("an empty apply id was taken")
+	}
+	if _, err := s.Apply(t.Context(), request(7, "first", "a")); err == nil {
+		t.Fatal("a base that does not exist was taken")
+	}
+}
+
+// verdict is what an operator was told of an apply.
+type verdict uint8
+
+const (
+	accepted verdict = iota + 1
+	refused
+	unknown
+)
+
+// edit is one operator's edit in the oracle's list.
+type edit struct {
+	request ApplyRequest
+	verdict verdict
+	version uint64
+}
+
+// operators drives two operators against one table service.
+type operators struct {
+	store   *Store
+	service *tableservice.Service
+	mu      sync.Mutex
+	edits   []*edit
+	known   [2]Document
+}
+
+// timeout ends an apply in the middle of a slow write.
+const timeout = 3 * time.Second
+
+// add adds a row to the table that the operator knows and applies it.
+func (o *operators) add(operator int) {
+	o.mu.Lock()
+	known := o.known[operator]
+	id := fmt.Sprintf("edit-%d", len(o.edits))
+	text := string(known.Body)
+	if text == "" {
+		text = "rows:\n"
+	}
+	text += fmt.Sprintf("- {name: %s, kind: plain}\n", id)
+	e := &edit{request: ApplyRequest{
+		Base: known.Version, ApplyID: id, Author: fmt.Sprint(operator), Format: table.FormatYAML, Body: []byte(text),
+	}}
+	o.edits = append(o.edits, e)
+	o.mu.Unlock()
+	o.apply(e)
+}
+
+func (o *operators) apply(e *edit) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	entry, err := o.store.Apply(ctx, e.request)
+	var outcome *OutcomeUnknownError
+	switch {
+	case err == nil:
+		e.verdict, e.version = accepted, entry.Version
+	case errors.As(err, &outcome):
+		e.verdict = unknown
+	default:
+		e.verdict = refused
+	}
+}
+
+func (o *operators) refresh(operator int) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	if doc, err := o.store.Get(ctx); err == nil {
+		o.known[operator] = doc
+	}
+}
+
+// settle ends all faults, lets late writes land and repeats unknown applies.
+func (o *operators) settle() {
+	o.service.Outage(false)
+	o.service.Slow(0)
+	o.service.LoseNextReplies(0)
+	o.service.StaleReads(false)
+	time.Sleep(time.Minute)
+	for _, e := range o.edits {
+		if e.verdict == unknown {
+			o.apply(e)
+		}
+	}
+}
+
+// check compares the table service with what the operators were told.
+func (o *operators) check(t *rapid.T) {
+	docs, err := o.store.History(context.Background(), len(o.edits)+1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	found := make(map[string]uint64)
+	for i, doc := range docs {
+		if want := uint64(len(docs) - i); doc.Version != want || doc.Base != want-1 {
+			t.Fatalf("version %d from %d stands where %d was due", doc.Version, doc.Base, want)
+		}
+		if before, ok := found[doc.ApplyID]; ok {
+			t.Fatalf("apply %s became versions %d and %d", doc.ApplyID, doc.Version, before)
+		}
+		found[doc.ApplyID] = doc.Version
+	}
+	for _, e := range o.edits {
+		version := found[e.request.ApplyID]
+		if e.verdict == unknown || version != e.version {
+			t.Fatalf("apply %s: told verdict %d of version %d, the history has %d",
+				e.request.ApplyID, e.verdict, e.version, version)
+		}
+		if version > 0 && !strings.Contains(string(docs[0].Body), e.request.ApplyID) {
+			t.Fatalf("the accepted edit %s is lost", e.request.ApplyID)
+		}
+	}
+}
+
+// bubbleT hides from rapid that this is a *testing.T, whose Deadline may not be
+// asked for in a synctest bubble. To shrink a failure there, where time runs
+// fast, give -rapid.shrinktime=1000h.
+type bubbleT struct{ *testing.T }
+
+// TestOperatorsRace: two operators add rows through lost replies, outages, slow
+// writes that land after their caller gave up, and stale reads. Every edit that
+// was called accepted stays, every one called refused never appears.
+func TestOperatorsRace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(bubbleT{t}, func(t *rapid.T) {
+			o := &operators{}
+			o.store, o.service = newStore()
+			operator := rapid.IntRange(0, 1)
+			t.Repeat(map[string]func(*rapid.T){
+				"add":     func(t *rapid.T) { o.add(operator.Draw(t, "operator")) },
+				"refresh": func(t *rapid.T) { o.refresh(operator.Draw(t, "operator")) },
+				"race": func(*rapid.T) {
+					var both sync.WaitGroup
+					both.Go(func() { o.add(0) })
+					both.Go(func() { o.add(1) })
+					both.Wait()
+				},
+				"lose":   func(t *rapid.T) { o.service.LoseNextReplies(rapid.IntRange(1, 3).Draw(t, "replies")) },
+				"outage": func(t *rapid.T) { o.service.Outage(rapid.Bool().Draw(t, "on")) },
+				"stale":  func(t *rapid.T) { o.service.StaleReads(rapid.Bool().Draw(t, "on")) },
+				"slow": func(t *rapid.T) {
+					o.service.Slow(time.Duration(rapid.IntRange(0, 4000).Draw(t, "ms")) * time.Millisecond)
+				},
+			})
+			o.settle()
+			o.check(t)
+		})
+	})
+}
--- /dev/null
+++ b/transport/codec/codec_test.go
@@ -0,0 +1,133 @@
+package codec
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"mulberryscale.example/wire"
+)
+
+type small struct {
+	N int `cbor:"1,keyasint"`
+}
+
+func decodeAll(data []byte, msg any) error {
+	return NewDecoder(bytes.NewReader(data)).Decode(msg)
+}
+
+func TestBounds(t *testing.T) {
+	tests := []struct {
+		name string
+		data []byte
+		want error // nil: any error
+	}{
+		{"announced 4 GiB byte string, nothing follows", []byte{0x5a, 0xff, 0xff, 0xff, 0xff}, io.ErrUnexpectedEOF},
+		{"byte string over the bound", append([]byte{0x5a, 0x01, 0x00, 0x00, 0x01}, make([]byte, MaxMessage+1)...), ErrTooLarge},
+		{"array of 2^32-1 elements", []byte{0x9a, 0xff, 0xff, 0xff, 0xff}, nil},
+		{"map of 2^32-1 pairs", []byte{0xba, 0xff, 0xff, 0xff, 0xff}, nil},
+		{"nested arrays", append(bytes.Repeat([]byte{0x81}, 100), 0x00), nil},
+		{"indefinite length", []byte{0x9f, 0x01, 0xff}, nil},
+		{"tag", []byte{0xc0, 0x01}, nil},
+		{"cut short", []byte{0xa1, 0x01}, io.ErrUnexpectedEOF},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var v any
+			err := decodeAll(tt.data, &v)
+			if err == nil || err == io.EOF || (tt.want != nil && !errors.Is(err, tt.want)) {
+				t.Fatalf("got %v, want %v", err, tt.want)
+			}
+		})
+	}
+}
+
+func TestLargestMessagePasses(t *testing.T) {
+	const header = 5
+	text := strings.Repeat("x", MaxMessage-header)
+	data, err := Marshal(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got string
+	if err := decodeAll(data, &got); err != nil || len(got) != len(text) {
+		t.Fatalf("got %d bytes, %v", len(got), err)
+	}
+	if _, err := Marshal(text + "x"); !errors.Is(err, ErrTooLarge) {
+		t.Fatalf("one byte more: got %v", err)
+	}
+}
+
+func TestUnknownFieldsAreIgnored(t *testing.T) {
+	type newer struct {
+		N     int            `cbor:"1,keyasint"`
+		Extra map[string]int `cbor:"99,keyasint"`
+	}
+	data, err := Marshal(newer{N: 3, Extra: map[string]int{"a": 1}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got small
+	if err := Unmarshal(data, &got); err != nil || got.N != 3 {
+		t.Fatalf("got %+v, %v", got, err)
+	}
+}
+
+func TestSequenceAndEnd(t *testing.T) {
+	var buf bytes.Buffer
+	for i := range 3 {
+		data, err := Marshal(small{N: i})
+		if err != nil {
+			t.Fatal(err)
+		}
+		buf.Write(data)
+	}
+	d := NewDecoder(&buf)
+	for i := range 3 {
+		var m small
+		if err := d.Decode(&m); err != nil || m.N != i {
+			t.Fatalf("message %d: got %+v, %v", i, m, err)
+		}
+	}
+	if err := d.Decode(&small{}); err != io.EOF {
+		t.Fatalf("at the end: got %v, want io.EOF itself", err)
+	}
+}
+
+// FuzzRequest checks that no bytes make the decoder panic, and that what it
+// accepts survives another round.
+func FuzzRequest(f *testing.F) {
+	seed, err := Marshal(wire.Request{
+		Header: wire.Header{From: "entry-1", Incarnation: "i", TableVersion: 3},
+		Run: &wire.Run{RunID: "r", Key: "row/s", Row: "row", Budget: time.Second,
+			Call: &wire.Call{Method: "GET", Path: "/", Header: map[string][]string{"A": {"b"}}}},
+		PushTable: &wire.TableDocument{Version: 1, Body: []byte("name\n"), AcceptedAt: time.Unix(1, 2).UTC()},
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(seed)
+	f.Add([]byte{0x9a, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var first wire.Request
+		if decodeAll(data, &first) != nil {
+			return
+		}
+		again, err := Marshal(first)
+		if err != nil {
+			t.Skip() // times outside the years of RFC 3339 cannot be written
+		}
+		var second wire.Request
+		if err := Unmarshal(again, &second); err != nil {
+			t.Fatalf("second round: %v", err)
+		}
+		third, err := Marshal(second)
+		if err != nil || (!bytes.Equal(again, third) && !reflect.DeepEqual(first, second)) {
+			t.Fatalf("rounds differ: %x, %x, %v", again, third, err)
+		}
+	})
+}
--- /dev/null
+++ b/transport/quictransport/doc.go
@@ -0,0 +1,97 @@
+// Package quictransport carries the message streams of our processes over QUIC
+// with mutual TLS, one connection per dialer and address, one QUIC stream per
+// message stream.
+//
+// A peer that falls silent is noticed after IdleTimeout: dialers keep their
+// connections alive, listeners only answer.
+//
+// A connection that is closed takes with it what its peer has not read yet. So
+// a stream whose handler has returned counts as served when its opener has
+// ended it too, by Close or CloseSend, at the latest after LingerTimeout. Those
+// who open streams should therefore Close them once they have read all, and
+// CloseSend before that only where the last answer may be lost in a stop.
+package quictransport
+
+import (
+	"time"
+
+	"github.com/quic-go/quic-go"
+)
+
+// Times of a connection.
+const (
+	// HandshakeTimeout is how long Open waits for a new connection.
+	HandshakeTimeout = time.Second
+	// IdleTimeout is after how long of silence a connection is lost.
+	IdleTimeout = 3 * time.Second
+	// KeepAlive is how often a dialer shows that it lives.
+	KeepAlive = time.Second
+	// LingerTimeout is how long a stream whose handler has returned waits
+	// for its opener to end it too.
+	LingerTimeout = time.Second
+	// FlushGrace is how long Close leaves the messages of the handlers that
+	// returned last to reach their peers.
+	FlushGrace = 200 * time.Millisecond
+	// UnusedTimeout is how long a dialer keeps a connection without streams.
+	UnusedTimeout = time.Minute
+)
+
+// Bounds on what one peer can make us hold.
+const (
+	maxStreams          = 8192     // streams of one connection that a peer may have open
+	maxStreamWindow     = 4 << 20  // bytes received and not yet read, by stream
+	maxConnectionWindow = 32 << 20 // bytes received and not yet read, by connection
+)
+
+// Error codes on the wire. A stream that ends well and is given up look
+// alike to QUIC but for the code.
+const (
+	streamDone    quic.StreamErrorCode = 0 // the handler has returned
+	streamGivenUp quic.StreamErrorCode = 1 // the peer called Close
+)
+
+const (
+	connectionClosed quic.ApplicationErrorCode = 0
+	connectionUnused quic.ApplicationErrorCode = 1
+)
+
+// Options changes the times of a dialer or listener; zero values mean the
+// constants of this package.
+type Options struct {
+	HandshakeTimeout time.Duration
+	IdleTimeout      time.Duration
+	KeepAlive        time.Duration
+	UnusedTimeout    time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.HandshakeTimeout, HandshakeTimeout)
+	setDefault(&o.IdleTimeout, IdleTimeout)
+	setDefault(&o.KeepAlive, KeepAlive)
+	setDefault(&o.UnusedTimeout, UnusedTimeout)
+	return o
+}
+
+func setDefault(d *time.Duration, value time.Duration) {
+	if *d <= 0 {
+		*d = value
+	}
+}
+
+func (o Options) listenConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:       o.HandshakeTimeout,
+		MaxIdleTimeout:             o.IdleTimeout,
+		MaxIncomingStreams:         maxStreams,
+		MaxIncomingUniStreams:      -1,
+		MaxStreamReceiveWindow:     maxStreamWindow,
+		MaxConnectionReceiveWindow: maxConnectionWindow,
+	}
+}
+
+func (o Options) dialConfig() *quic.Config {
+	c := o.listenConfig()
+	c.MaxIncomingStreams = -1
+	c.KeepAlivePeriod = o.KeepAlive
+	return c
+}
--- /dev/null
+++ b/transport/quictransport/quictransport_test.go
@@ -0,0 +1,289 @@
+package quictransport
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"mulberryscale.example/keys"
+	"mulberryscale.example/transport"
+)
+
+// quick are short times, so that tests of silence do not take long. No test
+// measures them.
+var quick = Options{IdleTimeout: 400 * time.Millisecond, KeepAlive: 100 * time.Millisecond}
+
+const hangGuard = 20 * time.Second
+
+type ping struct {
+	N int `cbor:"1,keyasint"`
+}
+
+func check(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func newAuthority(t *testing.T) *keys.Authority {
+	t.Helper()
+	a, err := keys.NewDevAuthority()
+	check(t, err)
+	return a
+}
+
+func sourceOf(t *testing.T, a *keys.Authority, id string) keys.Source {
+	t.Helper()
+	s, err := a.Source(id)
+	check(t, err)
+	return s
+}
+
+// echoServer is a listener that echoes and counts its connections.
+func echoServer(t *testing.T, addr string, source keys.Source) *listener {
+	t.Helper()
+	l, err := ListenOptions(addr, source, quick)
+	check(t, err)
+	go l.Serve(context.Background(), echoHandler)
+	t.Cleanup(func() { l.Close() })
+	return l.(*listener)
+}
+
+func echoHandler(_ context.Context, s transport.Stream) {
+	var m ping
+	for s.Recv(&m) == nil && s.Send(m) == nil {
+	}
+}
+
+func (l *listener) connections() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
+func newTestDialer(t *testing.T, source keys.Source, o Options) transport.Dialer {
+	d := NewDialerOptions(source, o)
+	t.Cleanup(func() { d.Close() })
+	return d
+}
+
+func exchange(ctx context.Context, d transport.Dialer, addr string) error {
+	s, err := d.Open(ctx, addr)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	var m ping
+	if err := errors.Join(s.Send(ping{7}), s.Recv(&m)); err != nil {
+		return err
+	}
+	if m.N != 7 {
+		return errors.New("wrong echo")
+	}
+	return nil
+}
+
+func testContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), hangGuard)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func TestStrangersAreRefused(t *testing.T) {
+	ctx := testContext(t)
+	ours, theirs := newAuthority(t), newAuthority(t)
+	l := echoServer(t, "127.0.0.1:0", sourceOf(t, ours, "agent-1"))
+	check(t, exchange(ctx, newTestDialer(t, sourceOf(t, ours, "entry-1"), quick), l.Addr()))
+	stranger := newTestDialer(t, sourceOf(t, theirs, "entry-1"), quick)
+	if err := exchange(ctx, stranger, l.Addr()); err == nil {
+		t.Fatal("a stranger's request was answered")
+	}
+	if n := l.connections(); n > 1 {
+		t.Fatalf("%d connections, want that of the known peer only", n)
+	}
+}
+
+func TestOneConnectionIsReused(t *testing.T) {
+	ctx := testContext(t)
+	a := newAuthority(t)
+	l := echoServer(t, "127.0.0.1:0", sourceOf(t, a, "agent-1"))
+	d := newTestDialer(t, sourceOf(t, a, "entry-1"), quick)
+	errs := make(chan error)
+	const calls = 50
+	for range calls {
+		go func() { errs <- exchange(ctx, d, l.Addr()) }()
+	}
+	for range calls {
+		check(t, <-errs)
+	}
+	if n := l.connections(); n != 1 {
+		t.Fatalf("%d connections, want 1", n)
+	}
+}
+
+func TestLostConnectionIsRedialled(t *testing.T) {
+	ctx := testContext(t)
+	a := newAuthority(t)
+	source := sourceOf(t, a, "agent-1")
+	l := echoServer(t, "127.0.0.1:0", source)
+	d := newTestDialer(t, sourceOf(t, a, "entry-1"), quick)
+	s, err := d.Open(ctx, l.Addr())
+	check(t, err)
+	check(t, l.Close())
+	<-s.Context().Done()
+	if err := exchange(ctx, d, l.Addr()); err == nil {
+		t.Fatal("a closed listener answered")
+	}
+	echoServer(t, l.Addr(), source)
+	check(t, exchange(ctx, d, l.Addr()))
+}
+
+func TestUnusedConnectionIsClosed(t *testing.T) {
+	ctx := testContext(t)
+	a := newAuthority(t)
+	l := echoServer(t, "127.0.0.1:0", sourceOf(t, a, "agent-1"))
+	o := quick
+	o.UnusedTimeout = 50 * time.Millisecond
+	d := newTestDialer(t, sourceOf(t, a, "entry-1"), o).(*dialer)
+	s, err := d.Open(ctx, l.Addr())
+	check(t, err)
+	d.mu.Lock()
+	c := d.conns[l.Addr()]
+	d.mu.Unlock()
+	time.Sleep(2 * o.UnusedTimeout)
+	check(t, errors.Join(s.Send(ping{1}), s.Recv(&ping{}))) // a stream holds it
+	check(t, s.Close())
+	select {
+	case <-c.conn.Context().Done():
+	case <-ctx.Done():
+		t.Fatal("the unused connection stayed")
+	}
+	check(t, exchange(ctx, d, l.Addr()))
+}
+
+// relay passes UDP packets between one client and a server, unless it is muted.
+type relay struct {
+	front, back *net.UDPConn
+	client      atomic.Pointer[net.UDPAddr]
+	muted       atomic.Bool
+}
+
+func newRelay(t *testing.T, server string) *relay {
+	t.Helper()
+	addr, err := resolve(server)
+	check(t, err)
+	front, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	check(t, err)
+	back, err := net.DialUDP("udp", nil, addr)
+	check(t, err)
+	r := &relay{front: front, back: back}
+	t.Cleanup(func() { errors.Join(front.Close(), back.Close()) })
+	go r.pass(front.ReadFromUDP, back.Write)
+	go r.pass(back.ReadFromUDP, func(b []byte) (int, error) { return front.WriteToUDP(b, r.client.Load()) })
+	return r
+}
+
+func (r *relay) pass(read func([]byte) (int, *net.UDPAddr, error), write func([]byte) (int, error)) {
+	buf := make([]byte, 64<<10)
+	for {
+		n, from, err := read(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if from != nil && from.Port != r.back.RemoteAddr().(*net.UDPAddr).Port {
+			r.client.Store(from)
+		}
+		if err == nil && !r.muted.Load() {
+			write(buf[:n])
+		}
+	}
+}
+
+// A peer that falls silent, as a frozen or cut-off process does, ends the
+// streams on both sides; once it is back, Open reaches it again.
+func TestSilentPeerIsNoticed(t *testing.T) {
+	ctx := testContext(t)
+	a := newAuthority(t)
+	l, err := ListenOptions("127.0.0.1:0", sourceOf(t, a, "agent-1"), quick)
+	check(t, err)
+	defer l.Close()
+	ended := make(chan error, 1)
+	go l.Serve(ctx, func(_ context.Context, s transport.Stream) {
+		_ = s.Recv(&ping{})
+		_ = s.Send(ping{7})
+		<-s.Context().Done()
+		ended <- s.Send(ping{8})
+	})
+	r := newRelay(t, l.Addr())
+	d := newTestDialer(t, sourceOf(t, a, "entry-1"), quick)
+	front := r.front.LocalAddr().String()
+	s, err := d.Open(ctx, front)
+	check(t, err)
+	check(t, errors.Join(s.Send(ping{1}), s.Recv(&ping{})))
+	time.Sleep(2 * quick.IdleTimeout) // an idle connection with a live peer stays
+	if s.Context().Err() != nil {
+		t.Fatal("the stream of a live peer ended")
+	}
+	r.muted.Store(true)
+	if err := s.Recv(&ping{}); err == nil || errors.Is(err, io.EOF) {
+		t.Fatalf("Recv from a silent peer: got %v", err)
+	}
+	if err := <-ended; err == nil {
+		t.Fatal("the server could send to a silent client")
+	}
+	if _, err := d.Open(ctx, front); err == nil {
+		t.Fatal("Open reached a silent peer")
+	}
+	r.muted.Store(false)
+	check(t, exchange(ctx, d, front))
+}
+
+// A stop waits for a client that reads the last message later than FlushGrace.
+func TestSlowReaderGetsTheLastMessage(t *testing.T) {
+	ctx := testContext(t)
+	a := newAuthority(t)
+	l, err := Listen("127.0.0.1:0", sourceOf(t, a, "agent-1"))
+	check(t, err)
+	serveCtx, stop := context.WithCancel(ctx)
+	sent, stopped := make(chan struct{}), make(chan error, 1)
+	go func() {
+		serveErr := l.Serve(serveCtx, func(ctx context.Context, s transport.Stream) {
+			_ = s.Recv(&ping{})
+			_ = s.Send(ping{7})
+			close(sent)
+		})
+		stopped <- errors.Join(serveErr, l.Close())
+	}()
+	d := newTestDialer(t, sourceOf(t, a, "entry-1"), Options{})
+	s, err := d.Open(ctx, l.Addr())
+	check(t, err)
+	check(t, s.Send(ping{1}))
+	<-sent
+	stop()
+	time.Sleep(LingerTimeout/2 + FlushGrace)
+	var m ping
+	if err := s.Recv(&m); err != nil || m.N != 7 {
+		t.Fatalf("got %d, %v", m.N, err)
+	}
+	check(t, s.Close())
+	check(t, <-stopped)
+}
+
+func TestBadAddresses(t *testing.T) {
+	a := newAuthority(t)
+	source := sourceOf(t, a, "agent-1")
+	d := newTestDialer(t, source, quick)
+	for _, addr := range []string{"", "localhost:1", "127.0.0.1", "127.0.0.1:99999"} {
+		if _, err := Listen(addr, source); err == nil {
+			t.Errorf("Listen(%q): no error", addr)
+		}
+		if _, err := d.Open(t.Context(), addr); err == nil {
+			t.Errorf("Open(%q): no error", addr)
+		}
+	}
+}
