--- a/claims/claims.go
+++ b/claims/claims.go
@@ -54,16 +54,23 @@
 // Nothing has been sent, and its owner must not send anything.
 var ErrUndecided = errors.New("claims: outcome of the claim is not known")
 
-// Store keeps claims in the table service.
+// Store keeps claims in the table service. Claims that are made at the same
+// time are written together. It is safe for concurrent use.
 type Store struct {
-	Table platform.TableService
+	table platform.TableService
 	// Retried is told of each reading back; it may be nil.
 	Retried func(retry.Reason)
+	writes  batcher
+}
+
+// NewStore returns a store in the table service.
+func NewStore(table platform.TableService) *Store {
+	return &Store{table: table, writes: batcher{table: table}}
 }
 
 // Make creates the claim of a row's key. When there is one already, it is
-// returned with mine false. Errors: platform.ErrUnavailable when nothing was
-// written; ErrUndecided otherwise.
+// returned with mine false. When nothing was written, the error says why, such
+// as platform.ErrUnavailable; else it is ErrUndecided.
 func (s *Store) Make(ctx context.Context, row, key string, c Claim) (claim Claim, mine bool, err error) {
 	return s.write(ctx, row, key, c, "")
 }
@@ -81,12 +88,12 @@
 		return Claim{}, false, trace.Wrap(err, "encoding a claim")
 	}
 	record := RecordKey(row, key)
-	etags, err := s.Table.Commit(ctx, []platform.Write{{Key: record, Value: value, If: ifETag}})
+	etag, err := s.writes.commit(ctx, platform.Write{Key: record, Value: value, If: ifETag})
 	if err == nil {
-		c.etag = etags[0]
+		c.etag = etag
 		return c, true, nil
 	}
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, platform.ErrUnavailable) || errors.Is(err, errNotSent) {
 		return Claim{}, false, trace.Wrap(err, "claiming a request")
 	}
 	return s.readBack(ctx, record, c)
@@ -117,7 +124,7 @@
 }
 
 func (s *Store) get(ctx context.Context, record string) (Claim, error) {
-	rec, err := s.Table.Get(ctx, record)
+	rec, err := s.table.Get(ctx, record)
 	if err != nil {
 		return Claim{}, err
 	}
--- a/cmd/mulberry-entry/run.go
+++ b/cmd/mulberry-entry/run.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/sirupsen/logrus"
@@ -17,6 +18,7 @@
 	"mulberryscale.example/platform/httpplatform"
 	"mulberryscale.example/service/entry"
 	"mulberryscale.example/tablesync"
+	"mulberryscale.example/transport"
 	"mulberryscale.example/transport/quictransport"
 )
 
@@ -27,7 +29,12 @@
 		return err
 	}
 	counters := observe.NewCounters()
-	e, err := newEntry(s, log, counters)
+	peers, err := openPeers(s)
+	if err != nil {
+		return err
+	}
+	defer peers.close(log)
+	e, err := newEntry(s, peers, log, counters)
 	if err != nil {
 		return err
 	}
@@ -45,15 +52,20 @@
 		AdminAddr:    *s.admin,
 		AdminToken:   *s.adminToken,
 		Routes:       []daemon.Route{{Pattern: "GET " + api.PathStatus, Handler: statusHandler(e)}},
-		DrainTimeout: *s.drainTimeout,
-		UnreadyDelay: *s.unreadyDelay,
+		DrainTimeout: *s.unreadyDelay + *s.drainTimeout,
 		Serve:        func(ctx context.Context) error { return serve(ctx, e, server, callers) },
-		Drain:        func(ctx context.Context) error { return drain(ctx, e, server) },
+		Drain:        func(ctx context.Context) error { return drain(ctx, e, server, *s.unreadyDelay) },
 		Ready:        e.Ready,
 	})
 }
 
-func newEntry(s *entrySettings, log *logrus.Logger, counters *observe.Counters) (*entry.Entry, error) {
+// peers are the entry's ends of our own transport.
+type peers struct {
+	listener transport.Listener
+	dialer   transport.Dialer
+}
+
+func openPeers(s *entrySettings) (*peers, error) {
 	source, err := keys.LoadFiles(*s.ca, *s.cert, *s.key)
 	if err != nil {
 		return nil, trace.Wrap(err, "keys")
@@ -62,8 +74,19 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "listen on %s", *s.peerListen)
 	}
+	return &peers{listener: listener, dialer: quictransport.NewDialer(source)}, nil
+}
+
+// close tells the other processes at once that this incarnation has gone.
+func (p *peers) close(log *logrus.Logger) {
+	if err := errors.Join(p.listener.Close(), p.dialer.Close()); err != nil {
+		log.WithError(err).Warn("connections not closed in order")
+	}
+}
+
+func newEntry(s *entrySettings, p *peers, log *logrus.Logger, counters *observe.Counters) (*entry.Entry, error) {
 	return entry.New(entry.Config{
-		ID: *s.id, Zone: *s.zone, Listener: listener, Dialer: quictransport.NewDialer(source),
+		ID: *s.id, Zone: *s.zone, Listener: p.listener, Dialer: p.dialer,
 		Holder: tablesync.NewHolder(), Instances: httpplatform.NewInstances(*s.instances),
 		Table: httpplatform.NewTable(*s.table), Counters: counters, Log: log,
 		Subset: *s.subset, Linger: *s.linger, MaxBody: *s.maxBody,
@@ -88,8 +111,15 @@
 	return errors.Join(err, <-served)
 }
 
-// drain lets the calls in progress end, then the connections.
-func drain(ctx context.Context, e *entry.Entry, server *http.Server) error {
+// drain shows the entry unready until the balancer has noticed, then lets the
+// calls in progress end, then the connections.
+func drain(ctx context.Context, e *entry.Entry, server *http.Server, unreadyDelay time.Duration) error {
+	e.ShowUnready()
+	select {
+	case <-time.After(unreadyDelay):
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
 	if err := e.Drain(ctx); err != nil {
 		return err
 	}
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -15,6 +15,7 @@
 	"mulberryscale.example/internal/standin/tableservice"
 	"mulberryscale.example/internal/standin/weights"
 	"mulberryscale.example/service/agent"
+	"mulberryscale.example/service/entry"
 	"mulberryscale.example/table"
 	"mulberryscale.example/tablestore"
 )
@@ -51,6 +52,8 @@
 	Linger time.Duration
 	// Agent changes the settings of each agent; it may be nil.
 	Agent func(*agent.Config)
+	// Entry changes the settings of each entry; it may be nil.
+	Entry func(*entry.Config)
 	// Log takes the logs of all processes.
 	Log *logrus.Logger
 	// Seed makes choices repeatable.
--- a/internal/deployment/nodes.go
+++ b/internal/deployment/nodes.go
@@ -149,11 +149,15 @@
 		return trace.Wrap(err, "entry %v", e.ID)
 	}
 	e.Counters = observe.NewCounters()
-	e.Entry, err = entry.New(entry.Config{
+	cfg := entry.Config{
 		ID: e.ID, Zone: e.Zone, Listener: e.listener, Dialer: e.dialer, Holder: tablesync.NewHolder(),
 		Instances: e.d.Instances, Table: e.d.Table, Counters: e.Counters, Log: e.d.opts.Log,
 		Linger: e.d.opts.Linger, Seed: e.d.opts.Seed,
-	})
+	}
+	if e.d.opts.Entry != nil {
+		e.d.opts.Entry(&cfg)
+	}
+	e.Entry, err = entry.New(cfg)
 	if err != nil {
 		return trace.Wrap(err, "entry %v", e.ID)
 	}
--- a/internal/standin/engine/text.go
+++ b/internal/standin/engine/text.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"strings"
@@ -29,8 +30,20 @@
 	return min(naturalLength(prompt, seed), maxTokens)
 }
 
+// lengthMark begins a prompt that says how long its text is to be, so that a
+// workload can draw lengths of its own.
+const lengthMark = "[length %d] "
+
+// PromptOfLength marks a prompt so that its text has n tokens at the most, and
+// just n unless max_tokens cuts it short.
+func PromptOfLength(n int, prompt string) string { return fmt.Sprintf(lengthMark, n) + prompt }
+
 // naturalLength is the length in tokens that the model would stop at by itself.
 func naturalLength(prompt string, seed int64) int {
+	var marked int
+	if _, err := fmt.Sscanf(prompt, lengthMark, &marked); err == nil && marked > 0 {
+		return marked
+	}
 	rng := rand.New(rand.NewPCG(xxhash.Sum64String(prompt), uint64(seed)))
 	n := medianTokens * math.Exp(lengthSigma*rng.NormFloat64())
 	if rng.Float64() < stragglerShare {
--- a/observe/names.go
+++ b/observe/names.go
@@ -44,3 +44,10 @@
 	// bytes of kept results.
 	NameAgent Name = "agent"
 )
+
+// Measures of an entry.
+const (
+	// NameWastedTokens counts generated tokens, by row, that no answer holds:
+	// those of runs that were moved, fell behind a newer run or were too old.
+	NameWastedTokens Name = "entry_wasted_tokens"
+)
--- a/rollout/placer.go
+++ b/rollout/placer.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"container/heap"
 	"context"
 	"math/rand/v2"
@@ -11,23 +12,32 @@
 	"mulberryscale.example/routing"
 )
 
-const (
-	// unstartedBacklog is how many samples of a step may wait at one agent,
-	// so that the agent's fair queue always has each row's next sample at hand.
-	unstartedBacklog = 2
-	// placeInterval bounds the wait for a changed view.
-	placeInterval = 100 * time.Millisecond
-)
+// placeInterval bounds the wait for a changed view.
+const placeInterval = 100 * time.Millisecond
 
 // waiter is a sample that waits for an agent.
 type waiter struct {
 	req      *routing.Request
-	expected int // expected remaining tokens
+	priority priority
 	order    int // among equals, first come first placed
 	reply    chan *placement
 	index    int
 }
 
+// priority orders the samples that wait: by level, then by work, the smaller first.
+type priority struct {
+	level level
+	work  int // tokens
+}
+
+// level separates samples that have to go before others.
+type level int
+
+const (
+	levelFresh level = iota
+	levelParked
+)
+
 // placement is an agent that a sample may be sent to.
 type placement struct {
 	agent *membership.Agent
@@ -36,12 +46,13 @@
 	end     func()
 }
 
-// placer gives agents to the samples of one step, those with the longest
-// expected remaining work first, and holds back what no agent has room for.
+// placer gives agents to the samples of one step in the order of their
+// priorities, and holds back what no agent has room for.
 type placer struct {
-	view   *membership.View
-	router *routing.Router
-	rng    *rand.Rand
+	view    *membership.View
+	router  routing.Picker
+	rng     *rand.Rand
+	backlog int
 
 	mu        sync.Mutex
 	queue     waiterQueue
@@ -50,16 +61,20 @@
 	wake      chan struct{}
 }
 
-func newPlacer(view *membership.View, router *routing.Router, rng *rand.Rand) *placer {
+func newPlacer(r *Runner, rng *rand.Rand) *placer {
+	backlog := r.Policy.Backlog
+	if backlog == 0 {
+		backlog = DefaultBacklog
+	}
 	return &placer{
-		view: view, router: router, rng: rng,
+		view: r.View, router: r.Router, rng: rng, backlog: backlog,
 		unstarted: map[string]int{}, wake: make(chan struct{}, 1),
 	}
 }
 
 // place waits for an agent. The error is ctx's.
-func (p *placer) place(ctx context.Context, req *routing.Request, expected int) (*placement, error) {
-	w := &waiter{req: req, expected: expected, reply: make(chan *placement, 1)}
+func (p *placer) place(ctx context.Context, req *routing.Request, pr priority) (*placement, error) {
+	w := &waiter{req: req, priority: pr, reply: make(chan *placement, 1)}
 	p.mu.Lock()
 	w.order = p.order
 	p.order++
@@ -155,7 +170,7 @@
 	narrowed := *req
 	narrowed.NeedFree = true
 	narrowed.Unstarted = p.unstarted
-	narrowed.Backlog = unstartedBacklog
+	narrowed.Backlog = p.backlog
 	agent, err := p.router.Pick(&narrowed, snap, p.rng)
 	if err != nil {
 		return nil
@@ -170,16 +185,25 @@
 	p.signal()
 }
 
-// waiterQueue is a heap, the longest expected remaining work first.
+// waitsBelow says whether a sample of a lower level waits for an agent.
+func (p *placer) waitsBelow(l level) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.queue.Len() > 0 && p.queue[0].priority.level < l
+}
+
+// waiterQueue is a heap, the first to be placed on top.
 type waiterQueue []*waiter
 
 func (q waiterQueue) Len() int { return len(q) }
 
 func (q waiterQueue) Less(i, j int) bool {
-	if q[i].expected != q[j].expected {
-		return q[i].expected > q[j].expected
-	}
-	return q[i].order < q[j].order
+	a, b := q[i], q[j]
+	return cmp.Or(
+		cmp.Compare(a.priority.level, b.priority.level),
+		cmp.Compare(a.priority.work, b.priority.work),
+		cmp.Compare(a.order, b.order),
+	) < 0
 }
 
 func (q waiterQueue) Swap(i, j int) {
--- a/rollout/runner.go
+++ b/rollout/runner.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -36,7 +37,8 @@
 	Zone   string
 	Client *attempt.Client
 	View   *membership.View
-	Router *routing.Router
+	// Router picks the agent of a sample.
+	Router routing.Picker
 	Budget *retry.Budget
 	// Scorer may be nil when no row has one.
 	Scorer   Scorer
@@ -45,8 +47,22 @@
 	Log      logrus.FieldLogger
 	// Seed seeds the placing of each step.
 	Seed uint64
+	// Policy says how samples are placed and moved.
+	Policy Policy
 }
 
+// Policy says how the samples of a step are placed and moved.
+type Policy struct {
+	// Backlog is how many samples of a step may wait at one agent that has no
+	// free slot; 0 means DefaultBacklog.
+	Backlog int
+	// NoMoves keeps samples on their engines, however slow.
+	NoMoves bool
+}
+
+// DefaultBacklog keeps each row's next sample at hand in the agents' fair queues.
+const DefaultBacklog = 2
+
 // Sink takes in what a step brings; it is called by one goroutine. An error
 // means that the trainer's connection is gone.
 type Sink interface {
@@ -63,8 +79,23 @@
 	row        *table.Row
 	req        *api.StepRequest
 	minVersion uint64
-	placer     *placer
-	events     chan event
+	// waitFor is how many of the samples the trainer waits for.
+	waitFor int
+	placer  *placer
+	events  chan event
+	// pace is the last known pace at each agent, in tokens a second for one
+	// sample; only the step's watch uses it.
+	pace map[string]float64
+	// lengths are the lengths of samples that finished or were parked.
+	lengthsMu sync.Mutex
+	lengths   []int
+	// tokens counts what the step's finished samples hold, movedTokens what
+	// was generated for nothing.
+	tokens      atomic.Int64
+	movedTokens atomic.Int64
+	// abandoned are runs that nobody waits for any more, by agent.
+	abandonedMu sync.Mutex
+	abandoned   map[peer][]string
 }
 
 // event is what a sample's task tells the step; one field is set.
@@ -85,8 +116,9 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	s := &step{
 		Runner: r, row: row, req: req, minVersion: minVersion,
-		placer: newPlacer(r.View, r.Router, rand.New(rand.NewPCG(r.Seed, req.Session))),
-		events: make(chan event),
+		placer: newPlacer(r, rand.New(rand.NewPCG(r.Seed, req.Session))),
+		events: make(chan event), abandoned: map[peer][]string{},
+		waitFor: WaitFor(row, req), pace: map[string]float64{},
 	}
 	var wg sync.WaitGroup
 	wg.Go(func() { s.placer.run(ctx) })
@@ -95,6 +127,7 @@
 		tasks[i] = newTask(s, &req.Samples[i])
 		wg.Go(func() { tasks[i].run(ctx) })
 	}
+	wg.Go(func() { s.watch(ctx, tasks) })
 	end, err := s.collect(ctx, sink)
 	cancel(errStepEnded)
 	wg.Wait()
@@ -108,8 +141,7 @@
 // collect passes on what the tasks bring until enough is delivered.
 func (s *step) collect(ctx context.Context, sink Sink) (*api.StepEnd, error) {
 	end := &api.StepEnd{}
-	waitFor := WaitFor(s.row, s.req)
-	for settled := 0; settled < len(s.req.Samples) && end.Delivered < waitFor; {
+	for settled := 0; settled < len(s.req.Samples) && end.Delivered < s.waitFor; {
 		select {
 		case <-ctx.Done():
 			return nil, context.Cause(ctx)
@@ -141,7 +173,7 @@
 // the row carries them over.
 func (s *step) settle(ctx context.Context, tasks []*task, end *api.StepEnd) {
 	carry := s.row.Leftover != table.LeftoverCancel
-	forget := map[peer][]string{}
+	forget := s.takeAbandoned()
 	for _, t := range tasks {
 		if t.settled {
 			continue
--- a/rollout/task.go
+++ b/rollout/task.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -16,11 +17,12 @@
 	"mulberryscale.example/wire"
 )
 
-// Delays between the attempts of one sample, and the time an attach may take
-// to begin.
+// Delays between the attempts of one sample, and the time that an agent may
+// take to show the text of a run that it is asked for again.
 const (
-	firstDelay = 20 * time.Millisecond
-	mostDelay  = time.Second
+	firstDelay    = 20 * time.Millisecond
+	mostDelay     = time.Second
+	attachTimeout = 500 * time.Millisecond
 )
 
 // StepSample is the step named in refusals of samples.
@@ -35,10 +37,17 @@
 	at       peer // where it was last sent
 	avoid    map[string]bool
 	settled  bool // delivered or refused; written before the event is sent
+	// current is the leg that runs, for the mover; moves takes its placements.
+	current atomic.Pointer[leg]
+	moved   atomic.Int32
+	moves   chan *placement
+	// parks tells the sample to make room; parked says that it did once.
+	parks  chan struct{}
+	parked bool
 }
 
 func newTask(s *step, req *api.SampleRequest) *task {
-	return &task{s: s, req: req, key: Key(s.row.Name, req.ID), avoid: map[string]bool{}}
+	return &task{s: s, req: req, key: Key(s.row.Name, req.ID), avoid: map[string]bool{}, moves: make(chan *placement, 1), parks: make(chan struct{}, 1)}
 }
 
 // Key is a sample's identity at agents.
@@ -61,6 +70,11 @@
 	t.send(ctx, ev)
 }
 
+// sendPlacement tells the trainer where the sample runs now.
+func (t *task) sendPlacement(ctx context.Context) {
+	t.send(ctx, event{placement: &api.Placement{ID: t.req.ID, Hint: t.at.hint()}})
+}
+
 // send gives an event to the step. A settling event that the step did not take
 // leaves the sample unsettled.
 func (t *task) send(ctx context.Context, ev event) {
@@ -83,11 +97,16 @@
 		before := t.progress.Tokens()
 		done, refusal := t.attempt(ctx)
 		if refusal == nil && generation.Fresh(done.Spans, t.s.minVersion) {
+			t.s.noteLength(generation.CountTokens(done.Spans))
+			t.s.tokens.Add(int64(generation.CountTokens(done.Spans)))
 			return done, nil
 		}
 		if refusal == nil {
 			refusal = t.stale(done)
 		}
+		if refusal.Message == errParked.Error() && ctx.Err() == nil {
+			continue
+		}
 		if ctx.Err() != nil || !retry.Repeatable(refusal, true) {
 			return nil, refusal
 		}
@@ -115,37 +134,40 @@
 	if !t.progress.FreshFor(t.s.minVersion) {
 		t.progress = generation.Progress{}
 	}
-	req := &routing.Request{
-		Model: t.s.row.Model, Zone: t.s.Zone, MinVersion: t.s.minVersion,
-		PrefixKey: routing.PrefixKey(t.req.Prompt), Exclude: t.avoid,
-	}
-	pl, err := t.s.placer.place(ctx, req, t.remaining())
+	pl, err := t.s.placer.place(ctx, t.routeRequest(), t.priority())
 	if err != nil {
 		return nil, t.refusal(api.CodeCancelled, err, api.NotRunUnknown)
 	}
 	defer pl.end()
 	t.at = peerOf(pl.agent)
-	t.send(ctx, event{placement: &api.Placement{ID: t.req.ID, Hint: t.at.hint()}})
-	done, refusal := t.runAt(ctx, pl.agent, t.newRun(), pl.started)
+	t.sendPlacement(ctx)
+	done, refusal, last := t.runMovable(ctx, pl)
 	if refusal == nil {
 		return done, nil
 	}
 	if refusal.Code == api.CodeTransport && refusal.NotRun != api.NotRunTrue {
-		done, refusal = t.reattach(ctx, pl.agent, refusal)
+		done, refusal = t.reattach(ctx, last, refusal)
 	}
 	if refusal != nil {
-		t.avoid = map[string]bool{pl.agent.ID: true}
+		t.avoid = map[string]bool{last.ID: true}
 	}
 	return done, refusal
 }
 
+// routeRequest says which agents can take the sample.
+func (t *task) routeRequest() *routing.Request {
+	return &routing.Request{
+		Model: t.s.row.Model, Zone: t.s.Zone, MinVersion: t.s.minVersion,
+		PrefixKey: routing.PrefixKey(t.req.Prompt), Exclude: t.avoid,
+	}
+}
+
 // reattach asks an agent whose stream broke for the run, which goes on there
 // when only the connection was lost.
 func (t *task) reattach(ctx context.Context, a *membership.Agent, broke *api.Refusal) (*wire.Done, *api.Refusal) {
-	t.s.Counters.Retry(t.s.row.Name, string(retry.ReasonAttach))
-	run := t.newRun()
-	run.AttachOnly = true
-	done, refusal := t.runAt(ctx, a, run, func() {})
+	a.Sends.Begin()
+	defer a.Sends.End()
+	done, refusal := t.attach(ctx, a)
 	if refusal != nil {
 		return nil, broke
 	}
@@ -166,29 +188,38 @@
 	a.Sends.Begin()
 	defer a.Sends.End()
 	t.at = p
-	run := t.newRun()
-	run.AttachOnly = true
-	t.s.Counters.Retry(t.s.row.Name, string(retry.ReasonAttach))
-	done, refusal := t.runAt(ctx, a, run, func() {})
+	done, refusal := t.attach(ctx, a)
 	if refusal != nil || !generation.Fresh(done.Spans, t.s.minVersion) {
 		return nil
 	}
 	return done
 }
 
-// runAt sends a run and keeps what it generates.
-func (t *task) runAt(ctx context.Context, a *membership.Agent, run *wire.Run, started func()) (*wire.Done, *api.Refusal) {
-	done, err := t.s.Client.Run(ctx, a, run, func(c *wire.Chunk) {
-		started()
-		t.progress.Add(c)
-	})
-	if err != nil {
-		return nil, attempt.AsRefusal(err, StepSample, a.ID)
+// attach waits for a run that an agent may have. An agent that does not show
+// the run's text so far within attachTimeout is left, and told to forget it.
+func (t *task) attach(ctx context.Context, a *membership.Agent) (*wire.Done, *api.Refusal) {
+	t.s.Counters.Retry(t.s.row.Name, string(retry.ReasonAttach))
+	run := t.newRun()
+	run.AttachOnly = true
+	l := t.startLeg(ctx, a, run, t.progress.Clone(), func() {})
+	timer := time.NewTimer(attachTimeout)
+	defer timer.Stop()
+	select {
+	case <-l.producing:
+		<-l.ended
+	case <-l.ended:
+	case <-timer.C:
+		l.stop()
+		t.s.abandon(peerOf(a), t.key)
 	}
-	return done, nil
+	t.progress = l.text()
+	return l.done, l.refusal
 }
 
-func (t *task) newRun() *wire.Run {
+func (t *task) newRun() *wire.Run { return t.runAfter(&t.progress) }
+
+// runAfter is a run that goes on after a text.
+func (t *task) runAfter(text *generation.Progress) *wire.Run {
 	return &wire.Run{
 		RunID: uuid.NewString(), Key: t.key, Row: t.s.row.Name, Class: wire.ClassTraining,
 		Budget: t.s.row.Deadline, Linger: t.s.Linger, MinVersion: t.s.minVersion,
@@ -196,11 +227,25 @@
 		Generate: &wire.Generate{
 			Model: t.s.row.Model, Prompt: t.req.Prompt, MaxTokens: t.req.MaxTokens,
 			Temperature: t.req.Temperature, Seed: t.req.Seed,
-			Prefix: t.progress.Text, PrefixSpans: t.progress.Clone().Spans,
+			Prefix: text.Text, PrefixSpans: text.Clone().Spans,
 		},
 	}
 }
 
+// priority orders the samples that wait for an agent. When the trainer waits
+// for all of them, those with the longest expected remaining work go first;
+// else the shortest do, and those that were parked go last, the shortest so
+// far first.
+func (t *task) priority() priority {
+	if t.s.waitFor == len(t.s.req.Samples) {
+		return priority{level: levelFresh, work: -t.remaining()}
+	}
+	if t.parked {
+		return priority{level: levelParked, work: t.progress.Tokens()}
+	}
+	return priority{level: levelFresh, work: t.remaining()}
+}
+
 // remaining is the expected remaining work in tokens.
 func (t *task) remaining() int {
 	expected := t.req.ExpectedTokens
--- /dev/null
+++ b/routing/baseline.go
@@ -0,0 +1,22 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+
+	"mulberryscale.example/membership"
+)
+
+// RoundRobin takes the agents in turn. It is the baseline that experiments
+// compare with, and looks at nothing but what an agent serves and its state.
+type RoundRobin struct{ next atomic.Uint64 }
+
+// Pick implements Picker.
+func (r *RoundRobin) Pick(req *Request, snap *membership.Snapshot, _ *rand.Rand) (*membership.Agent, error) {
+	p := Profile{Filters: []Filter{Suspect{}, Excluded{}, Serving{}, Healthy{}, Leaving{}, Version{}}}
+	kept, err := p.filter(req, snap.Agents)
+	if err != nil {
+		return nil, err
+	}
+	return kept[int(r.next.Add(1)-1)%len(kept)], nil
+}
--- a/routing/filters.go
+++ b/routing/filters.go
@@ -11,6 +11,7 @@
 	FilterVersion  = "version"
 	FilterExcluded = "excluded"
 	FilterFree     = "free"
+	FilterAccept   = "accept"
 )
 
 // Serving keeps agents whose endpoint has the model, or is the plain service, of the request.
@@ -104,3 +105,14 @@
 func (Free) Keep(req *Request, a *membership.Agent) bool {
 	return !req.NeedFree || a.Free() > 0 || req.Unstarted[a.ID] < req.Backlog
 }
+
+// Accepted drops agents that the request's own demand does not accept.
+type Accepted struct{}
+
+// Name implements Filter.
+func (Accepted) Name() string { return FilterAccept }
+
+// Keep implements Filter.
+func (Accepted) Keep(req *Request, a *membership.Agent) bool {
+	return req.Accept == nil || req.Accept(a)
+}
--- a/routing/profiles.go
+++ b/routing/profiles.go
@@ -20,7 +20,7 @@
 
 // hardFilters hold always; softFilters give way when they would leave nothing.
 var (
-	hardFilters = []Filter{Serving{}, Healthy{}, Leaving{}, Version{}, Free{}}
+	hardFilters = []Filter{Serving{}, Healthy{}, Leaving{}, Version{}, Accepted{}, Free{}}
 	softFilters = []Filter{Suspect{}, Excluded{}}
 )
 
@@ -28,6 +28,11 @@
 	return []WeightedScorer{{Load{}, weightLoad}, {Zone{}, weightZone}, {Prefix{}, weightPrefix}}
 }
 
+// Picker picks the agent for a request, or returns a *NoEndpointError.
+type Picker interface {
+	Pick(req *Request, snap *membership.Snapshot, rng *rand.Rand) (*membership.Agent, error)
+}
+
 // Router picks with a profile, and with a wider one when it finds nothing.
 type Router struct {
 	// Strict also drops agents that are suspect or excluded.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -29,6 +29,8 @@
 	NeedFree bool
 	// Backlog bounds Unstarted when there is no free slot.
 	Backlog int
+	// Accept is a further demand on the agent; nil for none.
+	Accept func(*membership.Agent) bool
 	// Unstarted counts the step's own runs sent and not started, by agent id.
 	Unstarted map[string]int
 }
--- a/service/entry/claimed.go
+++ b/service/entry/claimed.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"time"
@@ -40,37 +41,67 @@
 
 // runClaimed runs a keyed call that must run at most once: it is claimed in the
 // table service for one incarnation of one agent before it is sent. A call
-// whose claim another made is answered with that run's answer.
+// whose claim another made is answered with that run's answer. A claim that is
+// proven never to run is taken over, a few times at most.
 func (e *Entry) runClaimed(ctx context.Context, work *call, key, digest string) (*wire.Done, *api.Refusal) {
+	e.budget.Attempted()
 	work.route.Exclude = map[string]bool{}
 	var stands *claims.Claim // the claim to take over, nil when there is none
-	var refusal *api.Refusal
+	var last *api.Refusal
 	for range claimRounds {
 		agent, none := e.pick(&work.route)
 		if none != nil {
-			return nil, none
+			return nil, cmp.Or(last, none)
 		}
 		claim, mine, err := e.claim(ctx, work.row.Name, key, digest, stands, agent)
 		if err != nil {
 			return nil, e.claimRefusal(err)
 		}
-		var done *wire.Done
-		if mine {
-			done, refusal = e.runOwned(ctx, work, key, &claim, agent)
-		} else {
-			done, refusal = e.follow(ctx, work, key, digest, &claim)
-		}
+		done, refusal := e.runClaim(ctx, work, key, digest, &claim, mine, agent)
 		if refusal == nil {
 			return done, nil
 		}
-		if refusal.NotRun != api.NotRunTrue || !retry.Repeatable(refusal, false) || !e.budget.Take() {
+		if !mayTakeOver(refusal) || !e.mayRetry(work.row.Name, refusal) {
 			return nil, refusal
 		}
-		e.countRetry(work.row.Name, refusal)
-		work.route.Exclude[claim.Agent] = true
-		stands = &claim
+		work.route.Exclude[agent.ID] = mine && refusedBy(agent, refusal)
+		stands, last = &claim, refusal
 	}
-	return nil, refusal
+	return nil, last
+}
+
+// runClaim runs a claimed call, or answers it with the run of the call that
+// has claimed its key.
+func (e *Entry) runClaim(ctx context.Context, work *call, key, digest string, claim *claims.Claim, mine bool, agent *membership.Agent) (*wire.Done, *api.Refusal) {
+	if mine {
+		return e.runOwned(ctx, work, key, claim, agent)
+	}
+	if claim.Digest != digest {
+		return nil, e.refusal(api.CodeDuplicate, "the key was used for another request", StepClaim, 0)
+	}
+	return e.resolve(ctx, work, key, claim)
+}
+
+// mayTakeOver says whether a refusal proves that the claim never ran and never
+// will, and another agent may do better.
+func mayTakeOver(r *api.Refusal) bool {
+	return r.NotRun == api.NotRunTrue && (r.Code == api.CodeFenced || retry.Repeatable(r, false))
+}
+
+// refusedBy says whether the agent does not take the call now. One that has
+// only restarted, or was fenced for this claim, may take it under another.
+func refusedBy(agent *membership.Agent, r *api.Refusal) bool {
+	return r.Peer == agent.ID && r.Code != api.CodeFenced && r.Code != api.CodeWrongIncarnation
+}
+
+// mayRetry takes a retry from the budget and counts it.
+func (e *Entry) mayRetry(row string, refusal *api.Refusal) bool {
+	if !e.budget.Take() {
+		e.cfg.Counters.Refusal(row, api.CodeRetryBudget)
+		return false
+	}
+	e.countRetry(row, refusal)
+	return true
 }
 
 // claim makes the claim of a key for an agent, or takes over one that never ran.
@@ -87,10 +118,13 @@
 	return e.claims.Make(ctx, row, key, c)
 }
 
-// claimRefusal refuses a call that was not claimed, and hence not sent.
+// claimRefusal refuses a call that was not claimed, and hence not sent. An
+// earlier call with its key may have run all the same.
 func (e *Entry) claimRefusal(err error) *api.Refusal {
-	message := "the table service cannot record the claim now: " + err.Error()
-	return e.refusal(api.CodeClaimStoreDown, message, StepClaim, claimRetryAfter)
+	message := "this call was not sent, since the table service cannot record its claim now: " + err.Error()
+	r := e.refusal(api.CodeClaimStoreDown, message, StepClaim, claimRetryAfter)
+	r.NotRun = api.NotRunUnknown
+	return r
 }
 
 // runOwned sends the run that this entry has claimed, once. When the answer is
@@ -98,10 +132,19 @@
 func (e *Entry) runOwned(ctx context.Context, work *call, key string, claim *claims.Claim, agent *membership.Agent) (*wire.Done, *api.Refusal) {
 	run := e.claimedRun(ctx, work, key, claim)
 	done, refusal := e.sendClaimed(ctx, work, agent, run)
-	if refusal == nil || refusal.Code != api.CodeTransport || refusal.NotRun == api.NotRunTrue {
+	switch {
+	case refusal == nil, refusal.NotRun == api.NotRunTrue:
 		return done, refusal
+	case refusal.Code == api.CodeWrongIncarnation:
+		// The run was sent only to the process that refused it.
+		proven := *refusal
+		proven.NotRun = api.NotRunTrue
+		proven.RetryAfter = unknownRetryAfter
+		return nil, &proven
+	case refusal.Code == api.CodeTransport:
+		return e.resolve(ctx, work, key, claim)
 	}
-	return e.attach(ctx, work, key, claim)
+	return nil, refusal
 }
 
 func (e *Entry) claimedRun(ctx context.Context, work *call, key string, claim *claims.Claim) *wire.Run {
@@ -161,42 +204,51 @@
 	return &membership.Agent{ID: claim.Agent, Addr: claim.Addr, Sends: &membership.Sends{}}
 }
 
-// follow answers a call whose key another call has claimed: with the answer of
-// that run, or with a refusal whose NotRun is true when the agent has proved
-// that the run never began and never will.
-func (e *Entry) follow(ctx context.Context, work *call, key, digest string, claim *claims.Claim) (*wire.Done, *api.Refusal) {
-	if claim.Digest != digest {
-		return nil, e.refusal(api.CodeDuplicate, "the key was used for another request", StepClaim, 0)
-	}
+// resolve answers a call with the run of its claim, without ever starting it.
+// A refusal says not_run true only when the claim's agent has proved that the
+// run never began and never will: an agent that does not know the key may get
+// it late, and is asked to fence it first.
+func (e *Entry) resolve(ctx context.Context, work *call, key string, claim *claims.Claim) (*wire.Done, *api.Refusal) {
 	done, refusal := e.attach(ctx, work, key, claim)
 	if refusal == nil || refusal.Code != api.CodeNoEndpoint {
-		return done, e.followed(claim, refusal)
+		return done, e.resolved(claim, refusal)
 	}
 	runKey := claims.RunKey(work.row.Name, key, claim.Generation)
 	state, err := e.client.Fence(ctx, claim.Agent, claim.Addr, claim.Incarnation, runKey)
 	if err != nil {
-		return nil, e.unknownOutcome(claim, err.Error())
+		return nil, e.resolved(claim, e.asRefusal(err, StepAttach))
 	}
 	if state == wire.FenceNeverRan {
-		return nil, refusal
+		return nil, neverRan(claim)
 	}
 	done, refusal = e.attach(ctx, work, key, claim)
-	return done, e.followed(claim, refusal)
+	return done, e.resolved(claim, refusal)
 }
 
-// followed keeps refusals of another's run from being taken for one that may
-// be sent again.
-func (e *Entry) followed(claim *claims.Claim, refusal *api.Refusal) *api.Refusal {
+// resolved keeps what proves nothing of the claim's run from being taken for a proof.
+func (e *Entry) resolved(claim *claims.Claim, refusal *api.Refusal) *api.Refusal {
 	if refusal == nil {
 		return nil
 	}
 	switch refusal.Code {
-	case api.CodeWrongIncarnation, api.CodeNoEndpoint, api.CodeTransport, api.CodeDraining:
+	case api.CodeWrongIncarnation:
+		lost := e.unknownOutcome(claim, refusal.Message)
+		lost.RetryAfter = 0 // the agent that knew is gone for good
+		return lost
+	case api.CodeTransport, api.CodeNoEndpoint:
 		return e.unknownOutcome(claim, refusal.Message)
 	}
 	return refusal
 }
 
+// neverRan refuses a call whose claim was fenced before its run began.
+func neverRan(claim *claims.Claim) *api.Refusal {
+	return &api.Refusal{
+		Code: api.CodeFenced, Message: "the request never reached the agent that its claim names",
+		NotRun: api.NotRunTrue, RetryAfter: unknownRetryAfter, Step: StepAttach, Peer: claim.Agent,
+	}
+}
+
 func (e *Entry) unknownOutcome(claim *claims.Claim, cause string) *api.Refusal {
 	return &api.Refusal{
 		Code: api.CodeOutcomeUnknown, NotRun: api.NotRunUnknown, RetryAfter: unknownRetryAfter,
--- a/service/entry/entry.go
+++ b/service/entry/entry.go
@@ -55,6 +55,10 @@
 	MaxBody int64
 	// Seed seeds the choice among endpoints.
 	Seed uint64
+	// Training picks the agents of samples; nil means routing.NewTraining.
+	Training routing.Picker
+	// Policy says how the samples of a step are placed and moved.
+	Policy rollout.Policy
 }
 
 func (c *Config) check() error {
@@ -75,6 +79,9 @@
 	if c.Linger == 0 {
 		c.Linger = rollout.DefaultLinger
 	}
+	if c.Training == nil {
+		c.Training = routing.NewTraining()
+	}
 	if c.MaxBody == 0 {
 		c.MaxBody = DefaultMaxBody
 	}
@@ -95,6 +102,7 @@
 	sync        *tableSync
 	sessions    *sessions
 	handler     http.Handler
+	unready     atomic.Bool
 	draining    atomic.Bool
 	// active counts the calls in progress, which a drain waits for.
 	active sync.WaitGroup
@@ -115,7 +123,7 @@
 	}
 	e.sync = newTableSync(e)
 	e.client = &attempt.Client{Dialer: cfg.Dialer, View: e.view, Header: e.header, Observe: e.sync.observe}
-	e.claims = &claims.Store{Table: cfg.Table}
+	e.claims = claims.NewStore(cfg.Table)
 	e.watcher = membership.NewWatcher(membership.WatcherConfig{
 		EntryID: cfg.ID, Zone: cfg.Zone, View: e.view, Dialer: cfg.Dialer, List: cfg.Instances,
 		Header: e.header, Observe: e.sync.observe, Subset: cfg.Subset, Log: cfg.Log,
@@ -132,7 +140,7 @@
 func (e *Entry) newRunner() *rollout.Runner {
 	return &rollout.Runner{
 		ID: e.cfg.ID, Zone: e.cfg.Zone, Client: e.client, View: e.view,
-		Router: routing.NewTraining(), Budget: e.budget, Scorer: &scorer{e},
+		Router: e.cfg.Training, Policy: e.cfg.Policy, Budget: e.budget, Scorer: &scorer{e},
 		Linger: e.cfg.Linger, Counters: e.cfg.Counters, Log: e.cfg.Log, Seed: e.cfg.Seed,
 	}
 }
@@ -142,9 +150,13 @@
 
 // Ready says whether the platform's balancer may send callers here.
 func (e *Entry) Ready() bool {
-	return !e.draining.Load() && e.cfg.Holder.Current() != nil
+	return !e.unready.Load() && !e.draining.Load() && e.cfg.Holder.Current() != nil
 }
 
+// ShowUnready makes Ready false while calls are still served, so that the
+// balancer sends callers elsewhere before a drain refuses them.
+func (e *Entry) ShowUnready() { e.unready.Store(true) }
+
 // LiveAgents counts the agents whose reports arrive and whose endpoints answer.
 func (e *Entry) LiveAgents() int {
 	n := 0
--- a/service/entry/http.go
+++ b/service/entry/http.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/kataras/iris/v12"
@@ -76,6 +77,7 @@
 
 // refuse answers a call with a refusal and counts it.
 func (e *Entry) refuse(c iris.Context, row string, r *api.Refusal) {
+	r = e.forKey(c, r)
 	e.countRefusal(row, r)
 	w := c.ResponseWriter()
 	w.Header().Set("Content-Type", "application/json")
@@ -88,6 +90,35 @@
 	}
 }
 
+// forKey makes a refusal speak for the key of a call that must run at most
+// once: before its claim was looked at, it is not known whether an earlier call
+// with the key ran.
+func (e *Entry) forKey(c iris.Context, r *api.Refusal) *api.Refusal {
+	unclaimed := r.Step == StepAdmit || r.Step == StepRoute
+	if r.NotRun != api.NotRunTrue || r.Peer != e.cfg.ID || !unclaimed || !e.isClaimed(c) {
+		return r
+	}
+	corrected := *r
+	corrected.NotRun = api.NotRunUnknown
+	corrected.Message += "; this call was not sent, and whether an earlier one with its key ran is not known here"
+	return &corrected
+}
+
+// isClaimed says whether a call has a key and must run at most once.
+func (e *Entry) isClaimed(c iris.Context) bool {
+	if c.GetHeader(api.HeaderIdempotencyKey) == "" {
+		return false
+	}
+	if c.GetHeader(api.HeaderNonIdempotent) == "true" {
+		return true
+	}
+	if !strings.HasPrefix(c.Path(), api.PathServices) || isSafe(c.Method()) {
+		return false
+	}
+	row, known := e.cfg.Holder.Current().Row(c.Params().Get("row"))
+	return !known || !row.Repeatable
+}
+
 func (e *Entry) countRefusal(row string, r *api.Refusal) {
 	e.cfg.Counters.Refusal(row, r.Code)
 	e.cfg.Log.WithError(r).WithField("row", row).Info("request refused")
--- a/service/entry/run.go
+++ b/service/entry/run.go
@@ -32,7 +32,9 @@
 	work wire.Run
 	// idempotent says whether it may be sent again after it may have run.
 	idempotent bool
-	progress   generation.Progress
+	// ran is what is known of the attempts so far: whether one may have run.
+	ran      mayHaveRun
+	progress generation.Progress
 	// onText takes in the progress after each chunk; it may be nil.
 	onText func(*generation.Progress)
 }
@@ -46,34 +48,55 @@
 	for {
 		agent, refusal := e.pick(&c.route)
 		if refusal != nil {
-			return nil, c.hasRun(refusal)
+			return nil, c.ran.correct(refusal)
 		}
 		done, refusal := e.attempt(ctx, c, agent)
 		if refusal == nil {
 			return done, nil
 		}
+		c.ran.note(refusal, c.progress.Tokens())
 		if ctx.Err() != nil || !retry.Repeatable(refusal, c.idempotent) {
-			return nil, c.hasRun(refusal)
+			return nil, c.ran.correct(refusal)
 		}
 		if !e.budget.Take() {
 			e.cfg.Counters.Refusal(c.row.Name, api.CodeRetryBudget)
-			return nil, c.hasRun(refusal)
+			return nil, c.ran.correct(refusal)
 		}
 		e.countRetry(c.row.Name, refusal)
 		c.route.Exclude[agent.ID] = true
 		if refusal = e.waitToRetry(ctx, delays.NextBackOff(), refusal); refusal != nil {
-			return nil, c.hasRun(refusal)
+			return nil, c.ran.correct(refusal)
 		}
 	}
 }
 
-// hasRun corrects a refusal of a later attempt when an earlier one has run.
-func (c *call) hasRun(r *api.Refusal) *api.Refusal {
-	if r.NotRun != api.NotRunTrue || c.progress.Tokens() == 0 {
+// mayHaveRun gathers what the refused attempts of a call prove together.
+type mayHaveRun struct{ ran, unknown bool }
+
+// note takes in the refusal of an attempt after which tokens were there.
+func (m *mayHaveRun) note(r *api.Refusal, tokens int) {
+	switch {
+	case r.NotRun == api.NotRunFalse || tokens > 0:
+		m.ran = true
+	case r.NotRun == api.NotRunUnknown:
+		m.unknown = true
+	}
+}
+
+// correct makes a refusal of the last attempt say what holds for all of them.
+func (m *mayHaveRun) correct(r *api.Refusal) *api.Refusal {
+	notRun := r.NotRun
+	switch {
+	case m.ran:
+		notRun = api.NotRunFalse
+	case m.unknown && notRun == api.NotRunTrue:
+		notRun = api.NotRunUnknown
+	}
+	if notRun == r.NotRun {
 		return r
 	}
 	corrected := *r
-	corrected.NotRun = api.NotRunFalse
+	corrected.NotRun = notRun
 	return &corrected
 }
 
--- a/service/entry/scoring.go
+++ b/service/entry/scoring.go
@@ -4,9 +4,11 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"mulberryscale.example/api"
 	"mulberryscale.example/claims"
+	"mulberryscale.example/retry"
 	"mulberryscale.example/routing"
 	"mulberryscale.example/table"
 	"mulberryscale.example/wire"
@@ -18,6 +20,15 @@
 // headerRequest names the scored sample to the scoring service.
 const headerRequest = "X-Request"
 
+// Times of scoring.
+const (
+	firstScoreDelay = 50 * time.Millisecond
+	mostScoreDelay  = 2 * time.Second
+	// outcomePatience is how long an agent is asked for the outcome of a
+	// scoring call that may not be repeated.
+	outcomePatience = time.Minute
+)
+
 // scoreRequest is the body of a scoring call.
 type scoreRequest struct {
 	ID    string `json:"id"`
@@ -33,18 +44,51 @@
 // scorer scores samples through the plain service that their row names.
 type scorer struct{ e *Entry }
 
-// Score implements rollout.Scorer. A scoring service whose row is not
-// repeatable is called under a claim, at most once for each text of a sample:
-// a sample that was generated anew after its engine and agent were lost is
-// another request.
+// Score implements rollout.Scorer. It tries until ctx ends, unless the refusal
+// is for good. A scoring service whose row is not repeatable is called under a
+// claim, at most once for each text of a sample: a sample that was generated
+// anew after its engine and agent were lost is another request.
 func (s *scorer) Score(ctx context.Context, row *table.Row, sample *api.Sample) (float64, error) {
+	delays := retry.NewBackoff(firstScoreDelay, mostScoreDelay)
+	began := time.Now()
+	for {
+		score, refusal := s.scoreOnce(ctx, row, sample)
+		if refusal == nil {
+			return score, nil
+		}
+		if ctx.Err() != nil || !s.mayScoreAgain(row, refusal, time.Since(began)) {
+			return 0, refusal
+		}
+		s.e.cfg.Counters.Retry(row.Scorer, string(retry.ReasonScorer))
+		if refusal = s.e.waitToRetry(ctx, delays.NextBackOff(), refusal); refusal != nil {
+			return 0, refusal
+		}
+	}
+}
+
+// mayScoreAgain says whether another call can bring a score after so long.
+func (s *scorer) mayScoreAgain(row *table.Row, r *api.Refusal, waited time.Duration) bool {
+	switch r.Code {
+	case api.CodeBadRequest, api.CodeUnknownRow, api.CodeTooLarge, api.CodeUnauthorized, api.CodeInternal:
+		return false
+	case api.CodeClaimStoreDown:
+		return true
+	case api.CodeOutcomeUnknown:
+		// The agent may come back and tell; when it has lost the outcome, no repeat helps.
+		return r.RetryAfter > 0 && waited < outcomePatience
+	}
+	service, refusal := s.e.row(row.Scorer, table.KindPlain)
+	return r.NotRun == api.NotRunTrue || (refusal == nil && service.Repeatable)
+}
+
+func (s *scorer) scoreOnce(ctx context.Context, row *table.Row, sample *api.Sample) (float64, *api.Refusal) {
 	service, refusal := s.e.row(row.Scorer, table.KindPlain)
 	if refusal != nil {
 		return 0, refusal
 	}
 	body, err := json.Marshal(scoreRequest{ID: sample.ID, Group: sample.Group, Text: sample.Text})
 	if err != nil {
-		return 0, err
+		return 0, s.e.refusal(api.CodeInternal, "encoding a scoring call: "+err.Error(), StepScore, 0)
 	}
 	name := row.Name + "/" + sample.ID + "/" + claims.Digest(sample.Text)
 	work := &call{
@@ -63,7 +107,7 @@
 	return s.read(done)
 }
 
-func (s *scorer) read(done *wire.Done) (float64, error) {
+func (s *scorer) read(done *wire.Done) (float64, *api.Refusal) {
 	if done.Answer == nil || done.Answer.Status != http.StatusOK {
 		return 0, s.failed("the scoring service did not answer with status 200")
 	}
--- a/service/entry/steps.go
+++ b/service/entry/steps.go
@@ -138,15 +138,17 @@
 
 // stepSink writes a step's events. It is safe for concurrent use.
 type stepSink struct {
-	mu sync.Mutex
-	w  http.ResponseWriter
+	// turn holds the one token of the writer; a write lasts as long as the
+	// trainer takes to read.
+	turn chan struct{}
+	w    http.ResponseWriter
 }
 
 func newStepSink(w http.ResponseWriter) *stepSink {
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Cache-Control", "no-cache")
 	w.WriteHeader(http.StatusOK)
-	return &stepSink{w: w}
+	return &stepSink{w: w, turn: make(chan struct{}, 1)}
 }
 
 // Sample implements rollout.Sink.
@@ -160,8 +162,8 @@
 	if err != nil {
 		return err
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.turn <- struct{}{}
+	defer func() { <-s.turn }()
 	return writeEvent(s.w, name, body)
 }
 
@@ -190,8 +192,8 @@
 func (s *stepSink) heartbeat() {
 	m := &sse.Message{}
 	m.AppendComment("heartbeat")
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.turn <- struct{}{}
+	defer func() { <-s.turn }()
 	if _, err := m.WriteTo(s.w); err == nil {
 		// A failed flush shows in the next event's error.
 		_ = http.NewResponseController(s.w).Flush()
--- a/transport/quictransport/doc.go
+++ b/transport/quictransport/doc.go
@@ -38,7 +38,7 @@
 
 // Bounds on what one peer can make us hold.
 const (
-	maxStreams          = 8192     // streams of one connection that a peer may have open
+	MaxStreams          = 8192     // streams of one connection that a dialer may have open
 	maxStreamWindow     = 4 << 20  // bytes received and not yet read, by stream
 	maxConnectionWindow = 32 << 20 // bytes received and not yet read, by connection
 )
@@ -55,13 +55,14 @@
 	connectionUnused quic.ApplicationErrorCode = 1
 )
 
-// Options changes the times of a dialer or listener; zero values mean the
+// Options changes the bounds of a dialer or listener; zero values mean the
 // constants of this package.
 type Options struct {
 	HandshakeTimeout time.Duration
 	IdleTimeout      time.Duration
 	KeepAlive        time.Duration
 	UnusedTimeout    time.Duration
+	MaxStreams       int64 // of a listener
 }
 
 func (o Options) withDefaults() Options {
@@ -69,12 +70,13 @@
 	setDefault(&o.IdleTimeout, IdleTimeout)
 	setDefault(&o.KeepAlive, KeepAlive)
 	setDefault(&o.UnusedTimeout, UnusedTimeout)
+	setDefault(&o.MaxStreams, MaxStreams)
 	return o
 }
 
-func setDefault(d *time.Duration, value time.Duration) {
-	if *d <= 0 {
-		*d = value
+func setDefault[T ~int64](field *T, value T) {
+	if *field <= 0 {
+		*field = value
 	}
 }
 
@@ -82,7 +84,7 @@
 	return &quic.Config{
 		HandshakeIdleTimeout:       o.HandshakeTimeout,
 		MaxIdleTimeout:             o.IdleTimeout,
-		MaxIncomingStreams:         maxStreams,
+		MaxIncomingStreams:         o.MaxStreams,
 		MaxIncomingUniStreams:      -1,
 		MaxStreamReceiveWindow:     maxStreamWindow,
 		MaxConnectionReceiveWindow: maxConnectionWindow,
--- a/transport/quictransport/quictransport_test.go
+++ b/transport/quictransport/quictransport_test.go
@@ -45,9 +45,9 @@
 }
 
 // echoServer is a listener that echoes and counts its connections.
-func echoServer(t *testing.T, addr string, source keys.Source) *listener {
+func echoServer(t *testing.T, addr string, source keys.Source, o Options) *listener {
 	t.Helper()
-	l, err := ListenOptions(addr, source, quick)
+	l, err := ListenOptions(addr, source, o)
 	check(t, err)
 	go l.Serve(context.Background(), echoHandler)
 	t.Cleanup(func() { l.Close() })
@@ -97,7 +97,7 @@
 func TestStrangersAreRefused(t *testing.T) {
 	ctx := testContext(t)
 	ours, theirs := newAuthority(t), newAuthority(t)
-	l := echoServer(t, "127.0.0.1:0", sourceOf(t, ours, "agent-1"))
+	l := echoServer(t, "127.0.0.1:0", sourceOf(t, ours, "agent-1"), quick)
 	check(t, exchange(ctx, newTestDialer(t, sourceOf(t, ours, "entry-1"), quick), l.Addr()))
 	stranger := newTestDialer(t, sourceOf(t, theirs, "entry-1"), quick)
 	if err := exchange(ctx, stranger, l.Addr()); err == nil {
@@ -111,7 +111,7 @@
 func TestOneConnectionIsReused(t *testing.T) {
 	ctx := testContext(t)
 	a := newAuthority(t)
-	l := echoServer(t, "127.0.0.1:0", sourceOf(t, a, "agent-1"))
+	l := echoServer(t, "127.0.0.1:0", sourceOf(t, a, "agent-1"), quick)
 	d := newTestDialer(t, sourceOf(t, a, "entry-1"), quick)
 	errs := make(chan error)
 	const calls = 50
@@ -130,23 +130,29 @@
 	ctx := testContext(t)
 	a := newAuthority(t)
 	source := sourceOf(t, a, "agent-1")
-	l := echoServer(t, "127.0.0.1:0", source)
-	d := newTestDialer(t, sourceOf(t, a, "entry-1"), quick)
+	patient := Options{IdleTimeout: time.Minute} // beyond the hang guard: the loss must be told
+	l := echoServer(t, "127.0.0.1:0", source, patient)
+	d := newTestDialer(t, sourceOf(t, a, "entry-1"), patient)
 	s, err := d.Open(ctx, l.Addr())
 	check(t, err)
+	check(t, errors.Join(s.Send(ping{1}), s.Recv(&ping{})))
 	check(t, l.Close())
-	<-s.Context().Done()
+	select {
+	case <-s.Context().Done():
+	case <-ctx.Done():
+		t.Fatal("the stream outlived the listener")
+	}
 	if err := exchange(ctx, d, l.Addr()); err == nil {
 		t.Fatal("a closed listener answered")
 	}
-	echoServer(t, l.Addr(), source)
+	echoServer(t, l.Addr(), source, patient)
 	check(t, exchange(ctx, d, l.Addr()))
 }
 
 func TestUnusedConnectionIsClosed(t *testing.T) {
 	ctx := testContext(t)
 	a := newAuthority(t)
-	l := echoServer(t, "127.0.0.1:0", sourceOf(t, a, "agent-1"))
+	l := echoServer(t, "127.0.0.1:0", sourceOf(t, a, "agent-1"), quick)
 	o := quick
 	o.UnusedTimeout = 50 * time.Millisecond
 	d := newTestDialer(t, sourceOf(t, a, "entry-1"), o).(*dialer)
@@ -243,6 +249,58 @@
 	check(t, exchange(ctx, d, front))
 }
 
+// Every way to end a stream gives its place back, so that a connection serves
+// more streams in all than may be open at once.
+func TestEndedStreamsGiveTheirPlaceBack(t *testing.T) {
+	ends := map[string]func(transport.Stream) error{
+		"closed by the client": transport.Stream.Close,
+		"ended by both": func(s transport.Stream) error {
+			if err := s.CloseSend(); err != nil {
+				return err
+			}
+			if err := s.Recv(&ping{}); err != io.EOF {
+				return err
+			}
+			return nil
+		},
+	}
+	handlers := map[string]transport.Handler{
+		"handler returns": echoHandler,
+		"handler ends sending": func(ctx context.Context, s transport.Stream) {
+			echoHandler(ctx, s)
+			_ = s.CloseSend()
+		},
+		"handler sends once": func(ctx context.Context, s transport.Stream) {
+			_ = errors.Join(s.Recv(&ping{}), s.Send(ping{}), s.CloseSend())
+			_ = s.Recv(&ping{})
+		},
+	}
+	for name, end := range ends {
+		for handlerName, handler := range handlers {
+			testPlaces(t, name+", "+handlerName, end, handler)
+		}
+	}
+}
+
+func testPlaces(t *testing.T, name string, end func(transport.Stream) error, handler transport.Handler) {
+	t.Run(name, func(t *testing.T) {
+		ctx := testContext(t)
+		a := newAuthority(t)
+		l, err := ListenOptions("127.0.0.1:0", sourceOf(t, a, "agent-1"), Options{MaxStreams: 4})
+		check(t, err)
+		defer l.Close()
+		go l.Serve(ctx, handler)
+		d := newTestDialer(t, sourceOf(t, a, "entry-1"), Options{})
+		for i := range 40 {
+			s, err := d.Open(ctx, l.Addr())
+			if err != nil {
+				t.Fatalf("stream %d: %v", i, err)
+			}
+			check(t, errors.Join(s.Send(ping{i}), s.Recv(&ping{}), end(s)))
+		}
+	})
+}
+
 // A stop waits for a client that reads the last message later than FlushGrace.
 func TestSlowReaderGetsTheLastMessage(t *testing.T) {
 	ctx := testContext(t)
--- a/transport/quictransport/stream.go
+++ b/transport/quictransport/stream.go
@@ -105,8 +105,12 @@
 // finish ends the stream after its handler: what was sent still arrives. It
 // waits until the peer has ended its side too, as it does once it has read all.
 func (s *stream) finish() {
-	if s.ctx.Err() == nil && !s.sent.Load() {
+	switch {
+	case s.sent.Load(): // the handler has ended it; what it sent is on its way
+	case s.ctx.Err() == nil:
 		_ = s.CloseSend() // fails only when the peer has gone
+	default:
+		s.qs.CancelWrite(streamGivenUp) // gives the stream's place back to the peer
 	}
 	s.cancel(errClosed)
 	s.setReadDeadline(time.Now().Add(LingerTimeout), true)
