Experiment tool; samples lost in mid-run go first; parking by levels; no wait for forgetting

Change: agents are told behind the step's back, all at once. - Samples whose engine died (at 2.55 s) were resumed only at 5.1 s, behind all that had not begun, since less work was left in them by the bound of their length. Change: they go first. - Stragglers that begin last hold up a step that waits for all. Change: a sample that outgrows 80% of the finished ones is parked while others wait, again at each doubling.

New: `mulberryscale experiment` with steps, lookups, shares and overhead, as table, JSON and plots.

--- /dev/null
+++ b/cmd/mulberryscale/experiment.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"mulberryscale.example/daemon"
+	"mulberryscale.example/internal/experiment"
+)
+
+const (
+	defaultExperimentTime = 8 * time.Second
+	leastExperimentTime   = time.Second
+	mostExperimentTime    = 10 * time.Minute
+)
+
+func experimentCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "experiment",
+		Usage: "measure step time, goodput, shares and overhead on stand-ins",
+		UsageText: "mulberryscale experiment --workload qalhat\n" +
+			"mulberryscale experiment --part steps --seed 3 --plot plots --output json",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "workload", Value: "qalhat", Usage: "one of " + strings.Join(experiment.WorkloadNames(), ", ")},
+			&cli.StringSliceFlag{Name: "part", Usage: "part to run, all by default: " + strings.Join(experiment.Parts(), ", ")},
+			&cli.DurationFlag{Name: "time", Value: defaultExperimentTime, Usage: "length of each run but the steps"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "makes the workload repeatable"},
+			&cli.StringFlag{Name: "plot", Usage: "existing directory for plots as PNG; none by default"},
+			daemon.OutputFlag(),
+		},
+		Action: runExperiment,
+	}
+}
+
+func runExperiment(ctx context.Context, c *cli.Command) error {
+	if d := c.Duration("time"); d < leastExperimentTime || d > mostExperimentTime {
+		return daemon.Usagef("time must be between %v and %v, not %v", leastExperimentTime, mostExperimentTime, d)
+	}
+	report, err := experiment.Run(ctx, experiment.Options{
+		Workload: c.String("workload"), Parts: c.StringSlice("part"), Duration: c.Duration("time"),
+		Seed: c.Uint64("seed"), Progress: os.Stderr,
+	})
+	if err != nil {
+		return cli.Exit(err.Error(), exitBroken)
+	}
+	if dir := c.String("plot"); dir != "" {
+		if err := plotReport(report, dir); err != nil {
+			return cli.Exit(err.Error(), exitBroken)
+		}
+	}
+	if daemon.OutputOf(c) == "json" {
+		line, err := json.Marshal(report)
+		if err != nil {
+			return cli.Exit(err.Error(), exitBroken)
+		}
+		fmt.Println(string(line))
+		return nil
+	}
+	return report.WriteTable(os.Stdout)
+}
+
+func plotReport(report *experiment.Report, dir string) error {
+	if len(report.Steps) > 0 {
+		if err := report.PlotSteps(filepath.Join(dir, "steps.png")); err != nil {
+			return err
+		}
+	}
+	if len(report.Lookups) > 0 {
+		return report.PlotGoodput(filepath.Join(dir, "goodput.png"))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/experiment/lookups.go
@@ -0,0 +1,193 @@
+package experiment
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	hdr "github.com/HdrHistogram/hdrhistogram-go"
+
+	"mulberryscale.example/api"
+	"mulberryscale.example/internal/oracle"
+	"mulberryscale.example/internal/standin/engine"
+	"mulberryscale.example/trainer"
+)
+
+const (
+	// lookupDeadline is what callers wait at most; goodput counts what came whole within it.
+	lookupDeadline = 2 * time.Second
+	// smallEngines and smallSlots make a rig that one machine can overload.
+	smallEngines = 3
+	smallSlots   = 4
+	significant  = 3 // digits of the latency histogram
+)
+
+// LookupResult is one run of interactive lookups.
+type LookupResult struct {
+	// Offered is the rate of lookups relative to what the engines can serve.
+	Offered float64 `json:"offered"`
+	// Trainers is how many trainers saturated the engines beside them.
+	Trainers int     `json:"trainers"`
+	Failure  Failure `json:"failure"`
+	Sent     int     `json:"sent"`
+	OK       int     `json:"ok"`
+	Refused  int     `json:"refused"`
+	Broken   int     `json:"broken"`
+	// Goodput is answers a second that came whole within the deadline.
+	Goodput float64 `json:"goodput_per_second"`
+	// P50, P99 and P999 are latencies of good answers, in milliseconds.
+	P50  float64 `json:"p50_ms"`
+	P99  float64 `json:"p99_ms"`
+	P999 float64 `json:"p999_ms"`
+}
+
+// small is a workload's model cut down to a few engines.
+func (w *Workload) small() *Workload {
+	s := *w
+	s.Engines = smallEngines
+	s.Slots = smallSlots
+	s.TokenTime = 2 * w.TokenTime
+	return &s
+}
+
+// lookupCapacity is how many lookups a second the engines can serve.
+func (w *Workload) lookupCapacity() float64 {
+	mean := w.Lookups.MedianTokens * math.Exp(w.Lookups.Sigma*w.Lookups.Sigma/2)
+	return w.TokensPerSecond() / mean
+}
+
+// RunLookups offers lookups at a rate for a time, beside some of the
+// workload's trainers, which take steps without pause.
+func RunLookups(ctx context.Context, w *Workload, offered float64, trainers int, f Failure, d time.Duration, seed uint64) (*LookupResult, error) {
+	w = w.small()
+	r, err := newRig(ctx, w, Policies()[len(Policies())-1], seed)
+	if err != nil {
+		return nil, err
+	}
+	defer r.close()
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	for i := range trainers {
+		wg.Go(func() { r.trainForever(ctx, &w.Trainers[i], seed) })
+	}
+	if trainers > 0 {
+		time.Sleep(d / 4) // let the trainers fill the engines
+	}
+	fail := time.AfterFunc(d/2, func() { r.fail(f) })
+	load := &lookupLoad{r: r, hist: hdr.New(1, time.Minute.Microseconds(), significant)}
+	load.run(ctx, offered*w.lookupCapacity(), d, seed)
+	fail.Stop()
+	cancel()
+	wg.Wait()
+	return load.result(offered, trainers, f, d), nil
+}
+
+// trainForever takes steps until ctx ends.
+func (r *rig) trainForever(ctx context.Context, t *Trainer, seed uint64) {
+	client, err := r.trainer(t.Row)
+	if err != nil {
+		return
+	}
+	for n := 1; ctx.Err() == nil; n++ {
+		samples, _ := r.w.step(t, n, seed)
+		step := trainer.Step{Name: fmt.Sprint(n), Version: 1, Samples: samples}
+		// An error here is the end of ctx, which the loop sees.
+		_, _ = client.RunStep(ctx, step, func(api.Sample) error { return nil })
+	}
+}
+
+// lookupLoad sends lookups at random times, whether earlier ones are answered or not.
+type lookupLoad struct {
+	r       *rig
+	mu      sync.Mutex
+	hist    *hdr.Histogram // microseconds
+	sent    int
+	ok      atomic.Int64
+	refused atomic.Int64
+	broken  atomic.Int64
+}
+
+func (l *lookupLoad) run(ctx context.Context, perSecond float64, d time.Duration, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	end := time.Now().Add(d)
+	next := time.Now()
+	var wg sync.WaitGroup
+	for next.Before(end) {
+		time.Sleep(time.Until(next))
+		n := l.sent
+		tokens := max(1, int(l.r.w.Lookups.MedianTokens*math.Exp(l.r.w.Lookups.Sigma*rng.NormFloat64())))
+		l.sent++
+		wg.Go(func() { l.lookup(ctx, n, tokens) })
+		next = next.Add(time.Duration(rng.ExpFloat64() / perSecond * float64(time.Second)))
+	}
+	wg.Wait()
+}
+
+// lookup makes one lookup and counts how it ended.
+func (l *lookupLoad) lookup(ctx context.Context, n, tokens int) {
+	req := api.CompletionRequest{
+		Model: l.r.w.Lookups.Row, Prompt: engine.PromptOfLength(tokens, fmt.Sprintf("lookup %d", n)),
+		MaxTokens: tokens, Seed: int64(n),
+	}
+	began := time.Now()
+	status, answer, err := complete(ctx, l.r.fabric.Client(), l.r.d.EntryURLs(), n, &req)
+	took := time.Since(began)
+	switch {
+	case err != nil:
+		l.broken.Add(1)
+	case status != http.StatusOK:
+		l.refused.Add(1)
+	case oracle.CheckAnswer(req.Prompt, req.Seed, req.MaxTokens, answer.Choices[0].Text, answer.WeightVersions) != nil:
+		l.broken.Add(1)
+	case took <= lookupDeadline:
+		l.ok.Add(1)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		_ = l.hist.RecordValue(took.Microseconds()) // the deadline is within the range
+	}
+}
+
+// complete sends a completion to the n-th of the entries.
+func complete(ctx context.Context, client *http.Client, urls []string, n int, req *api.CompletionRequest) (int, *api.Completion, error) {
+	body, err := json.Marshal(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	post, err := http.NewRequestWithContext(ctx, http.MethodPost, urls[n%len(urls)]+api.PathCompletions, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	post.Header.Set(api.HeaderDeadline, lookupDeadline.String())
+	resp, err := client.Do(post)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	answer := new(api.Completion)
+	if resp.StatusCode != http.StatusOK {
+		return resp.StatusCode, nil, nil
+	}
+	if err := json.NewDecoder(resp.Body).Decode(answer); err != nil {
+		return 0, nil, err
+	}
+	if len(answer.Choices) != 1 {
+		return 0, nil, fmt.Errorf("%d choices", len(answer.Choices))
+	}
+	return resp.StatusCode, answer, nil
+}
+
+func (l *lookupLoad) result(offered float64, trainers int, f Failure, d time.Duration) *LookupResult {
+	ms := func(percentile float64) float64 { return float64(l.hist.ValueAtPercentile(percentile)) / 1000 }
+	return &LookupResult{
+		Offered: offered, Trainers: trainers, Failure: f, Sent: l.sent,
+		OK: int(l.ok.Load()), Refused: int(l.refused.Load()), Broken: int(l.broken.Load()),
+		Goodput: float64(l.ok.Load()) / d.Seconds(), P50: ms(50), P99: ms(99), P999: ms(99.9),
+	}
+}
--- a/internal/experiment/rig.go
+++ b/internal/experiment/rig.go
@@ -69,7 +69,8 @@
 			Zone: w.Zones[i%len(w.Zones)],
 			Options: engine.Options{
 				ID: fmt.Sprintf("engine-%d", i+1), Slots: w.Slots, TokenTime: w.TokenTime,
-				BatchSlowdown: w.BatchSlowdown, Models: map[string]uint64{w.Model: 1}, LoadTime: time.Second,
+				BatchSlowdown: w.BatchSlowdown, PrefillTime: w.PrefillTime,
+				Models: map[string]uint64{w.Model: 1}, LoadTime: time.Second,
 			},
 		})
 	}
--- /dev/null
+++ b/internal/experiment/shares.go
@@ -0,0 +1,74 @@
+package experiment
+
+import (
+	"context"
+	"math"
+	"strings"
+	"sync"
+	"time"
+)
+
+// ShareResult is what one row got of the engines while all rows wanted more.
+type ShareResult struct {
+	Row string `json:"row"`
+	// Want and Got are parts of one.
+	Want float64 `json:"want"`
+	Got  float64 `json:"got"`
+	// Deviation is the difference relative to Want.
+	Deviation float64 `json:"deviation"`
+}
+
+// RunShares lets all trainers of a workload saturate a few engines for a time.
+func RunShares(ctx context.Context, w *Workload, d time.Duration, seed uint64) ([]ShareResult, error) {
+	w = w.small()
+	r, err := newRig(ctx, w, Policies()[len(Policies())-1], seed)
+	if err != nil {
+		return nil, err
+	}
+	defer r.close()
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	for i := range w.Trainers {
+		wg.Go(func() { r.trainForever(ctx, &w.Trainers[i], seed) })
+	}
+	time.Sleep(d / 4) // until all are at work
+	before := r.tokensByRow()
+	time.Sleep(d)
+	after := r.tokensByRow()
+	cancel()
+	wg.Wait()
+	return w.shares(before, after), nil
+}
+
+func (w *Workload) shares(before, after map[string]int) []ShareResult {
+	shares, tokens := 0.0, 0
+	for _, t := range w.Trainers {
+		shares += t.Share
+		tokens += after[t.Row] - before[t.Row]
+	}
+	var results []ShareResult
+	for _, t := range w.Trainers {
+		want := t.Share / shares
+		got := float64(after[t.Row]-before[t.Row]) / float64(tokens)
+		results = append(results, ShareResult{Row: t.Row, Want: want, Got: got, Deviation: math.Abs(got-want) / want})
+	}
+	return results
+}
+
+// tokensByRow counts the tokens that the engines generated for each trainer.
+func (r *rig) tokensByRow() map[string]int {
+	tokens := map[string]int{}
+	for _, a := range r.d.Agents {
+		for _, rec := range a.Core.Records() {
+			for _, t := range r.w.Trainers {
+				if !strings.Contains(rec.Prompt, t.Row+" ") {
+					continue
+				}
+				for _, s := range rec.Spans {
+					tokens[t.Row] += s.Tokens
+				}
+			}
+		}
+	}
+	return tokens
+}
--- a/internal/experiment/workload.go
+++ b/internal/experiment/workload.go
@@ -31,9 +31,12 @@
 	// BatchSlowdown lengthens it by this share for each further stream.
 	TokenTime     time.Duration `yaml:"token_time"`
 	BatchSlowdown float64       `yaml:"batch_slowdown"`
-	Trainers      []Trainer     `yaml:"trainers"`
-	Lookups       Lookups       `yaml:"lookups"`
-	Lengths       Lengths       `yaml:"lengths"`
+	// PrefillTime is the time of one token of a prompt, or of a text that is
+	// resumed, that the engine has not cached.
+	PrefillTime time.Duration `yaml:"prefill_time"`
+	Trainers    []Trainer     `yaml:"trainers"`
+	Lookups     Lookups       `yaml:"lookups"`
+	Lengths     Lengths       `yaml:"lengths"`
 	// LearnTime is a trainer's own work on each sample.
 	LearnTime time.Duration `yaml:"learn_time"`
 }
--- a/rollout/move.go
+++ b/rollout/move.go
@@ -49,7 +49,7 @@
 		case now := <-ticker.C:
 			s.balance(tasks, now)
 			if abandoned := s.takeAbandoned(); len(abandoned) > 0 {
-				s.Forget(ctx, abandoned)
+				s.forgetLater(ctx, abandoned)
 			}
 		}
 	}
@@ -64,9 +64,7 @@
 		s.moveSlow(tasks, now)
 		return
 	}
-	if s.waitFor < len(tasks) {
-		s.parkLong(tasks)
-	}
+	s.parkLong(tasks)
 }
 
 // abandon notes a run that nobody waits for any more.
--- a/rollout/park.go
+++ b/rollout/park.go
@@ -15,15 +15,23 @@
 	// parkSlack is added to the share that the trainer waits for, so that the
 	// samples it needs are not parked.
 	parkSlack = 0.02
+	// parkShareOfAll is the share of samples that is not parked when the
+	// trainer waits for all of them.
+	parkShareOfAll = 0.8
 )
 
 // errParked says that a sample made room for samples that have not begun.
 var errParked = errors.New("the sample was parked")
 
-// parkLong parks running samples that are longer than the share of samples that
-// the trainer waits for, while others wait for a slot: they are the ones that
-// the step will most likely end without. A parked sample keeps its text and
-// goes on when every other sample has begun.
+// parkLong parks running samples that are longer than most, while others that
+// have less wait. A parked sample keeps its text and goes on once no other that
+// was parked less often waits.
+//
+// Lengths are not known beforehand. When the trainer waits for a share of the
+// step, the samples that run long are those that the step will most likely end
+// without. When it waits for all, they are the stragglers: had they been met
+// only at the end, each would hold up the step alone; parked, they are all
+// known when the last of the others has begun, and run side by side.
 func (s *step) parkLong(tasks []*task) {
 	limit, known := s.parkLimit()
 	if !known {
@@ -31,7 +39,14 @@
 	}
 	for _, t := range tasks {
 		l := t.current.Load()
-		if l == nil || l.tokens() <= limit || !s.placer.waitsBelow(levelParked) {
+		if l == nil {
+			continue
+		}
+		parked := int(t.parked.Load())
+		if parked >= mostParks {
+			continue
+		}
+		if l.tokens() <= limit<<parked || !s.placer.waitsBelow(levelParked+level(parked)) {
 			continue
 		}
 		select {
@@ -41,14 +56,18 @@
 	}
 }
 
-// parkLimit is the length in tokens above which a sample is parked.
+// parkLimit is the length in tokens above which a sample is parked for the
+// first time; each further time it must have doubled.
 func (s *step) parkLimit() (int, bool) {
 	s.lengthsMu.Lock()
 	defer s.lengthsMu.Unlock()
 	if len(s.lengths) < parkAfter {
 		return 0, false
 	}
-	share := float64(s.waitFor)/float64(len(s.req.Samples)) + parkSlack
+	share := parkShareOfAll
+	if !s.waitsForAll() {
+		share = float64(s.waitFor)/float64(len(s.req.Samples)) + parkSlack
+	}
 	sorted := slices.Sorted(slices.Values(s.lengths))
 	return sorted[min(len(sorted)-1, int(share*float64(len(sorted))))], true
 }
@@ -60,14 +79,19 @@
 	s.lengths = append(s.lengths, tokens)
 }
 
+// mostParks bounds how often a sample is parked.
+const mostParks = 8
+
 // park ends a leg whose sample waits again, with its text.
 func (t *task) park(ctx context.Context, l *leg) *api.Refusal {
 	l.stop()
 	t.progress = l.text()
-	if !t.parked {
+	if t.parked.Add(1) == 1 {
 		t.s.noteLength(t.progress.Tokens())
 	}
-	t.parked = true
-	t.s.Forget(ctx, map[peer][]string{peerOf(l.agent): {t.key}})
+	t.s.forget(ctx, map[peer][]string{peerOf(l.agent): {t.key}})
 	return t.refusal(api.CodeFenced, errParked, api.NotRunFalse)
 }
+
+// waitsForAll says whether the trainer waits for every sample of the step.
+func (s *step) waitsForAll() bool { return s.waitFor == len(s.req.Samples) }
--- a/rollout/peer.go
+++ b/rollout/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -34,15 +35,28 @@
 	return peer{id, addr}, nil
 }
 
-// Forget lets agents drop the samples of keys that nobody waits for. It is
-// best effort: what an agent is not told it drops after its linger.
-func (r *Runner) Forget(ctx context.Context, keys map[peer][]string) {
+// forget lets agents drop the samples of keys that nobody waits for, all agents
+// at the same time. It is best effort: what an agent is not told it drops after
+// its linger.
+func (r *Runner) forget(ctx context.Context, keys map[peer][]string) {
 	ctx, cancel := context.WithTimeout(ctx, forgetTimeout)
 	defer cancel()
+	var wg sync.WaitGroup
 	for p, ks := range keys {
-		if err := r.Client.Forget(ctx, p.id, p.addr, ks); err != nil {
-			r.Log.WithError(err).WithField("peer", p.id).Debug("agent not told to forget")
-		}
+		wg.Go(func() {
+			if err := r.Client.Forget(ctx, p.id, p.addr, ks); err != nil {
+				r.Log.WithError(err).WithField("peer", p.id).Debug("agent not told to forget")
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// forgetLater does the same without making the caller wait for agents that may
+// be dead.
+func (r *Runner) forgetLater(ctx context.Context, keys map[peer][]string) {
+	if len(keys) > 0 {
+		go r.forget(context.WithoutCancel(ctx), keys)
 	}
 }
 
@@ -60,6 +74,6 @@
 		}
 		keys[p] = append(keys[p], Key(row, id))
 	}
-	r.Forget(ctx, keys)
+	r.forgetLater(ctx, keys)
 	return nil
 }
--- a/rollout/placer.go
+++ b/rollout/placer.go
@@ -34,7 +34,10 @@
 type level int
 
 const (
-	levelFresh level = iota
+	// levelResumed: it ran before, and its agent or engine failed.
+	levelResumed level = iota
+	levelFresh
+	// levelParked: it was parked once; each further time is a level more.
 	levelParked
 )
 
--- a/rollout/runner.go
+++ b/rollout/runner.go
@@ -183,7 +183,7 @@
 			forget[t.at] = append(forget[t.at], t.key)
 		}
 	}
-	s.Forget(context.WithoutCancel(ctx), forget)
+	s.forgetLater(ctx, forget)
 }
 
 // WaitFor is how many more samples the trainer of a step waits for: what the
--- a/rollout/task.go
+++ b/rollout/task.go
@@ -41,9 +41,9 @@
 	current atomic.Pointer[leg]
 	moved   atomic.Int32
 	moves   chan *placement
-	// parks tells the sample to make room; parked says that it did once.
+	// parks tells the sample to make room; parked counts how often it did.
 	parks  chan struct{}
-	parked bool
+	parked atomic.Int32
 }
 
 func newTask(s *step, req *api.SampleRequest) *task {
@@ -232,18 +232,22 @@
 	}
 }
 
-// priority orders the samples that wait for an agent. When the trainer waits
-// for all of them, those with the longest expected remaining work go first;
-// else the shortest do, and those that were parked go last, the shortest so
-// far first.
+// priority orders the samples that wait for an agent: those that an agent or
+// engine lost in mid-run first, then those that have not begun, then those that
+// were parked. When the trainer waits for all samples, the longest go first
+// within a level; else the shortest do.
 func (t *task) priority() priority {
-	if t.s.waitFor == len(t.s.req.Samples) {
-		return priority{level: levelFresh, work: -t.remaining()}
+	pr := priority{level: levelFresh, work: t.remaining()}
+	switch {
+	case t.parked.Load() > 0:
+		pr = priority{level: levelParked + level(t.parked.Load()) - 1, work: t.progress.Tokens()}
+	case t.progress.Tokens() > 0:
+		pr = priority{level: levelResumed, work: t.progress.Tokens()}
 	}
-	if t.parked {
-		return priority{level: levelParked, work: t.progress.Tokens()}
+	if t.s.waitsForAll() && pr.level < levelParked {
+		pr.work = -pr.work
 	}
-	return priority{level: levelFresh, work: t.remaining()}
+	return pr
 }
 
 // remaining is the expected remaining work in tokens.
