--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -59,14 +59,14 @@
 // CodeWrongIncarnation.
 func (c *Client) Fence(ctx context.Context, id, addr, incarnation, key string) (wire.FenceState, error) {
 	var reply *wire.Reply
-	err := c.call(ctx, id, addr, &wire.Request{Fence: &wire.Fence{Key: key}}, func(r *wire.Reply) bool {
+	err := c.call(ctx, id, addr, &wire.Request{Fence: &wire.Fence{Key: key, Incarnation: incarnation}}, func(r *wire.Reply) bool {
 		reply = r
 		return r.Fenced != nil
 	})
 	if err != nil {
 		return 0, err
 	}
-	if reply.Header.Incarnation != incarnation {
+	if reply.Fenced.Incarnation != incarnation {
 		return 0, &api.Refusal{
 			Code: api.CodeWrongIncarnation, Message: "the agent has restarted",
 			NotRun: api.NotRunUnknown, Step: StepRecv, Peer: id,
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -30,11 +31,15 @@
 	share map[string]float64
 	// fallback is the share of rows that have none of their own.
 	fallback float64
+	draw     *rand.Rand
 }
 
 // NewSet returns limiters that enforce whole limits until shares are set.
-func NewSet() *Set {
-	return &Set{rows: map[string]*rowLimiter{}, fallback: 1}
+func NewSet() *Set { return NewSeededSet(rand.Uint64()) }
+
+// NewSeededSet is NewSet with repeatable draws; see ConcurrencyShare.
+func NewSeededSet(seed uint64) *Set {
+	return &Set{rows: map[string]*rowLimiter{}, fallback: 1, draw: rand.New(rand.NewPCG(seed, 0))}
 }
 
 // rowLimiter is one row's state at this entry.
@@ -42,8 +47,14 @@
 	requests *rate.Limiter
 	tokens   *rate.Limiter
 	running  int
+	limited  bool // the row has a limit
 	// seen counts requests, admitted or not, since the last Demand.
 	seen int
+	// demand is the smoothed rate of seen, a second.
+	demand float64
+	// drawn rounds this entry's part of a concurrency limit; renewed at times.
+	drawn   float64
+	drawnAt time.Time
 }
 
 // Ticket is an admitted request. Done must be called once.
@@ -68,7 +79,8 @@
 	share := s.shareOf(row.Name)
 	l := s.limiter(row, share, now)
 	l.seen++
-	if row.MaxConcurrency > 0 && l.running >= ConcurrencyShare(row.MaxConcurrency, share) {
+	s.renewDraw(l, now)
+	if row.MaxConcurrency > 0 && l.running >= ConcurrencyShare(row.MaxConcurrency, share, s.fallback, l.drawn) {
 		return nil, &Exceeded{Code: api.CodeConcurrency, RetryAfter: burstTime}
 	}
 	if l.tokens.Limit() != rate.Inf && l.tokens.TokensAt(now) < 1 {
@@ -112,6 +124,38 @@
 	return time.Duration(missing / float64(l.Limit()) * float64(time.Second))
 }
 
+// smoothing is the weight of the newest interval in the demand.
+const smoothing = 0.3
+
+// MeasureDemand counts the time since the last call in and returns Demand.
+func (s *Set) MeasureDemand(elapsed time.Duration) map[string]float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.rows {
+		rate := float64(l.seen) / elapsed.Seconds()
+		l.demand += smoothing * (rate - l.demand)
+		l.seen = 0
+	}
+	return s.demand()
+}
+
+// Demand is the smoothed demand of each row that has limits, admitted or not, a second.
+func (s *Set) Demand() map[string]float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.demand()
+}
+
+func (s *Set) demand() map[string]float64 {
+	demand := make(map[string]float64, len(s.rows))
+	for name, l := range s.rows {
+		if l.limited && l.demand >= minDemand {
+			demand[name] = l.demand
+		}
+	}
+	return demand
+}
+
 func (s *Set) shareOf(row string) float64 {
 	if share, ok := s.share[row]; ok {
 		return share
@@ -125,6 +169,9 @@
 	if !ok {
 		l = &rowLimiter{requests: newLimiter(row.MaxRPS, share), tokens: newLimiter(row.MaxTPS, share)}
 		s.rows[row.Name] = l
+	}
+	l.limited = row.MaxRPS > 0 || row.MaxTPS > 0 || row.MaxConcurrency > 0
+	if !ok {
 		return l
 	}
 	setLimit(l.requests, row.MaxRPS, share, now)
@@ -156,9 +203,30 @@
 	return rate.Limit(part), max(1, burst)
 }
 
-// ConcurrencyShare is an entry's part of a concurrency limit. It is at least
-// one, so that a row is never shut out of an entry; hence n entries together
-// can run at most n-1 requests above the limit.
-func ConcurrencyShare(limit int, share float64) int {
-	return max(1, int(float64(limit)*share))
+// drawInterval is how long a draw holds.
+const drawInterval = 10 * time.Second
+
+func (s *Set) renewDraw(l *rowLimiter, now time.Time) {
+	if l.drawnAt.IsZero() || now.Sub(l.drawnAt) >= drawInterval {
+		l.drawn = s.draw.Float64()
+		l.drawnAt = now
+	}
+}
+
+// ConcurrencyShare is an entry's part of a concurrency limit; even is 1 over
+// the number of entries and drawn is random in [0, 1). Where every entry can
+// have a slot it gets at least one, so that a row is shut out nowhere; n entries
+// can then run n-1 requests above the limit. Where there are more entries than
+// slots, the part is rounded up at random in proportion, so that all parts
+// together are the limit in the mean.
+func ConcurrencyShare(limit int, share, even, drawn float64) int {
+	part := float64(limit) * share
+	if float64(limit)*even >= 1 {
+		return max(1, int(part))
+	}
+	whole := math.Floor(part)
+	if drawn < part-whole {
+		whole++
+	}
+	return int(whole)
 }
--- a/membership/watcher.go
+++ b/membership/watcher.go
@@ -25,7 +25,7 @@
 	Header func() wire.Header
 	// Observe takes in the header of each report; it may be nil.
 	Observe func(wire.Header)
-	// Subset is how many agents are watched at most.
+	// Subset is how many agents an entry watches in the mean of all entries.
 	Subset int
 	// ListInterval is how often the instance list is read.
 	ListInterval time.Duration
@@ -37,7 +37,7 @@
 
 // Defaults of WatcherConfig.
 const (
-	DefaultSubset       = 64
+	DefaultSubset       = 48
 	DefaultListInterval = 2 * time.Second
 	DefaultMinInterval  = 50 * time.Millisecond
 	DefaultMaxInterval  = time.Second
@@ -54,10 +54,17 @@
 	mu      sync.Mutex
 	watches map[watchKey]context.CancelFunc
 	wg      sync.WaitGroup
+	// lines is the length of the list read last, 0 before; Run alone uses it.
+	lines int
 }
 
-// watchKey names one watch stream: an id can come back at another address.
-type watchKey struct{ id, addr string }
+// watchKey names one watch stream: an id can come back at another address, and
+// a fleet that grows or shrinks changes the interval of reports.
+type watchKey struct {
+	id, addr string
+	shortest time.Duration
+	longest  time.Duration
+}
 
 // NewWatcher returns a watcher; zero intervals and sizes get their defaults.
 func NewWatcher(cfg WatcherConfig) *Watcher {
@@ -79,8 +86,16 @@
 // Run watches until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	defer w.wg.Wait()
-	for {
+	for ctx.Err() == nil {
 		w.refresh(ctx)
+		w.awaitListDue(ctx)
+	}
+}
+
+// awaitListDue waits until the list is to be read again or ctx ends.
+func (w *Watcher) awaitListDue(ctx context.Context) {
+	interval := listIntervalFor(w.cfg.ListInterval, w.lines)
+	for waited := time.Duration(0); !listDue(waited, interval, w.cfg.View.Snapshot()); waited += w.cfg.ListInterval {
 		select {
 		case <-ctx.Done():
 			return
@@ -99,8 +114,26 @@
 	subset := Subset(w.cfg.EntryID, w.cfg.Zone, instances, w.cfg.Subset)
 	w.cfg.View.ListedEntries(w.otherEntries(instances))
 	w.cfg.View.Listed(subset)
-	w.follow(ctx, subset)
-	w.unfollow(instances, subset)
+	w.lines = len(instances)
+	wanted := w.keys(instances, subset)
+	w.follow(ctx, subset, wanted)
+	w.unfollow(instances, wanted)
+}
+
+// keys names the watches of a subset, in its order.
+func (w *Watcher) keys(instances, subset []platform.Instance) []watchKey {
+	agents := 0
+	for _, in := range instances {
+		if in.Role == platform.RoleAgent {
+			agents++
+		}
+	}
+	shortest, longest := watchIntervals(w.cfg.MinInterval, w.cfg.MaxInterval, len(subset), agents)
+	keys := make([]watchKey, len(subset))
+	for i, in := range subset {
+		keys[i] = watchKey{in.ID, in.Addr, shortest, longest}
+	}
+	return keys
 }
 
 func (w *Watcher) otherEntries(instances []platform.Instance) []platform.Instance {
@@ -114,27 +147,27 @@
 }
 
 // follow starts a watch for each agent of the subset that has none.
-func (w *Watcher) follow(ctx context.Context, subset []platform.Instance) {
+func (w *Watcher) follow(ctx context.Context, subset []platform.Instance, keys []watchKey) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, in := range subset {
-		key := watchKey{in.ID, in.Addr}
+	for i, in := range subset {
+		key := keys[i]
 		if _, running := w.watches[key]; running {
 			continue
 		}
 		watchCtx, cancel := context.WithCancel(ctx)
 		w.watches[key] = cancel
-		w.wg.Go(func() { w.watch(watchCtx, in) })
+		w.wg.Go(func() { w.watch(watchCtx, in, key) })
 	}
 }
 
 // unfollow ends the watches of agents that left the subset. An agent that the
 // list does not name at all stays watched while its reports arrive, since the
 // list lags.
-func (w *Watcher) unfollow(listed, subset []platform.Instance) {
-	inSubset := make(map[watchKey]bool, len(subset))
-	for _, in := range subset {
-		inSubset[watchKey{in.ID, in.Addr}] = true
+func (w *Watcher) unfollow(listed []platform.Instance, wanted []watchKey) {
+	inSubset := make(map[watchKey]bool, len(wanted))
+	for _, key := range wanted {
+		inSubset[key] = true
 	}
 	isListed := make(map[string]bool, len(listed))
 	for _, in := range listed {
@@ -149,19 +182,35 @@
 		}
 		cancel()
 		delete(w.watches, key)
+		if !w.isWatched(key.id) {
+			w.cfg.View.Suspect(key.id) // and forgotten at the next reading of the list
+		}
 	}
 }
 
+// isWatched says whether a watch of the agent runs. The caller holds the lock.
+func (w *Watcher) isWatched(id string) bool {
+	for key := range w.watches {
+		if key.id == id {
+			return true
+		}
+	}
+	return false
+}
+
 func isLive(snap *Snapshot, key watchKey) bool {
 	a := snap.Agent(key.id)
 	return a != nil && a.Addr == key.addr && a.State == StateLive
 }
 
 // watch holds the watch stream to one agent, redialling when it breaks.
-func (w *Watcher) watch(ctx context.Context, in platform.Instance) {
+func (w *Watcher) watch(ctx context.Context, in platform.Instance, key watchKey) {
 	delays := retry.NewBackoff(firstRedial, mostRedial)
 	for ctx.Err() == nil {
-		got := w.watchOnce(ctx, in)
+		got := w.watchOnce(ctx, in, key)
+		if ctx.Err() != nil {
+			return
+		}
 		w.cfg.View.Suspect(in.ID)
 		if got > 0 {
 			delays.Reset()
@@ -174,20 +223,20 @@
 }
 
 // watchOnce returns how many reports one stream brought.
-func (w *Watcher) watchOnce(ctx context.Context, in platform.Instance) int {
+func (w *Watcher) watchOnce(ctx context.Context, in platform.Instance, key watchKey) int {
 	s, err := w.cfg.Dialer.Open(ctx, in.Addr)
 	if err != nil {
 		w.cfg.Log.WithError(err).WithField("peer", in.ID).Debug("watch not opened")
 		return 0
 	}
 	defer s.Close()
-	watch := &wire.Watch{MinInterval: w.cfg.MinInterval, MaxInterval: w.cfg.MaxInterval}
+	watch := &wire.Watch{MinInterval: key.shortest, MaxInterval: key.longest}
 	if err := s.Send(&wire.Request{Header: w.cfg.Header(), Watch: watch}); err != nil {
 		return 0
 	}
 	stop := context.AfterFunc(ctx, func() { s.Close() })
 	defer stop()
-	silent := silentIntervals * w.cfg.MaxInterval
+	silent := silentIntervals * key.longest
 	timer := time.AfterFunc(silent, func() { s.Close() })
 	defer timer.Stop()
 	reports := 0
--- a/observe/names.go
+++ b/observe/names.go
@@ -50,4 +50,17 @@
 	// NameWastedTokens counts generated tokens, by row, that no answer holds:
 	// those of runs that were moved, fell behind a newer run or were too old.
 	NameWastedTokens Name = "entry_wasted_tokens"
+	// NameCallTime is a histogram by row: seconds from the admission of an
+	// interactive request or service call to its answer or refusal.
+	NameCallTime Name = "entry_call_seconds"
+	// NameStepTime is a histogram by row: seconds that one session of a
+	// trainer's step took at this entry.
+	NameStepTime Name = "entry_step_seconds"
+	// NameSamples counts the samples written to trainers, by row.
+	NameSamples Name = "entry_samples"
+	// NameTokens counts the tokens of answers and samples written, by row.
+	NameTokens Name = "entry_tokens"
+	// NameEntry is a gauge: the table version in force and its age, the watched
+	// agents by state, and the unfinished runs.
+	NameEntry Name = "entry"
 )
--- a/proof/claim_test.go
+++ b/proof/claim_test.go
@@ -9,46 +9,54 @@
 
 	"mulberryscale.example/api"
 	"mulberryscale.example/platform"
+	"mulberryscale.example/service/agent"
 	"mulberryscale.example/service/entry"
 	"mulberryscale.example/transport"
 )
 
-// hookedTable calls a hook after each claim that was written, before its
-// writer learns of it.
-type hookedTable struct {
-	platform.TableService
-	mu   sync.Mutex
-	hook func()
+// claimHook is called once, after a claim was written and before its writer
+// learns of it.
+type claimHook struct {
+	mu sync.Mutex
+	f  func()
 }
 
-func (h *hookedTable) afterClaim(hook func()) {
+func (h *claimHook) set(f func()) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.hook = hook
+	h.f = f
 }
 
-// Commit implements platform.TableService; the hook is called once.
-func (h *hookedTable) Commit(ctx context.Context, writes []platform.Write) ([]platform.ETag, error) {
-	etags, err := h.TableService.Commit(ctx, writes)
-	if err != nil || !strings.HasPrefix(writes[0].Key, "claims/") {
-		return etags, err
-	}
+func (h *claimHook) call() {
 	h.mu.Lock()
-	hook := h.hook
-	h.hook = nil
+	f := h.f
+	h.f = nil
 	h.mu.Unlock()
-	if hook != nil {
-		hook()
+	if f != nil {
+		f()
+	}
+}
+
+// hookedTable is an entry's way to the table service.
+type hookedTable struct {
+	platform.TableService
+	hook *claimHook
+}
+
+// Commit implements platform.TableService.
+func (h hookedTable) Commit(ctx context.Context, writes []platform.Write) ([]platform.ETag, error) {
+	etags, err := h.TableService.Commit(ctx, writes)
+	if err == nil && strings.HasPrefix(writes[0].Key, "claims/") {
+		h.hook.call()
 	}
 	return etags, err
 }
 
-// small is a world whose entries write claims through the hooked table.
-func small(h *hookedTable) worldOptions {
+// small is a small world whose entries' claims call the hook, if there is one.
+func small(h *claimHook) worldOptions {
 	return worldOptions{entries: 2, engines: 2, entry: func(c *entry.Config) {
 		if h != nil {
-			h.TableService = c.Table
-			c.Table = h
+			c.Table = hookedTable{c.Table, h}
 		}
 	}}
 }
@@ -124,9 +132,9 @@
 // TestAgentRestartsBetweenClaimAndRun restarts all agents of the service, at
 // their old addresses, once a claim stands; the call is then claimed anew.
 func TestAgentRestartsBetweenClaimAndRun(t *testing.T) {
-	h := &hookedTable{}
+	h := &claimHook{}
 	prove(t, small(h), func(w *world) {
-		h.afterClaim(w.restartBookings)
+		h.set(w.restartBookings)
 		c := w.startBooking(0, "a")
 		<-c.done
 		if r, ok := c.err.(*api.Refusal); ok && r.NotRun == api.NotRunFalse {
@@ -160,9 +168,9 @@
 // TestPausedEntrySendsLate freezes an entry between its claim and its send.
 // The other entry takes the claim over, then the first one wakes and sends.
 func TestPausedEntrySendsLate(t *testing.T) {
-	h := &hookedTable{}
+	h := &claimHook{}
 	prove(t, small(h), func(w *world) {
-		h.afterClaim(func() { w.fabric.freeze("entry-1") })
+		h.set(func() { w.fabric.freeze("entry-1") })
 		late := w.startBooking(0, "a")
 		time.Sleep(50 * time.Millisecond)
 		w.wantAnswer(w.startBooking(1, "a"))
@@ -211,12 +219,76 @@
 	prove(t, small(nil), func(w *world) {
 		c := w.startBooking(0, "a")
 		time.Sleep(20 * time.Millisecond)
-		for _, id := range []transport.PeerID{"bookings-1-agent", "bookings-2-agent"} {
-			w.fabric.Network.Cut("entry-1", id)
-			defer w.fabric.Network.Heal("entry-1", id)
-		}
+		w.cutBookings(0)
 		time.Sleep(300 * time.Millisecond)
 		w.fabric.thaw("entry-1")
 		w.wantAnswer(c)
 	})
 }
+
+// TestFenceOutlivesARestart cuts an entry off between its claim and its send.
+// The other entry has the claim fenced and takes it over; then the agents
+// restart, which forget the fence, and the first entry's send gets through.
+func TestFenceOutlivesARestart(t *testing.T) {
+	h := &claimHook{}
+	prove(t, small(h), func(w *world) {
+		h.set(func() { w.cutBookings(0) })
+		late := w.startBooking(0, "a")
+		time.Sleep(50 * time.Millisecond)
+		w.wantAnswer(w.startBooking(1, "a"))
+		w.restartBookings()
+		w.fabric.thaw(w.d.Entries[0].ID)
+		<-late.done
+	})
+}
+
+// cutBookings cuts an entry off the agents of the bookings service.
+func (w *world) cutBookings(entry int) {
+	for _, a := range w.d.Agents {
+		if strings.HasPrefix(a.ID, "bookings") {
+			w.fabric.Network.Cut(transport.PeerID(w.d.Entries[entry].ID), transport.PeerID(a.ID))
+		}
+	}
+}
+
+// TestRefusalSpeaksForAllAttempts loses the answer of a call that may be
+// repeated, and has every repeat refused before it runs: the last refusal must
+// not say that the call did not run.
+func TestRefusalSpeaksForAllAttempts(t *testing.T) {
+	prove(t, small(nil), func(w *world) {
+		for _, s := range w.scorers {
+			s.LoseNextReplies(1)
+		}
+		w.callers.Go(func() {
+			header := map[string]string{api.HeaderDeadline: "2s"}
+			_, _, err := w.post(w.url(0)+api.PathServices+rowScorer+"/score", []byte(`{"text":"a"}`), header)
+			if r, ok := err.(*api.Refusal); !ok || r.NotRun == api.NotRunTrue {
+				w.breach("want a refusal that does not say not_run, got %v", err)
+			}
+		})
+		time.Sleep(2 * time.Millisecond) // it runs, and its answer is on the way
+		for _, s := range w.scorers {
+			s.RefuseConnections(true)
+		}
+		time.Sleep(5 * time.Second)
+	})
+}
+
+// TestAgentsTakeAnotherIncarnation makes many calls of agents that remember
+// few keys: the calls go on, a repeat of a late key is answered, and one of a
+// key that was forgotten does not run again.
+func TestAgentsTakeAnotherIncarnation(t *testing.T) {
+	size := small(nil)
+	size.agent = func(c *agent.Config) { c.MaxKeys = 20 }
+	prove(t, size, func(w *world) {
+		w.wantAnswer(w.startBooking(0, "old"))
+		for range 60 {
+			key := w.newKey()
+			w.wantAnswer(w.startBooking(0, key))
+			w.wantAnswer(w.startBooking(1, key))
+			time.Sleep(400 * time.Millisecond)
+		}
+		time.Sleep(5 * time.Minute) // until the answer is not kept any more
+		w.wantRefusal(w.startBooking(1, "old"), api.CodeOutcomeUnknown, api.NotRunUnknown)
+	})
+}
--- a/proof/delivery_test.go
+++ b/proof/delivery_test.go
@@ -163,6 +163,32 @@
 	})
 }
 
+// TestResumedSampleNamesAllVersions publishes weights in mid-stream and then
+// kills an agent: its samples go on elsewhere with a prefix of two versions.
+func TestResumedSampleNamesAllVersions(t *testing.T) {
+	prove(t, worldOptions{entries: 1, engines: 2}, func(w *world) {
+		for _, e := range w.engines() {
+			e.SlowBy(10)
+		}
+		w.trainers[rowTrainer].submit(8)
+		time.Sleep(300 * time.Millisecond)
+		w.publish()
+		time.Sleep(900 * time.Millisecond)
+		w.killAgent(0)
+		w.trainers[rowTrainer].finish()
+		<-w.trainers[rowTrainer].ended
+		mixed := 0
+		for _, r := range w.records() {
+			if r.Prefix != "" && len(r.Spans) > 0 {
+				mixed++
+			}
+		}
+		if mixed == 0 {
+			w.breach("no sample was resumed: the test proves nothing")
+		}
+	})
+}
+
 // TestWeightsTooOldAreNotUsed submits a step for which all engines are too old,
 // and of which one fails to load.
 func TestWeightsTooOldAreNotUsed(t *testing.T) {
--- a/proof/fuzz_test.go
+++ b/proof/fuzz_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"mulberryscale.example/service/agent"
 )
 
 // TestRequestsSurviveFaults brings faults in random order over a deployment
@@ -17,6 +19,9 @@
 			entries: rapid.IntRange(2, 3).Draw(rt, "entries"),
 			engines: rapid.IntRange(2, 4).Draw(rt, "engines"),
 		}
+		// Some agents remember so few keys that they take another incarnation now and then.
+		maxKeys := rapid.SampledFrom([]int{0, 16}).Draw(rt, "maxKeys")
+		size.agent = func(c *agent.Config) { c.MaxKeys = maxKeys }
 		plan := plans().Draw(rt, "plan")
 		if broken := inBubble(t, size, func(w *world) { w.follow(plan) }); len(broken) > 0 {
 			rt.Fatalf("broken promises:\n%s", strings.Join(broken, "\n"))
--- a/results/keep.go
+++ b/results/keep.go
@@ -48,7 +48,7 @@
 	if r.machine.Fire(triggerFence) != nil {
 		return nil
 	}
-	r.refusal = r.store.refuse(api.CodeFenced, "the key was fenced", r.store.notRun(r.key))
+	r.refusal = r.store.refuse(api.CodeFenced, "the key was fenced", r.store.notRun(r.key, r.nonIdempotent))
 	r.ended(now)
 	return r.onEnd
 }
--- a/results/reader.go
+++ b/results/reader.go
@@ -132,7 +132,7 @@
 	if r.machine.Fire(triggerCancel) != nil {
 		return nil
 	}
-	notRun := r.store.notRun(r.key)
+	notRun := r.store.notRun(r.key, r.nonIdempotent)
 	if r.started {
 		notRun = api.NotRunFalse
 	}
--- a/results/run.go
+++ b/results/run.go
@@ -130,7 +130,7 @@
 // Refuse ends a run that was not started and returns the refusal that its
 // readers get: not_run is corrected when an earlier run of the key did start.
 func (r *Run) Refuse(now time.Time, refusal *api.Refusal) *api.Refusal {
-	refusal = r.store.lockedTruthful(r.key, refusal)
+	refusal = r.store.lockedTruthful(r.key, r.nonIdempotent, refusal)
 	r.end(now, triggerRefuse, refusal)
 	return refusal
 }
@@ -145,7 +145,7 @@
 	if t == triggerFail && refusal.NotRun == api.NotRunTrue {
 		r.freed = true
 		r.store.unremember(r)
-		r.refusal = r.store.truthful(r.key, refusal)
+		r.refusal = r.store.truthful(r.key, r.nonIdempotent, refusal)
 	}
 	r.ended(now)
 }
--- a/results/store.go
+++ b/results/store.go
@@ -48,6 +48,7 @@
 	used   keySet // non-idempotent keys that were started
 	ran    keySet // other keys that were started
 	fenced keySet
+	turns  int // how many incarnations ended
 }
 
 // New makes an empty store.
@@ -106,11 +107,11 @@
 	case s.used.has(req.Key):
 		return s.refuse(api.CodeDuplicate, "the key has run, and its answer is not kept any more", api.NotRunFalse)
 	case s.fenced.has(req.Key):
-		return s.refuse(api.CodeFenced, "the key was fenced", s.notRun(req.Key))
+		return s.refuse(api.CodeFenced, "the key was fenced", s.notRun(req.Key, req.NonIdempotent))
 	case req.AttachOnly:
 		return s.refuse(api.CodeNoEndpoint, "the key is not known here", api.NotRunTrue)
 	case closed != nil:
-		return s.truthful(req.Key, closed)
+		return s.truthful(req.Key, req.NonIdempotent, closed)
 	case req.NonIdempotent && req.Key != "" && s.used.full():
 		refusal := s.refuse(api.CodeQueueFull, "too many non-idempotent keys in this incarnation", api.NotRunTrue)
 		refusal.RetryAfter = s.opts.AnswerLinger
@@ -153,19 +154,41 @@
 }
 
 // notRun is what is known of a key that has no run here.
-func (s *Store) notRun(key string) api.NotRun {
+func (s *Store) notRun(key string, nonIdempotent bool) api.NotRun {
 	if key == "" {
 		return api.NotRunTrue
 	}
+	// A non-idempotent key belongs to one of the two incarnations that are remembered.
+	forgotten := s.turns > 1 && !nonIdempotent
 	switch {
 	case s.ran.has(key), s.used.has(key):
 		return api.NotRunFalse
-	case s.ran.full():
+	case s.ran.full(), forgotten:
 		return api.NotRunUnknown
 	}
 	return api.NotRunTrue
 }
 
+// Crowded says whether the keys of this incarnation will soon reach MaxKeys,
+// so that the agent should take another one.
+func (s *Store) Crowded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.used.crowded() || s.ran.crowded() || s.fenced.crowded()
+}
+
+// Turn begins another incarnation's memory. The keys of the one that ends are
+// remembered until the next Turn, those of the one before are forgotten: the
+// agent must refuse requests that name it from before the call on.
+func (s *Store) Turn() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.turns++
+	s.used.turn()
+	s.ran.turn()
+	s.fenced.turn()
+}
+
 // remember keeps a started key for the whole incarnation.
 func (s *Store) remember(r *Run) {
 	set := s.ran
@@ -190,8 +213,8 @@
 
 // truthful corrects a refusal of this attempt that says "not run" where an
 // earlier attempt of the key ran.
-func (s *Store) truthful(key string, refusal *api.Refusal) *api.Refusal {
-	notRun := s.notRun(key)
+func (s *Store) truthful(key string, nonIdempotent bool, refusal *api.Refusal) *api.Refusal {
+	notRun := s.notRun(key, nonIdempotent)
 	if key == "" || refusal.NotRun != api.NotRunTrue || notRun == api.NotRunTrue {
 		return refusal
 	}
@@ -200,10 +223,10 @@
 	return &corrected
 }
 
-func (s *Store) lockedTruthful(key string, refusal *api.Refusal) *api.Refusal {
+func (s *Store) lockedTruthful(key string, nonIdempotent bool, refusal *api.Refusal) *api.Refusal {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.truthful(key, refusal)
+	return s.truthful(key, nonIdempotent, refusal)
 }
 
 // drop forgets a run; readers that still hold it can read on.
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -23,6 +23,7 @@
 	ReasonStale       Reason = "stale"       // produced by weights older than allowed
 	ReasonAttach      Reason = "attach"      // asks again for a run that may still go on
 	ReasonMove        Reason = "move"        // moved off a slow endpoint
+	ReasonPark        Reason = "park"        // made room for samples that had not begun
 	ReasonScorer      Reason = "scorer"      // the scoring service failed
 	ReasonUnfinished  Reason = "unfinished"  // resumed after a prefix
 	ReasonReadBack    Reason = "read_back"   // a write's outcome is read back
@@ -32,7 +33,7 @@
 // Reasons lists all reasons.
 func Reasons() []Reason {
 	return []Reason{
-		ReasonRefused, ReasonBroken, ReasonEndpoint, ReasonStale, ReasonAttach, ReasonMove,
+		ReasonRefused, ReasonBroken, ReasonEndpoint, ReasonStale, ReasonAttach, ReasonMove, ReasonPark,
 		ReasonScorer, ReasonUnfinished, ReasonReadBack, ReasonUnreachable,
 	}
 }
--- a/rollout/park.go
+++ b/rollout/park.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"mulberryscale.example/api"
+	"mulberryscale.example/retry"
 )
 
 const (
@@ -84,6 +85,7 @@
 
 // park ends a leg whose sample waits again, with its text.
 func (t *task) park(ctx context.Context, l *leg) *api.Refusal {
+	t.s.Counters.Retry(t.s.row.Name, string(retry.ReasonPark))
 	l.stop()
 	t.progress = l.text()
 	if t.parked.Add(1) == 1 {
--- a/rollout/task.go
+++ b/rollout/task.go
@@ -134,7 +134,9 @@
 	if !t.progress.FreshFor(t.s.minVersion) {
 		t.progress = generation.Progress{}
 	}
-	pl, err := t.s.placer.place(ctx, t.routeRequest(), t.priority())
+	route := t.routeRequest()
+	route.Exclude = t.avoid
+	pl, err := t.s.placer.place(ctx, route, t.priority())
 	if err != nil {
 		return nil, t.refusal(api.CodeCancelled, err, api.NotRunUnknown)
 	}
@@ -154,11 +156,11 @@
 	return done, refusal
 }
 
-// routeRequest says which agents can take the sample.
+// routeRequest says which agents can take the sample; any goroutine may call it.
 func (t *task) routeRequest() *routing.Request {
 	return &routing.Request{
 		Model: t.s.row.Model, Zone: t.s.Zone, MinVersion: t.s.minVersion,
-		PrefixKey: routing.PrefixKey(t.req.Prompt), Exclude: t.avoid,
+		PrefixKey: routing.PrefixKey(t.req.Prompt),
 	}
 }
 
--- a/service/entry/claimed.go
+++ b/service/entry/claimed.go
@@ -216,7 +216,7 @@
 	runKey := claims.RunKey(work.row.Name, key, claim.Generation)
 	state, err := e.client.Fence(ctx, claim.Agent, claim.Addr, claim.Incarnation, runKey)
 	if err != nil {
-		return nil, e.resolved(claim, e.asRefusal(err, StepAttach))
+		return nil, e.unfenced(claim, e.asRefusal(err, StepAttach))
 	}
 	if state == wire.FenceNeverRan {
 		return nil, neverRan(claim)
@@ -225,18 +225,23 @@
 	return done, e.resolved(claim, refusal)
 }
 
+// unfenced refuses a call whose claim's agent did not fence it.
+func (e *Entry) unfenced(claim *claims.Claim, refusal *api.Refusal) *api.Refusal {
+	lost := e.unknownOutcome(claim, refusal.Message)
+	if refusal.Code == api.CodeWrongIncarnation {
+		lost.RetryAfter = 0 // the agent that knew is gone for good
+	}
+	return lost
+}
+
 // resolved keeps what proves nothing of the claim's run from being taken for a proof.
 func (e *Entry) resolved(claim *claims.Claim, refusal *api.Refusal) *api.Refusal {
 	if refusal == nil {
 		return nil
 	}
 	switch refusal.Code {
-	case api.CodeWrongIncarnation:
-		lost := e.unknownOutcome(claim, refusal.Message)
-		lost.RetryAfter = 0 // the agent that knew is gone for good
-		return lost
-	case api.CodeTransport, api.CodeNoEndpoint:
-		return e.unknownOutcome(claim, refusal.Message)
+	case api.CodeWrongIncarnation, api.CodeTransport, api.CodeNoEndpoint:
+		return e.unfenced(claim, refusal)
 	}
 	return refusal
 }
--- a/service/entry/completions.go
+++ b/service/entry/completions.go
@@ -13,6 +13,7 @@
 
 	"mulberryscale.example/api"
 	"mulberryscale.example/generation"
+	"mulberryscale.example/observe"
 	"mulberryscale.example/routing"
 	"mulberryscale.example/table"
 	"mulberryscale.example/wire"
@@ -53,7 +54,10 @@
 		e.refuse(c, row.Name, refusal)
 		return
 	}
+	began := time.Now()
 	tokens := e.answerCompletion(ctx, c, row, &req, id)
+	e.observeSince(observe.NameCallTime, row.Name, began)
+	e.cfg.Counters.Add(observe.NameTokens, row.Name, int64(tokens))
 	release(tokens)
 }
 
--- a/service/entry/entry.go
+++ b/service/entry/entry.go
@@ -100,8 +100,10 @@
 	budget      *retry.Budget
 	runner      *rollout.Runner
 	sync        *tableSync
+	gossip      *gossip
 	sessions    *sessions
 	handler     http.Handler
+	warm        atomic.Bool // it has been ready
 	unready     atomic.Bool
 	draining    atomic.Bool
 	// active counts the calls in progress, which a drain waits for.
@@ -122,6 +124,7 @@
 		budget: retry.NewBudget(DefaultRetryRatio, DefaultRetryBurst), sessions: newSessions(),
 	}
 	e.sync = newTableSync(e)
+	e.gossip = newGossip(e)
 	e.client = &attempt.Client{Dialer: cfg.Dialer, View: e.view, Header: e.header, Observe: e.sync.observe}
 	e.claims = claims.NewStore(cfg.Table)
 	e.watcher = membership.NewWatcher(membership.WatcherConfig{
@@ -134,6 +137,7 @@
 		return nil, err
 	}
 	e.handler = handler
+	cfg.Counters.Gauge(observe.NameEntry, e.gauge)
 	return e, nil
 }
 
@@ -148,9 +152,28 @@
 // Handler serves the callers' HTTP API.
 func (e *Entry) Handler() http.Handler { return e.handler }
 
-// Ready says whether the platform's balancer may send callers here.
+// Ready says whether the platform's balancer may send callers here. An entry
+// that starts becomes ready once it has the table and knows of every agent that
+// it watches whether it lives; after that the loss of agents does not make it
+// unready, since no other entry would do better.
 func (e *Entry) Ready() bool {
-	return !e.unready.Load() && !e.draining.Load() && e.cfg.Holder.Current() != nil
+	if e.unready.Load() || e.draining.Load() || e.cfg.Holder.Current() == nil {
+		return false
+	}
+	if !e.warm.Load() && e.knowsAgents() {
+		e.warm.Store(true)
+	}
+	return e.warm.Load()
+}
+
+// knowsAgents says whether an agent is live and none is yet to be heard from.
+func (e *Entry) knowsAgents() bool {
+	for _, a := range e.view.Snapshot().Agents {
+		if a.State == membership.StateNew {
+			return false
+		}
+	}
+	return e.LiveAgents() > 0
 }
 
 // ShowUnready makes Ready false while calls are still served, so that the
@@ -174,6 +197,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { e.watcher.Run(ctx) })
 	wg.Go(func() { e.sync.run(ctx) })
+	wg.Go(func() { e.gossip.run(ctx) })
 	defer wg.Wait()
 	if e.cfg.Listener == nil {
 		<-ctx.Done()
--- /dev/null
+++ b/service/entry/gossip.go
@@ -0,0 +1,120 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"mulberryscale.example/limits"
+	"mulberryscale.example/membership"
+	"mulberryscale.example/wire"
+)
+
+const (
+	// gossipInterval is the time of a round of averaging, in which each entry
+	// begins one exchange; with manyEntries it is slowGossipInterval, so that
+	// entries with many connections stay within their bytes a second.
+	gossipInterval     = 500 * time.Millisecond
+	slowGossipInterval = time.Second
+	manyEntries        = 64
+	// gossipPeers is how many other entries an entry begins exchanges with. A
+	// random graph of this degree averages nearly as fast as a full one, and
+	// its connections are kept.
+	gossipPeers = 8
+	// gossipJitter is how far an interval is shortened or lengthened at random.
+	gossipJitter  = 0.2
+	gossipTimeout = 2 * time.Second
+	stepGossip    = "entry.gossip"
+)
+
+// gossip shares the rows' limits out between the entries.
+type gossip struct {
+	e       *Entry
+	average *limits.Averager
+	rng     *rand.Rand
+}
+
+func newGossip(e *Entry) *gossip {
+	return &gossip{e: e, average: limits.NewAverager(time.Now()), rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+}
+
+// run exchanges demand with random entries until ctx ends.
+func (g *gossip) run(ctx context.Context) {
+	before := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(g.pause()):
+		}
+		now := time.Now()
+		g.round(ctx, g.e.limits.MeasureDemand(now.Sub(before)))
+		before = now
+	}
+}
+
+func (g *gossip) pause() time.Duration {
+	return time.Duration(float64(g.interval()) * (1 - gossipJitter + 2*gossipJitter*g.rng.Float64()))
+}
+
+func (g *gossip) interval() time.Duration {
+	if len(g.e.view.Entries())+1 >= manyEntries {
+		return slowGossipInterval
+	}
+	return gossipInterval
+}
+
+// round sets the shares by what is known and makes one exchange.
+func (g *gossip) round(ctx context.Context, demand map[string]float64) {
+	peers := g.e.view.Entries()
+	entries := len(peers) + 1
+	g.average.Tick(time.Now(), g.interval(), entries, demand)
+	g.e.limits.SetShares(limits.Shares(g.average.Mean(), entries))
+	if len(peers) == 0 {
+		return
+	}
+	peers = membership.Neighbours(g.e.cfg.ID, peers, gossipPeers)
+	peer := peers[g.rng.IntN(len(peers))]
+	offer := g.average.Offer()
+	offer.Entries = entries
+	reply, err := g.exchange(ctx, peer.Addr, offer)
+	if err != nil {
+		g.e.cfg.Log.WithError(err).WithField("peer", peer.ID).Debug("no exchange of demand")
+		return
+	}
+	g.average.Take(time.Now(), offer, *reply, entries, demand)
+}
+
+// exchange sends an offer to another entry and returns its answer.
+func (g *gossip) exchange(ctx context.Context, addr string, offer wire.Gossip) (*wire.Gossip, error) {
+	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
+	defer cancel()
+	s, err := g.e.cfg.Dialer.Open(ctx, addr)
+	if err != nil {
+		return nil, trace.Wrap(err, "step %s, peer %s", stepGossip, addr)
+	}
+	defer s.Close()
+	defer context.AfterFunc(ctx, func() { s.Close() })()
+	if err := s.Send(&wire.Request{Header: g.e.header(), Gossip: &offer}); err != nil {
+		return nil, trace.Wrap(err, "step %s, peer %s", stepGossip, addr)
+	}
+	var reply wire.Reply
+	if err := s.Recv(&reply); err != nil {
+		return nil, trace.Wrap(err, "step %s, peer %s", stepGossip, addr)
+	}
+	g.e.sync.observe(reply.Header)
+	if reply.Gossip == nil {
+		return nil, trace.BadParameter("step %s, peer %s: no gossip in the answer", stepGossip, addr)
+	}
+	return reply.Gossip, nil
+}
+
+// answer serves another entry's exchange.
+func (g *gossip) answer(offer *wire.Gossip) wire.Reply {
+	entries := len(g.e.view.Entries()) + 1
+	reply := g.average.Answer(time.Now(), *offer, entries, g.e.limits.Demand())
+	reply.Entries = entries
+	return wire.Reply{Header: g.e.header(), Gossip: &reply}
+}
--- a/service/entry/peers.go
+++ b/service/entry/peers.go
@@ -31,6 +31,8 @@
 		return tablesync.HandlePull(e.cfg.Holder, e.header(), *req.PullTable)
 	case req.PushTable != nil:
 		return tablesync.HandlePush(e.cfg.Holder, e.header(), *req.PushTable)
+	case req.Gossip != nil:
+		return e.gossip.answer(req.Gossip)
 	}
 	refusal := e.refusal(api.CodeBadRequest, "an entry does not serve this call", StepPeer, 0)
 	return wire.Reply{Header: e.header(), Refusal: refusal}
--- a/service/entry/services.go
+++ b/service/entry/services.go
@@ -3,11 +3,13 @@
 import (
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/kataras/iris/v12"
 
 	"mulberryscale.example/api"
 	"mulberryscale.example/claims"
+	"mulberryscale.example/observe"
 	"mulberryscale.example/routing"
 	"mulberryscale.example/table"
 	"mulberryscale.example/wire"
@@ -44,6 +46,7 @@
 		return
 	}
 	defer release(0)
+	defer e.observeSince(observe.NameCallTime, row.Name, time.Now())
 	call := work.work.Call
 	digest := claims.Digest(call.Method, call.Path, string(call.Body))
 	done, refusal := e.runIdentified(ctx, work, id, digest)
--- a/service/entry/steps.go
+++ b/service/entry/steps.go
@@ -14,6 +14,7 @@
 
 	"mulberryscale.example/api"
 	"mulberryscale.example/generation"
+	"mulberryscale.example/observe"
 	"mulberryscale.example/table"
 )
 
@@ -94,6 +95,7 @@
 	sink := newStepSink(c.ResponseWriter())
 	stop := sink.startHeartbeats()
 	defer stop()
+	defer e.observeSince(observe.NameStepTime, row.Name, time.Now())
 	minVersion := generation.OldestAllowed(req.Version, row.StalenessBound)
 	end, err := e.runner.Run(ctx, row, req, minVersion, sink)
 	if err != nil {
@@ -102,6 +104,7 @@
 		sink.event(api.EventRefusal, refusal)
 		return
 	}
+	e.cfg.Counters.Add(observe.NameSamples, row.Name, int64(end.Delivered))
 	sink.event(api.EventEnd, end)
 }
 
--- a/trainer/client.go
+++ b/trainer/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
 	"net/url"
 	"sync"
@@ -74,8 +75,11 @@
 	cfg     Config
 	next    int // entry to ask next
 	session uint64
-	// held are the ids received in this and earlier steps that could still come again.
-	held map[string]bool
+	// held are the ids received since the last step that came to its end, and
+	// heldBefore those of that step, so that a step that names one of them again
+	// does not get it twice.
+	held       map[string]bool
+	heldBefore map[string]bool
 	// carried are samples that a step ended without, by id.
 	carried map[string]api.SampleRequest
 	hints   map[string]string
@@ -103,7 +107,7 @@
 		cfg.IdleTimeout = DefaultIdleTimeout
 	}
 	return &Client{
-		cfg: cfg, held: map[string]bool{}, carried: map[string]api.SampleRequest{}, hints: map[string]string{},
+		cfg: cfg, held: map[string]bool{}, heldBefore: map[string]bool{}, carried: map[string]api.SampleRequest{}, hints: map[string]string{},
 		// A trainer that restarts begins with a higher session than it had before.
 		session: uint64(time.Now().UnixNano()),
 	}, nil
@@ -169,7 +173,7 @@
 }
 
 func (s *stepRun) want(id string, sample api.SampleRequest) {
-	if _, twice := s.wanted[id]; twice || s.c.held[id] {
+	if _, twice := s.wanted[id]; twice || s.c.held[id] || s.c.heldBefore[id] {
 		return
 	}
 	s.wanted[id] = sample
@@ -256,5 +260,15 @@
 		}
 	}
 	s.confirm(ctx)
+	s.dropHints()
+	s.c.held, s.c.heldBefore = map[string]bool{}, s.c.held
 	return s.result
 }
+
+// dropHints forgets where samples ran that the next step does not ask for.
+func (s *stepRun) dropHints() {
+	maps.DeleteFunc(s.c.hints, func(id, _ string) bool {
+		_, carried := s.c.carried[id]
+		return !carried
+	})
+}
--- a/trainer/session.go
+++ b/trainer/session.go
@@ -128,7 +128,6 @@
 		req.IDs = append(req.IDs, id)
 		if hint, ok := s.c.hints[id]; ok {
 			req.Hints[id] = hint
-			delete(s.c.hints, id)
 		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -39,6 +39,8 @@
 	PullPart  *PullPart      `cbor:"8,keyasint,omitempty"`
 	Gossip    *Gossip        `cbor:"9,keyasint,omitempty"`
 	Drain     *Drain         `cbor:"10,keyasint,omitempty"`
+	// PullManifest asks for the list of a version's parts.
+	PullManifest *PullManifest `cbor:"11,keyasint,omitempty"`
 }
 
 // Run asks an agent to run a request on its endpoint.
@@ -110,6 +112,8 @@
 	Gossip *Gossip   `cbor:"9,keyasint,omitempty"`
 	// OK ends calls that have nothing to answer.
 	OK bool `cbor:"10,keyasint,omitempty"`
+	// Manifest answers a PullManifest.
+	Manifest *platform.WeightManifest `cbor:"11,keyasint,omitempty"`
 }
 
 // Chunk is a piece of a generation.
@@ -141,6 +145,8 @@
 // Fence tells an agent never to start a run of Key that it has not started yet.
 type Fence struct {
 	Key string `cbor:"1,keyasint"`
+	// Incarnation, when set, must be the agent's, or it refuses with CodeWrongIncarnation.
+	Incarnation string `cbor:"2,keyasint,omitempty"`
 }
 
 // FenceState is what an agent says of a fenced key.
@@ -159,6 +165,8 @@
 // Fenced answers a Fence.
 type Fenced struct {
 	State FenceState `cbor:"1,keyasint"`
+	// Incarnation is the one that the fence holds for.
+	Incarnation string `cbor:"2,keyasint,omitempty"`
 }
 
 // Forget lets an agent drop the results of confirmed keys.
@@ -231,6 +239,13 @@
 	Name    string `cbor:"3,keyasint"`
 }
 
+// PullManifest asks a peer for the manifest of a version. A refusal with
+// RetryAfter, here and of PullPart, says that the answer is on its way there.
+type PullManifest struct {
+	Model   string `cbor:"1,keyasint"`
+	Version uint64 `cbor:"2,keyasint"`
+}
+
 // PartData is a piece of a weight part.
 type PartData struct {
 	Bytes []byte `cbor:"1,keyasint"`
@@ -275,4 +290,6 @@
 	Weights []Published `cbor:"2,keyasint,omitempty"`
 	Demand  []RowDemand `cbor:"3,keyasint,omitempty"`
 	Entries int         `cbor:"4,keyasint,omitempty"` // entries that the sender believes live
+	// Epoch is the averaging that Demand belongs to; see package limits.
+	Epoch uint64 `cbor:"5,keyasint,omitempty"`
 }
