--- a/cmd/mulberry-agent/process_test.go
+++ b/cmd/mulberry-agent/process_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -12,6 +14,8 @@
 	"testing"
 	"time"
 
+	"github.com/quic-go/quic-go"
+
 	"mulberryscale.example/keys"
 	"mulberryscale.example/transport"
 	"mulberryscale.example/transport/quictransport"
@@ -150,3 +154,46 @@
 		t.Fatalf("the agent ended with %v", err)
 	}
 }
+
+// A stop tells the peers at once, so that none waits for its idle timeout
+// before it looks for the next incarnation.
+func TestStopClosesConnections(t *testing.T) {
+	dir := build(t, "mulberry-agent", "mulberry-standin")
+	source := issueKeys(t, dir)
+	addr := freeAddr(t)
+	cmd := exec.Command(filepath.Join(dir, "mulberry-agent"), "--id", "agent-1", "--zone", "patan", "--listen", addr,
+		"--engine", "http://"+startEngine(t, dir), "--ca", filepath.Join(dir, "ca.pem"),
+		"--cert", filepath.Join(dir, "cert.pem"), "--key", filepath.Join(dir, "key.pem"))
+	start(t, cmd)
+	dialer := quictransport.NewDialer(source)
+	defer dialer.Close()
+	openRun(t, dialer, addr).Close()
+	conn := openConnection(t, source, addr)
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	<-conn.Context().Done()
+	var closed *quic.ApplicationError
+	if cause := context.Cause(conn.Context()); !errors.As(cause, &closed) {
+		t.Fatalf("the connection ended with %v, want a close by the agent", cause)
+	}
+}
+
+// openConnection returns a connection that the agent has begun to serve.
+func openConnection(t *testing.T, source keys.Source, addr string) *quic.Conn {
+	t.Helper()
+	conn, err := quic.DialAddr(t.Context(), addr, source.ClientConfig(), &quic.Config{KeepAlivePeriod: quictransport.KeepAlive})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := conn.OpenStreamSync(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	// The stream without a request is ended by the agent.
+	_, _ = io.ReadAll(s)
+	return conn
+}
--- a/cmd/mulberry-agent/run.go
+++ b/cmd/mulberry-agent/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/gravitational/trace"
 	"github.com/sirupsen/logrus"
@@ -12,6 +13,7 @@
 	"mulberryscale.example/observe"
 	"mulberryscale.example/platform/httpplatform"
 	"mulberryscale.example/service/agent"
+	"mulberryscale.example/transport"
 	"mulberryscale.example/transport/quictransport"
 )
 
@@ -22,7 +24,12 @@
 		return err
 	}
 	counters := observe.NewCounters()
-	a, err := newAgent(s, log, counters)
+	peers, err := openPeers(s)
+	if err != nil {
+		return err
+	}
+	defer peers.close(log)
+	a, err := newAgent(s, peers, log, counters)
 	if err != nil {
 		return err
 	}
@@ -48,7 +55,13 @@
 	})
 }
 
-func newAgent(s *agentSettings, log *logrus.Logger, counters *observe.Counters) (*agent.Agent, error) {
+// peers are the agent's ends of our own transport.
+type peers struct {
+	listener transport.Listener
+	dialer   transport.Dialer
+}
+
+func openPeers(s *agentSettings) (*peers, error) {
 	source, err := keys.LoadFiles(*s.ca, *s.cert, *s.key)
 	if err != nil {
 		return nil, trace.Wrap(err, "keys")
@@ -57,11 +70,23 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "listen on %s", *s.listen)
 	}
+	return &peers{listener: listener, dialer: quictransport.NewDialer(source)}, nil
+}
+
+// close lets the last answers reach the entries and tells them at once that
+// this incarnation has gone.
+func (p *peers) close(log *logrus.Logger) {
+	if err := errors.Join(p.listener.Close(), p.dialer.Close()); err != nil {
+		log.WithError(err).Warn("connections not closed in order")
+	}
+}
+
+func newAgent(s *agentSettings, p *peers, log *logrus.Logger, counters *observe.Counters) (*agent.Agent, error) {
 	cfg := agent.Config{
 		ID:                 *s.id,
 		Zone:               *s.zone,
-		Listener:           listener,
-		Dialer:             quictransport.NewDialer(source),
+		Listener:           p.listener,
+		Dialer:             p.dialer,
 		Services:           *s.services,
 		Models:             *s.models,
 		Logger:             log,
@@ -72,28 +97,28 @@
 		MaxResultBytes:     int(*s.maxResults),
 		TargetInterval:     *s.targetInterval,
 		LoadTimeout:        *s.loadTimeout,
+		SwapWindow:         *s.swapWindow,
 	}
 	if *s.reserve == 0 {
 		cfg.InteractiveReserve = agent.NoReserve
 	}
 	connect(s, &cfg)
-	a, err := agent.New(cfg)
-	if err != nil {
-		listener.Close()
-		return nil, err
-	}
-	return a, nil
+	return agent.New(cfg)
 }
 
 // connect names the endpoint and the platform's services.
 func connect(s *agentSettings, cfg *agent.Config) {
+	if *s.instances != "" {
+		cfg.Instances = httpplatform.NewInstances(*s.instances)
+	}
 	if *s.service != "" {
 		cfg.Service = httpendpoint.NewService(*s.service)
 		return
 	}
 	cfg.Engine = httpendpoint.NewEngine(*s.engine)
 	if *s.weights != "" {
-		cfg.Targets = httpplatform.NewWeights(*s.weights)
+		store := httpplatform.NewWeights(*s.weights)
+		cfg.Targets, cfg.Weights = store, store
 		cfg.Fencer = agent.NewTableFencer(httpplatform.NewTable(*s.table), *s.id)
 	}
 }
--- a/cmd/mulberry-agent/settings.go
+++ b/cmd/mulberry-agent/settings.go
@@ -8,6 +8,7 @@
 	"mulberryscale.example/observe"
 	"mulberryscale.example/service/agent"
 	"mulberryscale.example/settings"
+	"mulberryscale.example/weights"
 )
 
 // agentSettings are the program's settings; they hold once set.Check has passed.
@@ -18,6 +19,7 @@
 	engine, service  *string
 	services, models *[]string
 	table, weights   *string
+	instances        *string
 	ca, cert, key    *string
 	logLevel         *string
 	logFormat        *string
@@ -29,6 +31,7 @@
 	maxResults         *int64
 	targetInterval     *time.Duration
 	loadTimeout        *time.Duration
+	swapWindow         *time.Duration
 	drainTimeout       *time.Duration
 }
 
@@ -44,6 +47,7 @@
 	s.models = set.List("models", "", "models to load besides those that the engine has")
 	s.table = set.URL("table-service", "", "address of the table service, for fencing numbers")
 	s.weights = set.URL("weight-store", "", "address of the weight store; none: no orders to load")
+	s.instances = set.URL("instance-list", "", "address of the instance list, to spread weights among agents; none: each agent polls the weight store")
 	s.ca = set.RequiredFile("ca", "certificates of the authorities of our processes, PEM")
 	s.cert = set.RequiredFile("cert", "certificate of this process, PEM")
 	s.key = set.RequiredFile("key", "private key of this process, PEM")
@@ -66,6 +70,8 @@
 	s.maxResults = set.Bytes("max-results", 24<<20, 1<<20, 1<<32, "memory for results that wait for their readers")
 	s.targetInterval = set.Duration("target-interval", agent.DefaultTargetInterval, 100*time.Millisecond, time.Hour,
 		"how often the weight store is asked for new versions")
+	s.swapWindow = set.Duration("swap-window", weights.DefaultSwapWindow, time.Second, time.Hour,
+		"time over which the engines of a rolling swap take turns")
 	s.loadTimeout = set.Duration("load-timeout", agent.DefaultLoadTimeout, time.Second, time.Hour, "how long an engine may load")
 	s.drainTimeout = set.Duration("drain-timeout", daemon.DefaultDrainTimeout, time.Second, 24*time.Hour,
 		"how long running requests may take to end at a stop")
--- /dev/null
+++ b/internal/capacity/bench_test.go
@@ -0,0 +1,200 @@
+package capacity
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"mulberryscale.example/api"
+	"mulberryscale.example/endpoint"
+	"mulberryscale.example/endpoint/httpendpoint"
+	"mulberryscale.example/internal/deployment"
+	"mulberryscale.example/internal/standin/engine"
+	"mulberryscale.example/observe"
+	"mulberryscale.example/trainer"
+)
+
+const benchTable = `name,kind,model,share,staleness_bound,max_rps,max_tps,max_concurrency,max_queue,deadline,wait_share,leftover,scorer,swap,repeatable
+lookups,service,guide,1,,,,,10000,10m,,,,at_once,
+training,trainer,guide,1,1,,,,10000,60m,1,carry,,at_once,
+`
+
+const (
+	benchCallers  = 16
+	benchRequests = 200 // of each caller
+)
+
+func startBench(b *testing.B, fabric deployment.Fabric, o engine.Options) *deployment.Deployment {
+	b.Helper()
+	o.ID, o.Models = "engine-1", map[string]uint64{"guide": 1}
+	d, err := deployment.Start(b.Context(), deployment.Options{
+		Fabric: fabric, Table: benchTable, Log: observe.Discard(), Seed: 1,
+		Entries: []deployment.EntrySpec{{Zone: "patan", ID: "entry-1"}},
+		Engines: []deployment.EngineSpec{{Zone: "patan", Options: o}},
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	ready, cancel := context.WithTimeout(b.Context(), 10*time.Second)
+	defer cancel()
+	if err := d.AwaitReady(ready); err != nil {
+		b.Fatal(err)
+	}
+	return d
+}
+
+// BenchmarkPath is the processor time of one streamed completion by its tokens:
+// of the caller, an entry, an agent and the stand-in engine together, and of
+// the same calls made directly at the engine. Run it with -benchtime=1x.
+func BenchmarkPath(b *testing.B) {
+	for _, tokens := range []int{8, 64, 128, 256} {
+		b.Run(fmt.Sprintf("tokens=%d", tokens), func(b *testing.B) {
+			for b.Loop() {
+				measurePath(b, tokens)
+			}
+		})
+	}
+}
+
+func measurePath(b *testing.B, tokens int) {
+	fabric, err := deployment.NewLoopback()
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer fabric.Close()
+	d := startBench(b, fabric, engine.Options{Slots: benchCallers, TokenTime: 500 * time.Microsecond})
+	defer d.Close()
+	url := d.EntryURLs()[0] + api.PathCompletions
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: benchCallers}}
+	defer client.CloseIdleConnections()
+	through := cpuOfCalls(b, func(i int) error { return callEntry(b.Context(), client, url, tokens, i) })
+	base, stop, err := fabric.Serve("direct", d.Agents[0].Core.Handler())
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer stop()
+	direct := httpendpoint.NewEngine(base)
+	alone := cpuOfCalls(b, func(i int) error { return callEngine(b.Context(), direct, tokens, i) })
+	b.ReportMetric(through, "cpu-us/request")
+	b.ReportMetric(alone, "cpu-us/direct")
+	b.ReportMetric(through-alone, "cpu-us/overhead")
+}
+
+// cpuOfCalls is the processor time of this process for one call, in microseconds.
+func cpuOfCalls(b *testing.B, call func(i int) error) float64 {
+	var callers sync.WaitGroup
+	before := processorTime(b)
+	for c := range benchCallers {
+		callers.Go(func() {
+			for i := range benchRequests {
+				if err := call(c*benchRequests + i); err != nil {
+					b.Error(err)
+					return
+				}
+			}
+		})
+	}
+	callers.Wait()
+	return float64(processorTime(b)-before) / 1e3 / (benchCallers * benchRequests)
+}
+
+func callEntry(ctx context.Context, client *http.Client, url string, tokens, i int) error {
+	body, err := json.Marshal(api.CompletionRequest{Model: "lookups", Prompt: fmt.Sprintf("square %d", i), MaxTokens: tokens, Seed: int64(i), Stream: true})
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.New(resp.Status)
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
+
+func callEngine(ctx context.Context, e endpoint.Engine, tokens, i int) error {
+	s, err := e.Generate(ctx, endpoint.GenerateRequest{RunID: fmt.Sprintf("direct-%d", i), Model: "guide", Prompt: fmt.Sprintf("square %d", i), MaxTokens: tokens, Seed: int64(i)})
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	for {
+		if _, err := s.Next(); errors.Is(err, io.EOF) {
+			return nil
+		} else if err != nil {
+			return err
+		}
+	}
+}
+
+// BenchmarkStepMemory is the memory of a step's samples in progress, of the
+// trainer's client and the entry together: the one engine is so slow that
+// nearly all wait at the entry. Run it with -benchtime=1x.
+func BenchmarkStepMemory(b *testing.B) {
+	for _, n := range []int{512, 1024, 2048, 4096} {
+		b.Run(fmt.Sprintf("samples=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				b.ReportMetric(stepMemory(b, n), "B/step")
+			}
+		})
+	}
+}
+
+func stepMemory(b *testing.B, n int) float64 {
+	fabric := deployment.NewMemory()
+	defer fabric.Close()
+	d := startBench(b, fabric, engine.Options{Slots: 1, TokenTime: time.Hour})
+	defer d.Close()
+	before := memoryInUse()
+	client, err := trainer.New(trainer.Config{Row: "training", Entries: d.EntryURLs(), HTTP: fabric.Client()})
+	if err != nil {
+		b.Fatal(err)
+	}
+	samples := make([]api.SampleRequest, n)
+	for i := range samples {
+		samples[i] = api.SampleRequest{ID: fmt.Sprintf("step-1-%d", i), Group: fmt.Sprintf("group-%d", i/8), Prompt: fmt.Sprintf("what is open near square %d", i/8), MaxTokens: 512}
+	}
+	ctx, cancel := context.WithCancel(b.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_, _ = client.RunStep(ctx, trainer.Step{Name: "1", Version: 1, Samples: samples}, func(api.Sample) error { return nil })
+	}()
+	time.Sleep(2 * time.Second) // all samples are placed or wait
+	used := memoryInUse() - before
+	cancel()
+	<-ended
+	return float64(used)
+}
+
+func memoryInUse() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
+
+func processorTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- /dev/null
+++ b/internal/capacity/doc.go
@@ -0,0 +1,1 @@
+package capacity
--- a/proof/actions_test.go
+++ b/proof/actions_test.go
@@ -8,6 +8,7 @@
 
 	"pgregory.net/rapid"
 
+	"mulberryscale.example/api"
 	"mulberryscale.example/transport"
 )
 
@@ -30,6 +31,9 @@
 	"lookup":         func(w *world, a, b int) { w.startLookup(a, b%2 == 1, lookupMaxTokens) },
 	"book":           func(w *world, a, b int) { w.startBooking(a, w.newKey()) },
 	"book again":     (*world).bookAgain,
+	"book unkeyed":   (*world).bookUnkeyed,
+	"lookup once":    (*world).lookupOnce,
+	"limited lookup": (*world).limitedLookup,
 	"kill entry":     func(w *world, a, _ int) { w.killEntry(a) },
 	"kill agent":     func(w *world, a, _ int) { w.killAgent(a) },
 	"start":          (*world).startOne,
@@ -64,7 +68,7 @@
 }
 
 // often are the actions that are drawn more often than the others.
-var often = []string{"step", "step", "step", "lookup", "lookup", "book", "book", "book again", "book again", "start", "thaw all"}
+var often = []string{"step", "step", "step", "lookup", "lookup", "book", "book", "book again", "book again", "lookup once", "limited lookup", "limited lookup", "start", "thaw all"}
 
 func actionNames() []string {
 	names := slices.Clone(often)
@@ -117,7 +121,22 @@
 		return
 	}
 	// One of the last few, which may still be running.
-	w.startBooking(a, w.keyed[n-1-b%min(n, 4)].key)
+	last := w.keyed[n-1-b%min(n, 4)]
+	if last.header[api.HeaderIdempotencyKey] != "" {
+		w.startBooking(a, last.key)
+	}
+}
+
+func (w *world) bookUnkeyed(a, _ int) {
+	w.call(a, &keyedCall{key: w.newKey(), header: map[string]string{}})
+}
+
+func (w *world) lookupOnce(a, b int) {
+	w.begin(a, &lookup{once: true, req: api.CompletionRequest{Model: rowLookups, MaxTokens: lookupMaxTokens, Stream: b%2 == 1}})
+}
+
+func (w *world) limitedLookup(a, b int) {
+	w.begin(a, &lookup{req: api.CompletionRequest{Model: rowLimited, MaxTokens: lookupMaxTokens, Stream: b%2 == 1}})
 }
 
 func (w *world) killEntry(n int) {
--- a/proof/callers_test.go
+++ b/proof/callers_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"time"
 
@@ -31,16 +32,30 @@
 	// versions label the text.
 	versions []api.VersionSpan
 	done     chan struct{}
+	// once marks a lookup that must run at most once; it has a key.
+	once bool
+}
+
+func (l *lookup) header() map[string]string {
+	if !l.once {
+		return nil
+	}
+	return map[string]string{api.HeaderIdempotencyKey: l.req.Prompt, api.HeaderNonIdempotent: "true"}
 }
 
 // startLookup makes a lookup at an entry.
 func (w *world) startLookup(entry int, stream bool, maxTokens int) *lookup {
+	l := &lookup{req: api.CompletionRequest{Model: rowLookups, MaxTokens: maxTokens, Stream: stream}}
+	w.begin(entry, l)
+	return l
+}
+
+// begin gives a lookup its prompt and makes it at an entry.
+func (w *world) begin(entry int, l *lookup) {
 	w.mu.Lock()
 	n := len(w.lookups)
-	l := &lookup{done: make(chan struct{}), req: api.CompletionRequest{
-		Model: rowLookups, Prompt: fmt.Sprintf("What is open near square %d?", n),
-		MaxTokens: maxTokens, Seed: int64(n), Stream: stream,
-	}}
+	l.done = make(chan struct{})
+	l.req.Prompt, l.req.Seed = fmt.Sprintf("What is open near square %d?", n), int64(n)
 	w.lookups = append(w.lookups, l)
 	w.mu.Unlock()
 	url := w.url(entry) + api.PathCompletions
@@ -52,7 +67,6 @@
 			w.breach("lookup %q was refused as not run and ran %d times: %v", l.req.Prompt, ran, l.err)
 		}
 	})
-	return l
 }
 
 func (w *world) url(entry int) string { return w.d.EntryURLs()[entry%len(w.d.Entries)] }
@@ -72,7 +86,7 @@
 	if err != nil {
 		return err
 	}
-	resp, cancel, err := w.post(url, body, nil)
+	resp, cancel, err := w.post(url, body, l.header())
 	if err != nil {
 		return err
 	}
@@ -150,6 +164,9 @@
 
 // check says what is wrong with an answered lookup.
 func (l *lookup) check(w *world) {
+	if ran := w.engineRuns(l.req.Prompt); l.once && ran > 1 {
+		w.breach("lookup %q, which may not be repeated, ran %d times", l.req.Prompt, ran)
+	}
 	if l.err != nil {
 		return
 	}
@@ -161,9 +178,10 @@
 // keyedCall is one call, of perhaps several with its key, of a service whose
 // calls may not be repeated.
 type keyedCall struct {
-	key  string
-	err  error
-	done chan struct{}
+	key    string // its own name, and its key unless the header has none
+	header map[string]string
+	err    error
+	done   chan struct{}
 }
 
 // newKey names a booking that was never asked for.
@@ -175,14 +193,20 @@
 
 // startBooking calls the bookings service with a key at an entry.
 func (w *world) startBooking(entry int, key string) *keyedCall {
-	c := &keyedCall{key: key, done: make(chan struct{})}
+	return w.call(entry, &keyedCall{key: key, header: map[string]string{api.HeaderIdempotencyKey: key}})
+}
+
+// call makes a call of the bookings service at an entry.
+func (w *world) call(entry int, c *keyedCall) *keyedCall {
+	c.done = make(chan struct{})
+	key := c.key
 	w.mu.Lock()
 	w.keyed = append(w.keyed, c)
 	w.mu.Unlock()
 	url := w.url(entry) + api.PathServices + rowBookings + "/book"
 	w.callers.Go(func() {
 		defer close(c.done)
-		c.err = w.book(url, key)
+		c.err = w.book(url, c)
 		w.checkRefusal(key, c.err)
 		if ran := w.bookingRuns(key); notRun(c.err) && ran > 0 {
 			w.breach("%s was refused as not run and ran %d times: %v", key, ran, c.err)
@@ -191,9 +215,11 @@
 	return c
 }
 
-func (w *world) book(url, key string) error {
+func (w *world) book(url string, c *keyedCall) error {
+	key := c.key
 	body := "a table for " + key
-	header := map[string]string{api.HeaderIdempotencyKey: key, plain.HeaderRequest: key}
+	header := maps.Clone(c.header)
+	header[plain.HeaderRequest] = key
 	resp, cancel, err := w.post(url, []byte(body), header)
 	if err != nil {
 		return err
--- a/proof/world_test.go
+++ b/proof/world_test.go
@@ -19,6 +19,7 @@
 const (
 	model         = "guide"
 	rowLookups    = "visitors"
+	rowLimited    = "families" // has limits
 	rowTrainer    = "guide-training" // waits for all samples; its scorer may be repeated
 	rowPartial    = "meter-training" // waits for a part; its scorer may not be repeated
 	rowBookings   = "bookings"       // calls may not be repeated
@@ -34,6 +35,7 @@
 
 const tableText = `name,kind,model,share,staleness_bound,max_rps,max_tps,max_concurrency,max_queue,deadline,wait_share,leftover,scorer,swap,repeatable
 visitors,service,guide,4,,,,,400,30s,,,,at_once,
+families,service,guide,1,,4,,2,2,30s,,,,at_once,
 guide-training,trainer,guide,6,1,,,,4000,1h,1,carry,guide-scorer,at_once,
 meter-training,trainer,guide,6,1,,,,4000,1h,0.7,carry,meter-scorer,at_once,
 bookings,plain,,1,,,,,400,20s,,,,,false
--- a/service/agent/agent.go
+++ b/service/agent/agent.go
@@ -24,7 +24,7 @@
 // Agent serves one endpoint. It is safe for concurrent use.
 type Agent struct {
 	cfg         Config
-	incarnation string
+	incarnation incarnation
 	log         *logrus.Entry
 	results     *results.Store
 
@@ -36,6 +36,7 @@
 	drainRequested chan struct{}
 	drainOnce      sync.Once
 	spread         *tablesync.Spread // nil without a dialer
+	spreading      spreading
 	tasks          sync.WaitGroup
 
 	mu        sync.Mutex
@@ -65,9 +66,9 @@
 	}
 	a := &Agent{
 		cfg:            cfg,
-		incarnation:    cfg.Incarnation,
+		incarnation:    incarnation{current: cfg.Incarnation},
 		log:            cfg.Logger.WithFields(logrus.Fields{observe.FieldEngine: cfg.ID, observe.FieldZone: cfg.Zone}),
-		results:        results.New(results.Options{Peer: cfg.ID, MaxBytes: cfg.MaxResultBytes}),
+		results:        results.New(results.Options{Peer: cfg.ID, MaxBytes: cfg.MaxResultBytes, MaxKeys: cfg.MaxKeys}),
 		changed:        newSignal(),
 		urgent:         newSignal(),
 		settled:        newSignal(),
@@ -84,6 +85,7 @@
 	if cfg.Dialer != nil {
 		a.spread = a.newSpread()
 	}
+	a.spreading = a.newSpreading()
 	a.engine.models = make(map[string]*modelState)
 	if cfg.Service != nil {
 		a.engine.healthy = true
@@ -99,8 +101,9 @@
 // ID is the agent's instance id.
 func (a *Agent) ID() string { return a.cfg.ID }
 
-// Incarnation is the random number of this start.
-func (a *Agent) Incarnation() string { return a.incarnation }
+// Incarnation is the random number of this start, or a later one that was
+// taken when the memory of keys had filled.
+func (a *Agent) Incarnation() string { return a.incarnation.now() }
 
 // Addr is where the agent listens, "ip:port".
 func (a *Agent) Addr() string { return a.cfg.Listener.Addr() }
@@ -129,6 +132,7 @@
 	if a.spread != nil {
 		a.tasks.Go(func() { a.spread.Run(ctx) })
 	}
+	a.spreading.run(ctx, a)
 	if a.cfg.Engine == nil {
 		return
 	}
@@ -151,6 +155,9 @@
 			return
 		case now := <-ticker.C:
 			a.results.Sweep(now)
+			if a.results.Crowded() {
+				a.renew()
+			}
 		}
 	}
 }
@@ -158,7 +165,7 @@
 func (a *Agent) header() wire.Header {
 	return wire.Header{
 		From:         a.cfg.ID,
-		Incarnation:  a.incarnation,
+		Incarnation:  a.Incarnation(),
 		TableVersion: a.cfg.Holder.Version(),
 		Addr:         a.Addr(),
 	}
--- a/service/agent/config.go
+++ b/service/agent/config.go
@@ -8,8 +8,10 @@
 
 	"mulberryscale.example/endpoint"
 	"mulberryscale.example/observe"
+	"mulberryscale.example/platform"
 	"mulberryscale.example/tablesync"
 	"mulberryscale.example/transport"
+	"mulberryscale.example/weights"
 )
 
 // Defaults of Config.
@@ -25,6 +27,8 @@
 	DefaultStallTimeout       = 5 * time.Second
 	DefaultTargetInterval     = 5 * time.Second
 	DefaultLoadTimeout        = time.Minute
+	DefaultFetchTimeout       = 5 * time.Minute
+	DefaultFenceFreshness     = time.Second
 	DefaultSettleTime         = 2 * time.Second
 	DefaultMinBackoff         = 500 * time.Millisecond
 	DefaultMaxBackoff         = 15 * time.Second
@@ -57,10 +61,15 @@
 	Holder *tablesync.Holder
 	// Targets tells the newest published weights and Fencer gives fencing
 	// numbers for orders. Without both, the agent orders no weights.
-	Targets  Targets
-	Fencer   Fencer
-	Logger   *logrus.Logger
-	Counters *observe.Counters
+	Targets Targets
+	Fencer  Fencer
+	// Instances names the other agents, to whom news of weights is passed on,
+	// and Weights is where parts come from that no peer has. With both, an
+	// order goes out when all parts of its version were fetched and checked.
+	Instances platform.InstanceList
+	Weights   platform.WeightStore
+	Logger    *logrus.Logger
+	Counters  *observe.Counters
 	// Seed makes the jitter repeatable; 0 draws one.
 	Seed uint64
 
@@ -76,6 +85,8 @@
 	MaxAnswerBytes  int
 	// MaxResultBytes bounds the kept results.
 	MaxResultBytes int
+	// MaxKeys bounds the keys that are remembered for an incarnation; see results.Options.
+	MaxKeys int
 	// Budget is the deadline of a request that names none.
 	Budget time.Duration
 
@@ -88,8 +99,17 @@
 	// StallTimeout is how long an engine may fail to answer before its
 	// running streams are given up.
 	StallTimeout time.Duration
-	// TargetInterval is how often Targets is asked, with jitter.
+	// TargetInterval is how often Targets is asked at most, with jitter, and
+	// StoreReads how often a second all agents that are known ask together.
 	TargetInterval time.Duration
+	StoreReads     float64
+	// FetchTimeout bounds one try to fetch all parts of a version.
+	FetchTimeout time.Duration
+	// SwapWindow is the time over which a rolling swap goes from engine to engine.
+	SwapWindow time.Duration
+	// FenceFreshness is how old the last check of the own fencing number may be
+	// when an order goes to an engine that does not check it.
+	FenceFreshness time.Duration
 	// LoadTimeout is how long an order may take.
 	LoadTimeout time.Duration
 	// SettleTime is how long after an order the status may still show the old weights.
@@ -138,6 +158,12 @@
 	setDuration(&c.PollTimeout, DefaultPollTimeout)
 	setDuration(&c.StallTimeout, DefaultStallTimeout)
 	setDuration(&c.TargetInterval, DefaultTargetInterval)
+	setDuration(&c.FetchTimeout, DefaultFetchTimeout)
+	setDuration(&c.SwapWindow, weights.DefaultSwapWindow)
+	setDuration(&c.FenceFreshness, DefaultFenceFreshness)
+	if c.StoreReads <= 0 {
+		c.StoreReads = weights.DefaultStoreReads
+	}
 	setDuration(&c.LoadTimeout, DefaultLoadTimeout)
 	setDuration(&c.SettleTime, DefaultSettleTime)
 	setDuration(&c.MinBackoff, DefaultMinBackoff)
--- /dev/null
+++ b/service/agent/confirm.go
@@ -0,0 +1,83 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"mulberryscale.example/observe"
+)
+
+// fenceReader is a Fencer that also tells the newest number drawn.
+type fenceReader interface {
+	Newest(ctx context.Context) (uint64, error)
+}
+
+// fenceConfirmed says whether an order may rely on this agent's fencing number:
+// the engine checks the number itself, or a short time ago no newer one had
+// been drawn. The caller holds a.mu.
+func (a *Agent) fenceConfirmed(now time.Time) bool {
+	if _, ok := a.cfg.Fencer.(fenceReader); !ok || a.engine.checksFence {
+		return true
+	}
+	return now.Sub(a.engine.fenceCheckedAt) <= a.cfg.FenceFreshness
+}
+
+// startFenceCheck asks in the background whether a newer number was drawn, and
+// lets the models be considered again. The caller holds a.mu.
+func (a *Agent) startFenceCheck(now time.Time) {
+	if a.engine.fenceChecking || now.Before(a.engine.fenceCheckAfter) || a.base == nil || a.base.Err() != nil {
+		return
+	}
+	a.engine.fenceChecking = true
+	a.tasks.Go(a.checkFence)
+}
+
+func (a *Agent) checkFence() {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(a.base, targetTimeout)
+	defer cancel()
+	newest, err := a.cfg.Fencer.(fenceReader).Newest(ctx)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.engine.fenceChecking = false
+	switch {
+	case err != nil:
+		a.engine.fenceCheckAfter = time.Now().Add(a.jitter(a.cfg.TargetInterval))
+		a.log.WithError(err).Warn("fencing number not confirmed; the engine keeps its weights")
+		return
+	case newest > a.fence:
+		a.supersede()
+		return
+	}
+	a.engine.fenceCheckedAt = began
+	for name := range a.engine.models {
+		a.consider(time.Now(), name)
+	}
+}
+
+// supersede ends this agent's orders. The caller holds a.mu.
+func (a *Agent) supersede() {
+	a.engine.superseded = true
+	a.log.Error("a newer agent gives this engine its orders; this one gives no more")
+}
+
+// stillConfirmed looks once more right before an order is sent, since the
+// process may have been frozen meanwhile. An order that is not sent leaves the
+// model as its next status shows it.
+func (a *Agent) stillConfirmed(m *modelState) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	if a.fenceConfirmed(now) {
+		return true
+	}
+	a.cfg.Counters.Add(observe.NameOrdersFailed, "", 1)
+	m.ordering = false
+	if a.spreading.relay != nil {
+		m.fetched = m.ordered
+	}
+	m.ordered = 0
+	m.returnedAt = now
+	a.wakePoll()
+	return false
+}
--- a/service/agent/drain_test.go
+++ b/service/agent/drain_test.go
@@ -61,7 +61,7 @@
 			time.Sleep(10 * time.Millisecond)
 		}
 		time.Sleep(time.Second)
-		last := beforeBurst(began)
+		last := began
 		n := 0
 		for len(w.ch) > 0 {
 			rep := <-w.ch
@@ -77,8 +77,6 @@
 	})
 }
 
-func beforeBurst(t time.Time) time.Time { return t }
-
 func TestDrain(t *testing.T) {
 	inBubble(t, engine.Options{Slots: 1}, nil, func(t *testing.T, r *rig) {
 		w := r.watch(time.Hour, time.Hour)
--- a/service/agent/engine.go
+++ b/service/agent/engine.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"context"
 	"embed"
 	"time"
 
@@ -46,6 +47,13 @@
 	models       map[string]*modelState
 	running      map[string]int // started runs by model
 	superseded   bool           // a newer agent gives the orders
+	// checksFence is true once the status shows a fencing number.
+	checksFence bool
+	// fenceCheckedAt is when the last successful check of the own fencing
+	// number began, and fenceCheckAfter when the next may begin.
+	fenceCheckedAt  time.Time
+	fenceCheckAfter time.Time
+	fenceChecking   bool
 }
 
 func (e *engineState) count(model string, n int) {
@@ -61,8 +69,20 @@
 	machine *chart.Machine[modelPhase, modelTrigger]
 	// version is the last one that a status showed as ready.
 	version uint64
-	// target is the newest published version known.
-	target uint64
+	// target is the newest published version known and learnedAt when it became
+	// known; turn is the agent's turn in a rolling swap after that.
+	target    uint64
+	learnedAt time.Time
+	turn      time.Duration
+	// needed is the oldest version that some request may use.
+	needed uint64
+	// floor is the newest version that the engine has shown since it started.
+	floor uint64
+
+	fetched    uint64 // the version whose parts are here for the next order, 0 for none
+	fetching   uint64 // the version that is being fetched
+	stopFetch  context.CancelFunc
+	fetchAfter time.Time // no fetch before
 
 	ordering   bool      // an order is on its way
 	ordered    uint64    // the version of the last order
@@ -82,10 +102,12 @@
 func (a *Agent) newModel(name string) *modelState {
 	m := &modelState{model: name}
 	machine, err := engineChart.NewMachine(chart.Guards{
-		"swap_now":   func() bool { return a.maySwapNow(m) },
-		"swap_later": func() bool { return !a.maySwapNow(m) },
-		"settled":    func() bool { return a.settledStatus(m) },
-		"unsettled":  func() bool { return !a.settledStatus(m) },
+		"swap_now":      func() bool { return a.maySwapNow(m) },
+		"swap_later":    func() bool { return !a.maySwapNow(m) },
+		"settled":       func() bool { return a.settledStatus(m) },
+		"unsettled":     func() bool { return !a.settledStatus(m) },
+		"may_order":     func() bool { return !a.mayNotOrder() },
+		"may_not_order": func() bool { return a.mayNotOrder() },
 	})
 	if err != nil {
 		panic(err) // the chart is embedded and the guards above are all it names
@@ -96,31 +118,45 @@
 
 // maySwapNow says whether the table's swap policy lets the order go out at once.
 func (a *Agent) maySwapNow(m *modelState) bool {
-	return a.swapPolicy(m.model) == table.SwapAtOnce || a.engine.running[m.model] == 0
+	return a.swapPolicy(m.model) != table.SwapDrain || a.engine.running[m.model] == 0
 }
 
-// swapPolicy is drain when any row of the model asks for it.
+// mayNotOrder is true once a newer agent gives the orders, and while the own
+// fencing number cannot be confirmed: then a drained model is not swapped.
+func (a *Agent) mayNotOrder() bool {
+	return a.engine.superseded || time.Now().Before(a.engine.fenceCheckAfter)
+}
+
+// swapPolicy is that of the model's rows, which name the same one.
 func (a *Agent) swapPolicy(model string) table.SwapPolicy {
 	snapshot := a.cfg.Holder.Current()
 	for _, name := range snapshot.Names() {
 		row, ok := snapshot.Row(name)
-		if ok && row.Model == model && row.Swap == table.SwapDrain {
-			return table.SwapDrain
+		if ok && row.Model == model && row.Swap != "" {
+			return row.Swap
 		}
 	}
-	return table.SwapAtOnce
+	return table.DefaultSwap
 }
 
 // settledStatus says whether a status that shows the model as ready can be
 // believed: it was asked for after the last order returned, and it shows what
-// was ordered or the lag of the engine's reports is over.
+// was ordered or the lag of the engine's reports is over. Weights that are
+// older than the engine had before came by an order that nobody should have
+// given, so they wait for another order.
 func (a *Agent) settledStatus(m *modelState) bool {
-	if m.ordering || m.seen.askedAt.Before(m.returnedAt) {
+	if m.ordering || m.seen.askedAt.Before(m.returnedAt) || a.wentBack(m) {
 		return false
 	}
 	return m.seen.version >= m.ordered || m.seen.askedAt.Sub(m.returnedAt) >= a.cfg.SettleTime
 }
 
+// wentBack says whether an engine whose orders this agent gives shows older
+// weights than before.
+func (a *Agent) wentBack(m *modelState) bool {
+	return a.fence > 0 && m.seen.version < m.floor
+}
+
 // fire applies a trigger and notes when the phase changed.
 func (a *Agent) fire(now time.Time, m *modelState, t modelTrigger) {
 	before := m.machine.State()
--- a/service/agent/fencer.go
+++ b/service/agent/fencer.go
@@ -61,14 +61,26 @@
 	return next, nil
 }
 
+// Newest reads the newest number drawn by any agent of the engine.
+func (f *TableFencer) Newest(ctx context.Context) (uint64, error) {
+	record, err := f.table.Get(ctx, f.key)
+	if err != nil {
+		return 0, trace.Wrap(err, "fence: read %s", f.key)
+	}
+	newest, err := strconv.ParseUint(string(record.Value), 10, 64)
+	return newest, trace.Wrap(err, "fence: %s holds no number", f.key)
+}
+
 // acquireFence draws the incarnation's fencing number, trying until it has one.
 func (a *Agent) acquireFence(ctx context.Context) {
 	backoff := a.cfg.MinBackoff
 	for {
+		began := time.Now()
 		fence, err := a.nextFence(ctx)
 		a.mu.Lock()
 		if err == nil {
 			a.fence = fence
+			a.engine.fenceCheckedAt = began
 			for name := range a.engine.models {
 				a.consider(time.Now(), name)
 			}
--- a/service/agent/gauge.go
+++ b/service/agent/gauge.go
@@ -2,6 +2,7 @@
 
 import (
 	"mulberryscale.example/observe"
+	"mulberryscale.example/weights"
 	"mulberryscale.example/wire"
 )
 
@@ -14,6 +15,8 @@
 	ResultBytes int `json:"result_bytes"`
 	// Superseded is true when a newer agent gives the engine its orders.
 	Superseded bool `json:"superseded"`
+	// Weights counts what was fetched and served of new weights, nil without a relay.
+	Weights *weights.RelayStats `json:"weights,omitempty"`
 }
 
 func (a *Agent) publishGauge() {
@@ -27,6 +30,10 @@
 		TableVersion: a.cfg.Holder.Version(),
 		ResultBytes:  a.results.Bytes(),
 	}
+	if a.spreading.relay != nil {
+		stats := a.spreading.relay.Stats()
+		g.Weights = &stats
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for name, m := range a.engine.models {
--- a/service/agent/poll.go
+++ b/service/agent/poll.go
@@ -101,6 +101,9 @@
 		a.queue.SetSlots(status.Slots)
 		a.changed.Fire()
 	}
+	if status.Fence > 0 {
+		a.engine.checksFence = true
+	}
 	listed := make(map[string]bool, len(status.Models))
 	for _, ms := range status.Models {
 		listed[ms.Model] = true
@@ -120,6 +123,7 @@
 		m = a.newModel(ms.Model)
 		m.phaseSince = now
 		a.engine.models[ms.Model] = m
+		a.recall(now, m)
 		a.changed.Fire()
 	}
 	m.seen = seenStatus{askedAt: askedAt, version: ms.Version}
@@ -127,6 +131,9 @@
 		a.modelBroken(now, m)
 		return
 	}
+	if ms.State == endpoint.LoadReady && a.wentBack(m) {
+		a.takeBack(now, m)
+	}
 	a.fire(now, m, modelTriggerOf(ms.State))
 	if ms.State == endpoint.LoadReady {
 		a.shown(now, m, ms.Version)
@@ -137,6 +144,7 @@
 func (a *Agent) shown(now time.Time, m *modelState, version uint64) {
 	if version != m.version {
 		m.version = version
+		m.floor = max(m.floor, version)
 		a.logModel(m).Info("engine shows a version")
 		a.changed.Fire()
 		a.urgent.Fire()
@@ -152,13 +160,29 @@
 	m.ordered = 0
 }
 
+// takeBack takes a model out whose weights are older than before: an order
+// that was held up reached an engine that does not check fencing numbers.
+func (a *Agent) takeBack(now time.Time, m *modelState) {
+	switch m.machine.State() {
+	case phaseUnknown, phaseQuarantined:
+		return
+	case phaseSwapping: // the status may lag behind the last order
+		if m.ordering || m.seen.askedAt.Sub(m.returnedAt) < a.cfg.SettleTime {
+			return
+		}
+	}
+	a.logModel(m).WithField("shown", m.seen.version).Warn("engine went back to older weights")
+	m.target = max(m.target, m.floor)
+	a.modelBroken(now, m)
+}
+
 // modelMissing deals with a model that the status does not list.
 func (a *Agent) modelMissing(now time.Time, m *modelState) {
 	if m.version == 0 && m.machine.State() == phaseUnknown {
 		return // not loaded yet
 	}
 	m.target = max(m.target, m.version) // an engine that restarted gets its weights back
-	m.version = 0
+	m.version, m.floor, m.fetched = 0, 0, 0
 	if !m.ordering && now.Sub(m.returnedAt) >= a.cfg.SettleTime {
 		a.modelBroken(now, m)
 	}
--- a/service/agent/run.go
+++ b/service/agent/run.go
@@ -63,10 +63,7 @@
 
 // admit checks a request and begins its run or attaches to it.
 func (a *Agent) admit(now time.Time, req *wire.Run) (*results.Reader, *api.Refusal) {
-	if refusal := a.checkRun(req); refusal != nil {
-		return nil, refusal
-	}
-	reader, refusal := a.results.Begin(now, req, a.closed(req))
+	reader, refusal := a.beginRun(now, req)
 	if refusal != nil {
 		return nil, refusal
 	}
@@ -83,10 +80,20 @@
 	return reader, nil
 }
 
+// beginRun checks a request and begins or attaches to its run, all within one incarnation.
+func (a *Agent) beginRun(now time.Time, req *wire.Run) (*results.Reader, *api.Refusal) {
+	a.incarnation.hold.RLock()
+	defer a.incarnation.hold.RUnlock()
+	if refusal := a.checkRun(req); refusal != nil {
+		return nil, refusal
+	}
+	return a.results.Begin(now, req, a.closed(req))
+}
+
 // checkRun refuses what is wrong with the request itself.
 func (a *Agent) checkRun(req *wire.Run) *api.Refusal {
-	if req.Incarnation != "" && req.Incarnation != a.incarnation {
-		return a.refuse(api.CodeWrongIncarnation, api.NotRunUnknown, stepAdmit, "the agent has restarted since")
+	if !a.incarnation.is(req.Incarnation) {
+		return a.wrongIncarnation()
 	}
 	if req.AttachOnly {
 		return nil
@@ -109,6 +116,10 @@
 	return a.checkCall(req)
 }
 
+func (a *Agent) wrongIncarnation() *api.Refusal {
+	return a.refuse(api.CodeWrongIncarnation, api.NotRunUnknown, stepAdmit, "the agent has restarted since")
+}
+
 func (a *Agent) badRun(message string) *api.Refusal {
 	return a.refuse(api.CodeBadRequest, api.NotRunTrue, stepAdmit, message)
 }
@@ -161,6 +172,10 @@
 	if !ok {
 		return a.refuseRetry(api.CodeNoEndpoint, api.NotRunTrue, stepAdmit, "the engine does not serve the model")
 	}
+	if req.MinVersion > m.needed {
+		m.needed = req.MinVersion
+		a.consider(time.Now(), m.model) // a rolling swap may be due earlier
+	}
 	if a.quarantined(req.Generate.Model) {
 		return a.quarantineRefusal(stepAdmit)
 	}
--- a/service/agent/serve.go
+++ b/service/agent/serve.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -47,6 +48,8 @@
 		a.answerRun(ctx, s, req.Run)
 	case req.Watch != nil:
 		a.answerWatch(ctx, s, req.Watch)
+	case req.PullPart != nil, req.PullManifest != nil:
+		a.answerPart(ctx, s, req)
 	default:
 		a.reply(s, a.answerOnce(req))
 	}
@@ -71,8 +74,6 @@
 	case req.Drain != nil:
 		a.RequestDrain(req.Drain.Reason)
 		return &wire.Reply{OK: true}
-	case req.PullPart != nil:
-		return refused(a.refuse(api.CodeInternal, api.NotRunTrue, stepRequest, "weight parts are not served"))
 	}
 	return refused(a.refuse(api.CodeBadRequest, api.NotRunTrue, stepRequest, "the request names nothing to do"))
 }
@@ -83,11 +84,16 @@
 	if f.Key == "" {
 		return refused(a.refuse(api.CodeBadRequest, api.NotRunTrue, stepRequest, "a fence needs a key"))
 	}
+	a.incarnation.hold.RLock()
+	defer a.incarnation.hold.RUnlock()
+	if !a.incarnation.is(f.Incarnation) {
+		return refused(a.wrongIncarnation())
+	}
 	state, refusal := a.results.Fence(now, f.Key)
 	if refusal != nil {
 		return refused(refusal)
 	}
-	return &wire.Reply{Fenced: &wire.Fenced{State: state}}
+	return &wire.Reply{Fenced: &wire.Fenced{State: state, Incarnation: cmp.Or(f.Incarnation, a.Incarnation())}}
 }
 
 // reply sends one message with the agent's header, and counts refusals.
--- a/service/agent/tables.go
+++ b/service/agent/tables.go
@@ -57,6 +57,11 @@
 	for _, p := range g.Weights {
 		a.LearnTarget(p.Model, p.Version)
 	}
+	return &wire.Reply{Gossip: a.ownGossip()}
+}
+
+// ownGossip is what this agent knows.
+func (a *Agent) ownGossip() *wire.Gossip {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	own := &wire.Gossip{Members: []wire.Member{{
@@ -64,12 +69,16 @@
 		Role:         platform.RoleAgent,
 		Zone:         a.cfg.Zone,
 		Addr:         a.Addr(),
-		Incarnation:  a.incarnation,
+		Incarnation:  a.Incarnation(),
 		TableVersion: a.cfg.Holder.Version(),
 		Leaving:      a.draining,
 	}}}
+	if a.spreading.news != nil {
+		own.Weights = a.spreading.news.Known()
+		return own
+	}
 	for _, m := range a.engine.models {
 		own.Weights = append(own.Weights, wire.Published{Model: m.model, Version: max(m.target, m.version)})
 	}
-	return &wire.Reply{Gossip: own}
+	return own
 }
--- a/service/agent/weights.go
+++ b/service/agent/weights.go
@@ -8,6 +8,7 @@
 	"mulberryscale.example/endpoint"
 	"mulberryscale.example/observe"
 	"mulberryscale.example/platform"
+	"mulberryscale.example/weights"
 )
 
 // Targets tells the newest published version of a model; platform.WeightStore
@@ -33,7 +34,7 @@
 // askTargets asks for each model and returns when to ask again.
 func (a *Agent) askTargets(ctx context.Context) time.Duration {
 	a.mu.Lock()
-	wait := a.jitter(a.cfg.TargetInterval)
+	wait := a.jitter(a.targetInterval())
 	models := make([]string, 0, len(a.engine.models))
 	for name := range a.engine.models {
 		models = append(models, name)
@@ -57,43 +58,41 @@
 	return wait
 }
 
+// targetInterval is how often this agent asks, so that all agents together ask
+// at a bounded rate; the others hear of what one of them finds.
+func (a *Agent) targetInterval() time.Duration {
+	if a.spreading.peers == nil {
+		return a.cfg.TargetInterval
+	}
+	return weights.PollInterval(a.spreading.peers.Len()+1, a.cfg.StoreReads, a.cfg.TargetInterval)
+}
+
 func (a *Agent) askTarget(ctx context.Context, model string) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, targetTimeout)
 	defer cancel()
 	return a.cfg.Targets.Latest(ctx, model)
 }
 
-// LearnTarget tells the agent of a published version. Older ones are passed over.
-func (a *Agent) LearnTarget(model string, version uint64) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	m, ok := a.engine.models[model]
-	if !ok || version <= m.target {
-		return
-	}
-	m.target = version
-	a.consider(time.Now(), model)
-}
-
 // consider gives the model's next order if one is due. The caller holds a.mu.
 func (a *Agent) consider(now time.Time, model string) {
 	m, ok := a.engine.models[model]
 	if !ok {
 		return
 	}
+	a.fetchIfNeeded(now, m)
 	switch m.machine.State() {
 	case phaseUnknown, phaseReady:
-		if a.mayOrder(now, m) && m.target > m.version {
+		if a.swapDue(now, m) && a.mayOrder(now, m) {
 			a.fire(now, m, triggerNewer)
 		}
 	case phaseQuarantined:
-		if a.mayOrder(now, m) && max(m.target, m.version) > 0 {
+		if a.orderable(m) > 0 && a.mayOrder(now, m) {
 			a.fire(now, m, triggerNewer)
 			a.startOrder(now, m)
 		}
 		return
 	case phaseDraining:
-		if a.engine.running[model] == 0 {
+		if a.engine.running[model] == 0 && a.mayOrder(now, m) {
 			a.fire(now, m, triggerIdle)
 			a.startOrder(now, m)
 		}
@@ -107,8 +106,30 @@
 	}
 }
 
+// swapDue says whether a newer version can be ordered and the swap policy lets
+// it be ordered now.
+func (a *Agent) swapDue(now time.Time, m *modelState) bool {
+	return weights.SwapDue(now, weights.Swap{
+		Policy:    a.swapPolicy(m.model),
+		Version:   m.version,
+		Wanted:    a.orderable(m),
+		Needed:    m.needed,
+		LearnedAt: m.learnedAt,
+		Turn:      m.turn,
+	})
+}
+
+// mayOrder says whether orders may be given now. Where the engine does not
+// check fencing numbers it begins a check of this agent's own, if one is due.
 func (a *Agent) mayOrder(now time.Time, m *modelState) bool {
-	return a.fence > 0 && !a.engine.superseded && a.engine.healthy && !m.ordering && !now.Before(m.retryAt)
+	if a.fence == 0 || a.engine.superseded || !a.engine.healthy || m.ordering || now.Before(m.retryAt) {
+		return false
+	}
+	if a.fenceConfirmed(now) {
+		return true
+	}
+	a.startFenceCheck(now)
+	return false
 }
 
 // checkStuck quarantines a model that has been loading for too long.
@@ -135,7 +156,8 @@
 		return
 	}
 	m.ordering = true
-	m.ordered = max(m.target, m.version)
+	m.ordered = a.orderable(m)
+	m.fetched = 0 // the order uses them up
 	m.returnedAt = now
 	order := endpoint.Order{Fence: a.fence, Model: m.model, Version: m.ordered}
 	a.cfg.Counters.Add(observe.NameOrders, "", 1)
@@ -146,6 +168,9 @@
 func (a *Agent) order(m *modelState, o endpoint.Order) {
 	ctx, cancel := context.WithTimeout(a.base, a.cfg.LoadTimeout)
 	defer cancel()
+	if !a.stillConfirmed(m) {
+		return
+	}
 	err := a.cfg.Engine.Load(ctx, o)
 	now := time.Now()
 	a.mu.Lock()
@@ -164,8 +189,7 @@
 	a.cfg.Counters.Add(observe.NameOrdersFailed, "", 1)
 	a.logModel(m).WithError(err).Warn("order failed or its reply was lost")
 	if errors.Is(err, platform.ErrStaleFence) {
-		a.engine.superseded = true
-		a.logModel(m).Error("a newer agent gives this engine its orders; this one gives no more")
+		a.supersede()
 	}
 	a.postpone(now, m)
 	a.fire(now, m, triggerOrderFailed)
--- a/table/column.go
+++ b/table/column.go
@@ -168,7 +168,7 @@
 		// The default of swap depends on the model's other rows; see inheritSwap.
 		name: ColumnSwap, use: onEngines(optional),
 		get: func(r *Row) string { return string(r.Swap) },
-		set: func(r *Row, cell string) error { return setOneOf(&r.Swap, cell, SwapAtOnce, SwapDrain) },
+		set: func(r *Row, cell string) error { return setOneOf(&r.Swap, cell, SwapAtOnce, SwapDrain, SwapRolling) },
 	},
 	{
 		name: ColumnRepeatable, use: map[Kind]usage{KindPlain: optional},
--- a/table/row.go
+++ b/table/row.go
@@ -35,6 +35,9 @@
 	SwapAtOnce SwapPolicy = "at_once"
 	// SwapDrain waits for the engine's running streams, taking no new ones.
 	SwapDrain SwapPolicy = "drain"
+	// SwapRolling is SwapAtOnce by turns: the engines of a model load one
+	// after another, and earlier where a request needs newer weights.
+	SwapRolling SwapPolicy = "rolling"
 )
 
 // Row is one row: a service or trainer with its share and limits. The zero
--- /dev/null
+++ b/weights/peers.go
@@ -0,0 +1,103 @@
+package weights
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"mulberryscale.example/platform"
+)
+
+// lackTime is how long a peer that does not serve a model is passed over for it.
+const lackTime = 10 * time.Minute
+
+// listTimeout bounds one read of the instance list.
+const listTimeout = 10 * time.Second
+
+// lack names a peer and a model that it does not serve.
+type lack struct{ peer, model string }
+
+// PeerList knows the other agents from sparse reads of the instance list. The
+// list does not say who serves which model; peers that refuse a model's parts
+// are passed over for that model. It is safe for concurrent use.
+type PeerList struct {
+	list platform.InstanceList
+	self string
+	log  logrus.FieldLogger
+	rand *random
+
+	mu     sync.Mutex
+	agents []platform.Instance
+	lacks  map[lack]time.Time // until when
+}
+
+// NewPeerList returns a list that is empty until Run has read it. Seed makes
+// its jitter repeatable; 0 draws one.
+func NewPeerList(list platform.InstanceList, self string, log logrus.FieldLogger, seed uint64) *PeerList {
+	return &PeerList{list: list, self: self, log: log, rand: newRandom(seed, 1), lacks: make(map[lack]time.Time)}
+}
+
+// Run reads the list until ctx ends. When the list is down the last one stays.
+func (p *PeerList) Run(ctx context.Context) {
+	for {
+		p.read(ctx)
+		if !pause(ctx, p.rand.jitter(ListInterval(p.Len()))) {
+			return
+		}
+	}
+}
+
+func (p *PeerList) read(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	instances, err := p.list.Instances(ctx)
+	if err != nil {
+		p.log.WithError(err).Warn("instance list not read; the last one stays")
+		return
+	}
+	var agents []platform.Instance
+	for _, in := range instances {
+		if in.Role == platform.RoleAgent && in.ID != p.self {
+			agents = append(agents, in)
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.agents = agents
+}
+
+// Len is how many other agents are known.
+func (p *PeerList) Len() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.agents)
+}
+
+// All returns the other agents. Callers must not change the slice.
+func (p *PeerList) All() []platform.Instance {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.agents
+}
+
+// Serving returns the other agents that may serve a model.
+func (p *PeerList) Serving(now time.Time, model string) []platform.Instance {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	serving := make([]platform.Instance, 0, len(p.agents))
+	for _, in := range p.agents {
+		if now.After(p.lacks[lack{in.ID, model}]) {
+			serving = append(serving, in)
+		}
+	}
+	return serving
+}
+
+// Lacks notes that a peer does not serve a model.
+func (p *PeerList) Lacks(now time.Time, peer, model string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lacks[lack{peer, model}] = now.Add(lackTime)
+}
--- /dev/null
+++ b/weights/relay.go
@@ -0,0 +1,199 @@
+package weights
+
+import (
+	"cmp"
+	"context"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"mulberryscale.example/platform"
+	"mulberryscale.example/transport"
+	"mulberryscale.example/wire"
+)
+
+// Defaults of RelayConfig.
+const (
+	// DefaultWindow parts of DefaultMaxPart bytes are 16 MB for each model.
+	DefaultWindow  = 8
+	DefaultMaxPart = 2 << 20
+	// DefaultInFlight parts are fetched at a time.
+	DefaultInFlight    = 4
+	DefaultHold        = 2 * time.Second
+	DefaultServeWait   = time.Second
+	DefaultPullTimeout = 5 * time.Second
+	DefaultPatience    = 10 * time.Second
+	DefaultSourceRetry = 200 * time.Millisecond
+)
+
+// RelayConfig configures a Relay. Zero values take the defaults.
+type RelayConfig struct {
+	// Self is this process, as the instance list names it.
+	Self platform.Instance
+	// Header makes the header of this process's messages.
+	Header func() wire.Header
+	Dialer transport.Dialer
+	Store  platform.WeightStore
+	Peers  *PeerList
+	// Wanted is called when a peer asks for a version that is not being
+	// fetched here, and begins to fetch it if it is newer.
+	Wanted func(model string, version uint64) Standing
+	// Fanout is how many agents of the zone fetch from one agent.
+	Fanout int
+	// Window is how many parts of a model are held at a time and MaxPart the
+	// most bytes of one; InFlight parts are fetched at a time.
+	Window   int
+	MaxPart  int64
+	InFlight int
+	// Hold is how long a part is kept for children that have not fetched it.
+	Hold time.Duration
+	// ServeWait is how long a peer's call waits for a part that is on its way.
+	ServeWait time.Duration
+	// PullTimeout bounds one call, and Patience how long one source may say
+	// that a part is still on its way there.
+	PullTimeout time.Duration
+	Patience    time.Duration
+	// SourceRetry is the wait after all sources have failed.
+	SourceRetry time.Duration
+	// Seed makes the jitter repeatable; 0 draws one.
+	Seed uint64
+	Log  logrus.FieldLogger
+}
+
+// RelayStats counts what a Relay did.
+type RelayStats struct {
+	PeerParts      int64 `json:"peer_parts"`  // parts fetched from peers
+	StoreParts     int64 `json:"store_parts"` // parts fetched from the store
+	StoreCalls     int64 `json:"store_calls"`
+	StoreBytes     int64 `json:"store_bytes"`
+	ServedBytes    int64 `json:"served_bytes"`
+	SourceFailures int64 `json:"source_failures"`
+	BadParts       int64 `json:"bad_parts"` // parts that did not match their manifest
+	PeakBytes      int64 `json:"peak_bytes"`
+}
+
+// Relay fetches the parts of new weights, checks them against the manifest and
+// serves them to the agents below it in the tree of the version. It holds a
+// bounded window of parts in memory and nothing on a disk. It is safe for
+// concurrent use.
+type Relay struct {
+	cfg    RelayConfig
+	caller caller
+	rand   *random
+
+	mu        sync.Mutex
+	downloads map[string]*download // the newest of each model
+	news      chan struct{}        // closed and replaced when a download begins
+	stats     RelayStats
+}
+
+// NewRelay returns a relay that has nothing.
+func NewRelay(cfg RelayConfig) *Relay {
+	cfg.Fanout = cmp.Or(cfg.Fanout, DefaultFanout)
+	cfg.Window = cmp.Or(cfg.Window, DefaultWindow)
+	cfg.MaxPart = cmp.Or(cfg.MaxPart, DefaultMaxPart)
+	cfg.InFlight = cmp.Or(cfg.InFlight, DefaultInFlight)
+	cfg.Hold = cmp.Or(cfg.Hold, DefaultHold)
+	cfg.ServeWait = cmp.Or(cfg.ServeWait, DefaultServeWait)
+	cfg.PullTimeout = cmp.Or(cfg.PullTimeout, DefaultPullTimeout)
+	cfg.Patience = cmp.Or(cfg.Patience, DefaultPatience)
+	cfg.SourceRetry = cmp.Or(cfg.SourceRetry, DefaultSourceRetry)
+	return &Relay{
+		cfg:       cfg,
+		caller:    caller{header: cfg.Header, dialer: cfg.Dialer, timeout: cfg.PullTimeout},
+		rand:      newRandom(cfg.Seed, 3),
+		downloads: make(map[string]*download),
+		news:      make(chan struct{}),
+	}
+}
+
+// Stats returns the counts so far.
+func (r *Relay) Stats() RelayStats {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stats
+}
+
+func (r *Relay) count(f func(*RelayStats)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f(&r.stats)
+}
+
+// noteBuffered keeps the peak of the bytes held. The caller holds r.mu.
+func (r *Relay) noteBuffered() {
+	var held int64
+	for _, d := range r.downloads {
+		for _, p := range d.window {
+			held += int64(len(p.body))
+		}
+	}
+	r.stats.PeakBytes = max(r.stats.PeakBytes, held)
+}
+
+// Place is where this agent stands in the tree of a version now.
+func (r *Relay) Place(model string, version uint64) Place {
+	return TreePlace(r.cfg.Self, model, version, r.cfg.Peers.Serving(time.Now(), model), r.cfg.Fanout)
+}
+
+// Fetch fetches all parts of a version, and returns when the last one has been
+// checked. It tries until ctx ends; the error is then the context's. A manifest
+// that is of another version or has a part over MaxPart is an error at once.
+func (r *Relay) Fetch(ctx context.Context, model string, version uint64) error {
+	d := r.begin(model, version)
+	defer r.end(d)
+	f := r.newFetch(d, model, version)
+	manifest, err := f.manifest(ctx)
+	if err != nil {
+		return trace.Wrap(err, "step %s, model %s version %d", stepManifest, model, version)
+	}
+	r.mu.Lock()
+	d.manifest = manifest
+	d.broadcast()
+	r.mu.Unlock()
+	return trace.Wrap(r.fetchParts(ctx, f, manifest), "step %s, model %s version %d", stepPart, model, version)
+}
+
+func (r *Relay) fetchParts(ctx context.Context, f *fetch, manifest *platform.WeightManifest) error {
+	group, groupCtx := errgroup.WithContext(ctx)
+	group.SetLimit(r.cfg.InFlight)
+	for _, p := range manifest.Parts {
+		if err := r.reserve(groupCtx, f.d); err != nil {
+			break // ctx ended, or the group has the first error
+		}
+		group.Go(func() error {
+			body, err := f.part(groupCtx, p)
+			r.put(f.d, p.Name, body)
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	return context.Cause(ctx)
+}
+
+// begin makes the version the model's newest here; parts of the one before are dropped.
+func (r *Relay) begin(model string, version uint64) *download {
+	d := newDownload(version, r.Place(model, version))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if old := r.downloads[model]; old != nil {
+		old.ended = true
+		old.broadcast()
+	}
+	r.downloads[model] = d
+	close(r.news)
+	r.news = make(chan struct{})
+	return d
+}
+
+func (r *Relay) end(d *download) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d.ended = true
+	d.broadcast()
+}
--- /dev/null
+++ b/weights/relay_test.go
@@ -0,0 +1,214 @@
+package weights
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"mulberryscale.example/api"
+	"mulberryscale.example/internal/standin/instances"
+	standin "mulberryscale.example/internal/standin/weights"
+	"mulberryscale.example/observe"
+	"mulberryscale.example/platform"
+	"mulberryscale.example/transport"
+	"mulberryscale.example/transport/memtransport"
+	"mulberryscale.example/wire"
+)
+
+// TestMain fixes rapid's seed; -rapid.seed on the command line wins.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "20261202"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	testModel   = "guide"
+	testVersion = 7
+	testParts   = 20
+	testBytes   = 1000
+)
+
+// relayRig is a relay below one peer whose answers a test writes.
+type relayRig struct {
+	relay *Relay
+	peers *PeerList
+	store *standin.Store
+	asked int // calls of the peer
+}
+
+// answerer answers a call of the relay as its parent.
+type answerer func(r *relayRig, s transport.Stream, req *wire.Request)
+
+// relayTest runs f with a relay whose only peer is its parent and answers as
+// the function says; nil leaves the list empty.
+func relayTest(t *testing.T, answer answerer, f func(t *testing.T, r *relayRig)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		net := memtransport.NewNetwork()
+		list := instances.New(instances.Options{})
+		r := &relayRig{store: standin.New(standin.Options{})}
+		var parts []standin.PartSpec
+		for i := range testParts {
+			parts = append(parts, standin.PartSpec{Name: fmt.Sprint("part-", i), Size: testBytes})
+		}
+		if err := r.store.Publish(testModel, testVersion, parts); err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		self, parent := parentOf(t)
+		l, err := net.Listen(transport.PeerID(parent.ID), "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if answer != nil {
+			parent.Addr = l.Addr()
+			list.Register(parent)
+		}
+		go l.Serve(ctx, func(_ context.Context, s transport.Stream) {
+			var req wire.Request
+			if s.Recv(&req) == nil {
+				r.asked++
+				answer(r, s, &req)
+			}
+		})
+		dialer := net.Dialer(transport.PeerID(self.ID))
+		r.peers = NewPeerList(list, self.ID, observe.Discard(), 1)
+		go r.peers.Run(ctx)
+		r.relay = NewRelay(RelayConfig{
+			Self: self, Header: func() wire.Header { return wire.Header{From: self.ID} }, Dialer: dialer, Store: r.store, Peers: r.peers,
+			Wanted: func(string, uint64) Standing { return Passed }, InFlight: 1, Seed: 1, Log: observe.Discard(),
+		})
+		synctest.Wait()
+		f(t, r)
+		cancel()
+		dialer.Close()
+		l.Close()
+		time.Sleep(time.Minute)
+	})
+}
+
+// parentOf finds two agents of which the second is the parent of the first.
+func parentOf(t *testing.T) (self, parent platform.Instance) {
+	for i := range 100 {
+		self = platform.Instance{ID: "self", Role: platform.RoleAgent, Zone: "z"}
+		parent = platform.Instance{ID: fmt.Sprint("peer-", i), Role: platform.RoleAgent, Zone: "z"}
+		if len(TreePlace(self, testModel, testVersion, []platform.Instance{parent}, DefaultFanout).Sources) == 1 {
+			return self, parent
+		}
+	}
+	t.Fatal("no parent found")
+	return self, parent
+}
+
+func (r *relayRig) fetch(t *testing.T) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	if err := r.relay.Fetch(ctx, testModel, testVersion); err != nil {
+		t.Fatal(err)
+	}
+	if s := r.relay.Stats(); s.PeerParts+s.StoreParts != testParts {
+		t.Fatalf("fetched %+v, want %d parts", s, testParts)
+	}
+}
+
+// refuseWith answers everything with a refusal.
+func refuseWith(code api.Code, retryAfter time.Duration) answerer {
+	return func(_ *relayRig, s transport.Stream, _ *wire.Request) {
+		s.Send(&wire.Reply{Refusal: &api.Refusal{Code: code, RetryAfter: retryAfter}})
+	}
+}
+
+func TestRelayWithoutPeersReadsTheStore(t *testing.T) {
+	relayTest(t, nil, func(t *testing.T, r *relayRig) {
+		r.fetch(t)
+		if s := r.relay.Stats(); s.StoreParts != testParts || s.PeakBytes > DefaultWindow*testBytes {
+			t.Fatalf("got %+v", s)
+		}
+	})
+}
+
+func TestRelayRefusesForgedParts(t *testing.T) {
+	forge := func(r *relayRig, s transport.Stream, req *wire.Request) {
+		if req.PullManifest != nil {
+			m, err := r.store.Manifest(context.Background(), testModel, testVersion)
+			if err != nil {
+				t.Error(err)
+			}
+			s.Send(&wire.Reply{Manifest: &m})
+			return
+		}
+		s.Send(&wire.Reply{Part: &wire.PartData{Bytes: make([]byte, testBytes), Last: true}})
+	}
+	relayTest(t, forge, func(t *testing.T, r *relayRig) {
+		r.fetch(t)
+		if s := r.relay.Stats(); s.BadParts != 1 || s.PeerParts > 0 || r.asked != 2 {
+			t.Fatalf("of forged parts: %+v", s)
+		}
+	})
+}
+
+func TestRelayPassesOverPeersWithoutTheModel(t *testing.T) {
+	relayTest(t, refuseWith(api.CodeBadRequest, 0), func(t *testing.T, r *relayRig) {
+		r.fetch(t)
+		if n := len(r.peers.Serving(time.Now(), testModel)); r.asked != 1 || n != 0 {
+			t.Fatalf("asked %d times, still counted on: %d", r.asked, n)
+		}
+		if n := len(r.peers.Serving(time.Now().Add(lackTime+time.Second), testModel)); n != 1 {
+			t.Fatal("the peer is passed over for ever")
+		}
+	})
+}
+
+// TestRelayIsPatientOnlyForAWhile: a peer that goes on saying that the weights
+// are on their way does not hold the fetch up for ever.
+func TestRelayIsPatientOnlyForAWhile(t *testing.T) {
+	relayTest(t, refuseWith(api.CodeNoEndpoint, time.Millisecond), func(t *testing.T, r *relayRig) {
+		began := time.Now()
+		r.fetch(t)
+		if took := time.Since(began); took < DefaultPatience || took > 2*DefaultPatience {
+			t.Fatalf("took %s", took)
+		}
+	})
+}
+
+func TestRelayRefusesLargeParts(t *testing.T) {
+	relayTest(t, nil, func(t *testing.T, r *relayRig) {
+		if err := r.store.Publish("large", 1, []standin.PartSpec{{Name: "p", Size: DefaultMaxPart + 1}}); err != nil {
+			t.Fatal(err)
+		}
+		err := r.relay.Fetch(t.Context(), "large", 1)
+		if err == nil || !strings.Contains(err.Error(), "large version 1") {
+			t.Fatalf("got %v", err)
+		}
+	})
+}
+
+func TestServingWhatIsNotHeld(t *testing.T) {
+	relayTest(t, nil, func(t *testing.T, r *relayRig) {
+		r.fetch(t)
+		got := 0
+		take := func(p *wire.PartData) error { got += len(p.Bytes); return nil }
+		ask := func(version uint64, name string) *api.Refusal {
+			return r.relay.ServePart(t.Context(), &wire.PullPart{Model: testModel, Version: version, Name: name}, take)
+		}
+		if refusal := ask(testVersion, fmt.Sprint("part-", testParts-1)); refusal != nil || got != testBytes {
+			t.Fatalf("got %d bytes and %v", got, refusal)
+		}
+		for name, refusal := range map[string]*api.Refusal{
+			"dropped": ask(testVersion, "part-0"), "unknown": ask(testVersion, "part-x"),
+			"older": ask(testVersion-1, "part-0"), "newer": ask(testVersion+1, "part-0"),
+		} {
+			if refusal == nil || refusal.RetryAfter != 0 || refusal.Peer != "self" || got != testBytes {
+				t.Errorf("%s: got %v and %d bytes", name, refusal, got)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/weights/tree_test.go
@@ -0,0 +1,172 @@
+package weights
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"mulberryscale.example/platform"
+	"mulberryscale.example/table"
+)
+
+func drawAgents(t *rapid.T) []platform.Instance {
+	zones := rapid.IntRange(1, 6).Draw(t, "zones")
+	var agents []platform.Instance
+	for i := range rapid.IntRange(1, 200).Draw(t, "agents") {
+		agents = append(agents, platform.Instance{
+			ID: fmt.Sprintf("agent-%d", i), Role: platform.RoleAgent,
+			Zone: fmt.Sprintf("zone-%d", rapid.IntRange(0, zones-1).Draw(t, "zone")),
+		})
+	}
+	return agents
+}
+
+// TestTree: one root; everyone else's first source counts it among its
+// children; parts cross into a zone once; the depth grows with the logarithm.
+func TestTree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		agents := drawAgents(t)
+		version := rapid.Uint64().Draw(t, "version")
+		fanout := rapid.IntRange(1, 4).Draw(t, "fanout")
+		places := make(map[string]Place)
+		zoneOf := make(map[string]string)
+		for _, a := range agents {
+			places[a.ID] = TreePlace(a, "guide", version, agents, fanout)
+			zoneOf[a.ID] = a.Zone
+		}
+		roots, crossings, children := 0, make(map[string]int), 0
+		for _, a := range agents {
+			p := places[a.ID]
+			children += len(p.Children)
+			if len(p.Sources) == 0 {
+				roots++
+				continue
+			}
+			parent := p.Sources[0]
+			if !slices.ContainsFunc(places[parent.ID].Children, func(c platform.Instance) bool { return c.ID == a.ID }) {
+				t.Fatalf("%s is no child of its first source %s", a.ID, parent.ID)
+			}
+			if parent.Zone != a.Zone {
+				crossings[a.Zone]++
+			}
+			for _, s := range p.Sources {
+				if places[s.ID].Rank >= p.Rank {
+					t.Fatalf("%s of rank %d has source %s of rank %d", a.ID, p.Rank, s.ID, places[s.ID].Rank)
+				}
+			}
+		}
+		if roots != 1 || children != len(agents)-1 {
+			t.Fatalf("%d roots and %d children of %d agents", roots, children, len(agents))
+		}
+		for zone, n := range crossings {
+			if n > 1 {
+				t.Fatalf("parts cross into %s %d times", zone, n)
+			}
+		}
+	})
+}
+
+// TestTreeWithDifferentLists: whatever the agents' lists, nobody waits in a circle.
+func TestTreeWithDifferentLists(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		agents := drawAgents(t)
+		all := rank(agents[0], "guide", 7, agents)
+		for _, a := range agents {
+			listed := slices.DeleteFunc(slices.Clone(agents), func(platform.Instance) bool {
+				return rapid.IntRange(0, 3).Draw(t, "drop") == 0
+			})
+			for _, s := range TreePlace(a, "guide", 7, listed, 2).Sources {
+				if indexOf(all, s.ID) >= indexOf(all, a.ID) {
+					t.Fatalf("%s has the later %s as a source", a.ID, s.ID)
+				}
+			}
+		}
+	})
+}
+
+func TestTreeDepth(t *testing.T) {
+	var agents []platform.Instance
+	for i := range 10000 {
+		agents = append(agents, platform.Instance{ID: fmt.Sprint(i), Role: platform.RoleAgent, Zone: fmt.Sprint(i % 26)})
+	}
+	order := rank(agents[0], "guide", 1, agents)
+	heads, zone := levels(order, "0")
+	depth := func(n int) (d int) {
+		for i := n - 1; i > 0; i = (i - 1) / DefaultFanout {
+			d++
+		}
+		return d
+	}
+	if got := depth(len(heads)) + depth(len(zone)); got > 12 {
+		t.Fatalf("10,000 agents in 26 zones stand in a tree of depth %d", got)
+	}
+}
+
+// TestTurns: no more engines load at a time than the window allows.
+func TestTurns(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 500).Draw(t, "n")
+		window := time.Duration(rapid.Int64Range(1, int64(time.Hour)).Draw(t, "window"))
+		load := time.Duration(rapid.Int64Range(1, int64(window)).Draw(t, "load"))
+		bound := int(float64(n)*float64(load)/float64(window)) + 1
+		var turns []time.Duration
+		for rank := range n {
+			turns = append(turns, Turn(rank, n, window))
+		}
+		for i, began := range turns {
+			loading := 0
+			for _, other := range turns[:i+1] {
+				if began-other < load-2 { // but for rounding
+					loading++
+				}
+			}
+			if loading > bound {
+				t.Fatalf("%d of %d engines load at a time, want at most %d", loading, n, bound)
+			}
+		}
+		if !slices.IsSorted(turns) || turns[0] != 0 || turns[n-1] >= window {
+			t.Fatalf("turns %v of a window of %s", turns, window)
+		}
+	})
+}
+
+func TestSwapDue(t *testing.T) {
+	learned := time.Unix(1000, 0)
+	rolling := Swap{Policy: table.SwapRolling, Version: 3, Wanted: 4, LearnedAt: learned, Turn: 5 * time.Second}
+	change := func(f func(*Swap)) Swap { s := rolling; f(&s); return s }
+	cases := []struct {
+		name  string
+		after time.Duration
+		swap  Swap
+		want  bool
+	}{
+		{"before the turn", 4 * time.Second, rolling, false},
+		{"at the turn", 5 * time.Second, rolling, true},
+		{"nothing newer", time.Hour, change(func(s *Swap) { s.Wanted = 3 }), false},
+		{"too old for a request", 0, change(func(s *Swap) { s.Needed = 4 }), true},
+		{"new enough for the requests", 0, change(func(s *Swap) { s.Needed = 3 }), false},
+		{"nothing loaded", 0, change(func(s *Swap) { s.Version = 0 }), true},
+		{"at once", 0, change(func(s *Swap) { s.Policy = table.SwapAtOnce }), true},
+		{"drain", 0, change(func(s *Swap) { s.Policy = table.SwapDrain }), true},
+	}
+	for _, c := range cases {
+		if got := SwapDue(learned.Add(c.after), c.swap); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// TestIntervalsBoundTheTotal: what all agents ask together does not grow with them.
+func TestIntervalsBoundTheTotal(t *testing.T) {
+	for _, n := range []int{1, 12, 820, 10000} {
+		if perSecond := float64(n) / PollInterval(n, DefaultStoreReads, time.Second).Seconds(); perSecond > DefaultStoreReads+0.01 {
+			t.Errorf("%d agents ask the store %.1f times a second", n, perSecond)
+		}
+		if bytes := float64(n) * listEntryBytes / ListInterval(n).Seconds(); bytes > listBytesPerSecond+1 {
+			t.Errorf("one of %d agents reads %.0f bytes of the list a second", n, bytes)
+		}
+	}
+}
