--- a/cmd/mulberry-agent/settings.go
+++ b/cmd/mulberry-agent/settings.go
@@ -4,13 +4,16 @@
 	"errors"
 	"time"
 
-	"mulberryscale.example/daemon"
 	"mulberryscale.example/observe"
 	"mulberryscale.example/service/agent"
 	"mulberryscale.example/settings"
 	"mulberryscale.example/weights"
 )
 
+// defaultDrainTimeout leaves room for a step that takes the 6 minutes of the
+// longest deadlines.
+const defaultDrainTimeout = 10 * time.Minute
+
 // agentSettings are the program's settings; they hold once set.Check has passed.
 type agentSettings struct {
 	set *settings.Set
@@ -73,7 +76,7 @@
 	s.swapWindow = set.Duration("swap-window", weights.DefaultSwapWindow, time.Second, time.Hour,
 		"time over which the engines of a rolling swap take turns")
 	s.loadTimeout = set.Duration("load-timeout", agent.DefaultLoadTimeout, time.Second, time.Hour, "how long an engine may load")
-	s.drainTimeout = set.Duration("drain-timeout", daemon.DefaultDrainTimeout, time.Second, 24*time.Hour,
+	s.drainTimeout = set.Duration("drain-timeout", defaultDrainTimeout, time.Second, 24*time.Hour,
 		"how long running requests may take to end at a stop")
 }
 
--- a/cmd/mulberry-entry/settings.go
+++ b/cmd/mulberry-entry/settings.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"mulberryscale.example/daemon"
 	"mulberryscale.example/membership"
 	"mulberryscale.example/observe"
 	"mulberryscale.example/rollout"
@@ -11,6 +10,10 @@
 	"mulberryscale.example/settings"
 )
 
+// defaultDrainTimeout leaves room for a step that takes the 6 minutes of the
+// longest deadlines.
+const defaultDrainTimeout = 10 * time.Minute
+
 // entrySettings are the program's settings; they hold once set.Check has passed.
 type entrySettings struct {
 	set *settings.Set
@@ -64,6 +67,6 @@
 	s.idleTimeout = set.Duration("idle-timeout", time.Minute, time.Second, time.Hour, "how long an idle connection is kept")
 	s.unreadyDelay = set.Duration("unready-delay", 2*time.Second, 0, time.Minute,
 		"how long this entry shows itself unready before it drains, for the balancer to notice")
-	s.drainTimeout = set.Duration("drain-timeout", daemon.DefaultDrainTimeout, time.Second, 24*time.Hour,
+	s.drainTimeout = set.Duration("drain-timeout", defaultDrainTimeout, time.Second, 24*time.Hour,
 		"how long running requests may take to end at a stop")
 }
--- a/cmd/mulberryscale/main.go
+++ b/cmd/mulberryscale/main.go
@@ -29,7 +29,7 @@
 		Name:                  "mulberryscale",
 		Usage:                 "rollout service for reinforcement learning, whole in one process",
 		EnableShellCompletion: true,
-		Commands:              []*cli.Command{demoCommand(), experimentCommand()},
+		Commands:              []*cli.Command{demoCommand(), experimentCommand(), capacityCommand()},
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 	}
 	err := root.Run(ctx, os.Args)
--- /dev/null
+++ b/e2e/claims_test.go
@@ -0,0 +1,279 @@
+package e2e
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"mulberryscale.example/api"
+	"mulberryscale.example/internal/standin/fault"
+)
+
+// serviceDelay is the time from a call's execution to its answer, in which the
+// tests kill a process.
+const serviceDelay = time.Second
+
+// booking is a call that may not be repeated.
+func booking(name string) serviceCall {
+	return serviceCall{row: rowBookings, method: http.MethodPost, name: name, body: "two seats", key: "key-" + name, nonIdem: true}
+}
+
+// outcome is what a caller learns of one call.
+type outcome struct {
+	body []byte
+	err  error
+}
+
+// notRun says whether the caller was told that its call did not run.
+func (o outcome) notRun() bool {
+	var r *refused
+	return errors.As(o.err, &r) && r.NotRun == api.NotRunTrue
+}
+
+// startCall makes a call in the background.
+func startCall(ctx context.Context, url string, c serviceCall) <-chan outcome {
+	done := make(chan outcome, 1)
+	go func() {
+		body, err := call(ctx, url, c)
+		done <- outcome{body, err}
+	}()
+	return done
+}
+
+// awaitOutcome waits for a call in the background.
+func (f *fleet) awaitOutcome(done <-chan outcome) outcome {
+	f.t.Helper()
+	select {
+	case o := <-done:
+		return o
+	case <-time.After(waitBound):
+		f.t.Fatal("the call got no answer")
+		return outcome{}
+	}
+}
+
+// startRunning starts a booking through the first entry and waits until the
+// service has executed it.
+func (f *fleet) startRunning(c serviceCall) <-chan outcome {
+	f.t.Helper()
+	done := startCall(f.t.Context(), f.entries[0].url, c)
+	eventually(f.t, "the service executes the call", func() error {
+		if f.executions(c.name) == 0 {
+			return errors.New("not executed")
+		}
+		return nil
+	})
+	return done
+}
+
+// A call that may not be repeated is answered through the other entry when its
+// own entry is killed while it runs, and runs once.
+func TestBookingWithEntryKilled(t *testing.T) {
+	f := startFleet(t, fleetOptions{serviceDelay: serviceDelay})
+	c := booking("entry-killed")
+	done := f.startRunning(c)
+	f.entries[0].kill()
+	if o := f.awaitOutcome(done); o.err == nil {
+		t.Fatal("the killed entry answered")
+	}
+	for range 2 {
+		if _, err := call(t.Context(), f.entries[1].url, c); err != nil {
+			t.Errorf("the repeat was not answered with the run's answer: %v", err)
+		}
+	}
+	if n := f.executions(c.name); n != 1 {
+		t.Errorf("the call ran %d times", n)
+	}
+}
+
+// When the agent is killed the outcome is lost with it: the caller is told so,
+// and no repeat runs the call again, through whichever entry and agent.
+func TestBookingWithAgentKilled(t *testing.T) {
+	f := startFleet(t, fleetOptions{serviceDelay: serviceDelay})
+	c := booking("agent-killed")
+	done := f.startRunning(c)
+	agent := f.agents[3]
+	agent.kill()
+	agent.start()
+	f.checkLost(c, f.awaitOutcome(done))
+	f.awaitReady()
+	for _, e := range f.entries {
+		f.checkLost(c, f.awaitOutcome(startCall(t.Context(), e.url, c)))
+	}
+	if n := f.executions(c.name); n != 1 {
+		t.Errorf("the call ran %d times", n)
+	}
+}
+
+// When the service breaks the connection, the outcome is not known, and no
+// repeat runs the call again.
+func TestBookingWithServiceCrashed(t *testing.T) {
+	f := startFleet(t, fleetOptions{serviceDelay: serviceDelay})
+	c := booking("service-crashed")
+	done := f.startRunning(c)
+	f.fault(f.serviceURL, fault.Fault{Kind: fault.Crash}) // its records stay
+	f.checkLost(c, f.awaitOutcome(done))
+	for _, e := range f.entries {
+		f.checkLost(c, f.awaitOutcome(startCall(t.Context(), e.url, c)))
+	}
+	if n := f.executions(c.name); n != 1 {
+		t.Errorf("the call ran %d times", n)
+	}
+}
+
+// The same with the service's process killed, which has no records afterwards.
+func TestBookingWithServiceKilled(t *testing.T) {
+	f := startFleet(t, fleetOptions{serviceDelay: serviceDelay})
+	c := booking("service-killed")
+	done := f.startRunning(c)
+	f.service.kill()
+	f.checkLost(c, f.awaitOutcome(done))
+	f.service.start()
+	eventually(t, "the service listens", func() error { return reachable(f.serviceURL) })
+	for _, e := range f.entries {
+		f.checkLost(c, f.awaitOutcome(startCall(t.Context(), e.url, c)))
+	}
+	if n := f.executions(c.name); n != 0 {
+		t.Errorf("the call ran %d times again", n)
+	}
+}
+
+// checkLost checks that a call that ran was refused without saying that it did not.
+func (f *fleet) checkLost(c serviceCall, o outcome) {
+	f.t.Helper()
+	if o.err == nil {
+		f.t.Errorf("%s: answered with %q though the answer was lost", c.name, o.body)
+	}
+	if o.notRun() {
+		f.t.Errorf("%s: said not to have run, and it ran: %v", c.name, o.err)
+	}
+}
+
+// Bookings that are repeated through the other entry while agent and entries
+// are killed at any moment run at most once, and never when all that their
+// caller heard is "not run".
+func TestBookingsUnderKills(t *testing.T) {
+	f := startFleet(t, fleetOptions{serviceDelay: 20 * time.Millisecond})
+	const calls, callers = 120, 8
+	numbers := make(chan int)
+	results := make(chan bookingResult, calls)
+	for range callers {
+		go func() {
+			for i := range numbers {
+				results <- f.bookUntilSettled(booking(fmt.Sprintf("kills-%d", i)), i)
+			}
+		}()
+	}
+	for i := range calls {
+		numbers <- i
+		switch i {
+		case 20, 70:
+			f.agents[3].kill()
+			f.agents[3].start()
+		case 40, 90:
+			f.entries[i%2].kill()
+			f.entries[i%2].start()
+		}
+	}
+	close(numbers)
+	answered := 0
+	for range calls {
+		r := <-results
+		n := f.executions(r.name)
+		switch {
+		case n > 1:
+			t.Errorf("%s ran %d times", r.name, n)
+		case n == 1 && r.onlyNotRun:
+			t.Errorf("%s ran, and its caller heard only that it did not", r.name)
+		case n == 0 && r.answered:
+			t.Errorf("%s was answered and never ran", r.name)
+		}
+		if r.answered {
+			answered++
+		}
+	}
+	t.Logf("%d of %d bookings answered", answered, calls)
+	if answered < calls/2 {
+		t.Errorf("only %d of %d bookings were answered", answered, calls)
+	}
+}
+
+// bookingResult is what a caller heard of a booking in all its attempts.
+type bookingResult struct {
+	name       string
+	answered   bool
+	onlyNotRun bool
+}
+
+// bookUntilSettled repeats a booking at one entry after the other, at most a
+// few times.
+func (f *fleet) bookUntilSettled(c serviceCall, turn int) bookingResult {
+	const attempts = 4
+	r := bookingResult{name: c.name, onlyNotRun: true}
+	for range attempts {
+		_, err := call(f.t.Context(), f.entries[turn%len(f.entries)].url, c)
+		o := outcome{err: err}
+		unsent := errors.Is(err, syscall.ECONNREFUSED)
+		r.onlyNotRun = r.onlyNotRun && (o.notRun() || unsent)
+		if err == nil {
+			r.answered = true
+			return r
+		}
+		turn++
+		time.Sleep(pollInterval)
+	}
+	return r
+}
+
+// With the table service gone a whole step is served; a call that may not be
+// repeated is refused as not run, with the time to come back.
+func TestTableServiceGone(t *testing.T) {
+	f := startFleet(t, fleetOptions{tokenTime: slowTokens})
+	f.table.kill()
+	step := f.startStep("1", samples("s", stepSamples, 400))
+	step.await(midStep)
+	c := booking("table-gone")
+	for _, e := range f.entries {
+		f.checkClaimRefused(c, f.awaitOutcome(startCall(t.Context(), e.url, c)))
+	}
+	step.check()
+	if step.result.Sessions != 1 {
+		t.Errorf("the step took %d sessions", step.result.Sessions)
+	}
+	if n := f.executions(c.name); n != 0 {
+		t.Errorf("the refused call ran %d times", n)
+	}
+}
+
+// With a table service that hangs, the call is refused too; the claim that
+// takes effect later keeps nobody from repeating it.
+func TestTableServiceHangs(t *testing.T) {
+	f := startFleet(t, fleetOptions{})
+	c := booking("table-hangs")
+	f.table.pause()
+	f.checkClaimRefused(c, f.awaitOutcome(startCall(t.Context(), f.entries[0].url, c)))
+	f.table.signal(syscall.SIGCONT)
+	eventually(t, "the repeat is answered", func() error {
+		_, err := call(t.Context(), f.entries[1].url, c)
+		return err
+	})
+	if n := f.executions(c.name); n != 1 {
+		t.Errorf("the call ran %d times", n)
+	}
+}
+
+func (f *fleet) checkClaimRefused(c serviceCall, o outcome) {
+	f.t.Helper()
+	var r *refused
+	if !errors.As(o.err, &r) {
+		f.t.Errorf("%s: got %q, %v, want a refusal", c.name, o.body, o.err)
+		return
+	}
+	if r.Code != api.CodeClaimStoreDown || r.NotRun != api.NotRunTrue || r.retryAfter == "" || r.status != http.StatusServiceUnavailable {
+		f.t.Errorf("%s: status %d, Retry-After %q, %v", c.name, r.status, r.retryAfter, r.Refusal)
+	}
+}
--- /dev/null
+++ b/e2e/crash_test.go
@@ -0,0 +1,80 @@
+package e2e
+
+import (
+	"errors"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// slowTokens makes a step of stepSamples last long enough to be disturbed.
+const (
+	slowTokens  = 5 * time.Millisecond
+	stepSamples = 128
+	midStep     = 16 // samples received when the disturbance comes
+)
+
+// startSlowStep starts a deployment with a step that is in the middle.
+func startSlowStep(t *testing.T) (*fleet, *runningStep) {
+	t.Helper()
+	f := startFleet(t, fleetOptions{tokenTime: slowTokens})
+	step := f.startStep("1", samples("s", stepSamples, 400))
+	step.await(midStep)
+	return f, step
+}
+
+func TestKilledEntryInMidStep(t *testing.T) {
+	f, step := startSlowStep(t)
+	f.entries[0].kill()
+	step.check()
+	if step.result.Sessions < 2 {
+		t.Errorf("the step took %d sessions; its entry was killed", step.result.Sessions)
+	}
+}
+
+func TestKilledAgentInMidStep(t *testing.T) {
+	f, step := startSlowStep(t)
+	f.agents[0].kill()
+	f.agents[0].start()
+	step.check()
+	if f.retries(f.entries[0], rowTrainer) == 0 {
+		t.Error("no sample was disturbed by the kill")
+	}
+}
+
+func TestKilledEntryAndAgentInMidStep(t *testing.T) {
+	f, step := startSlowStep(t)
+	f.entries[0].kill()
+	f.agents[1].kill()
+	f.agents[1].start()
+	f.entries[0].start()
+	step.check()
+}
+
+// A step's entry that is paused for longer than the trainer waits for it, and
+// goes on while the trainer's next session runs, delivers nothing twice.
+func TestPausedEntryInMidStep(t *testing.T) {
+	f, step := startSlowStep(t)
+	f.entries[0].pause()
+	step.await(midStep) // more come through the other entry
+	f.entries[0].signal(syscall.SIGCONT)
+	step.check()
+	if step.result.Sessions < 2 {
+		t.Errorf("the step took %d sessions; its entry was paused", step.result.Sessions)
+	}
+}
+
+// An agent that is paused is given up, and what it sends when it goes on is not
+// taken for another sample.
+func TestPausedAgentInMidStep(t *testing.T) {
+	f, step := startSlowStep(t)
+	f.agents[0].pause()
+	eventually(t, "the agent is given up", func() error {
+		if f.retries(f.entries[0], rowTrainer) == 0 {
+			return errors.New("no sample was tried again")
+		}
+		return nil
+	})
+	f.agents[0].signal(syscall.SIGCONT)
+	step.check()
+}
--- a/internal/deployment/nodes.go
+++ b/internal/deployment/nodes.go
@@ -28,8 +28,9 @@
 func (p *process) run(base context.Context, serve func(context.Context) error) {
 	ctx, cancel := context.WithCancel(base)
 	p.cancel = cancel
-	p.ended = make(chan error, 1)
-	go func() { p.ended <- serve(ctx) }()
+	ended := make(chan error, 1) // a second start does not end the first
+	p.ended = ended
+	go func() { ended <- serve(ctx) }()
 }
 
 func (p *process) stop() error {
--- a/membership/intervals.go
+++ b/membership/intervals.go
@@ -6,7 +6,7 @@
 // docs/CAPACITY.md adds them up.
 const (
 	// watchBudget is the bytes a second that the reports of an entry's watches may take.
-	watchBudget = 4000
+	watchBudget = 3200
 	// reportCost is the bytes of one report on the network, both ways, with
 	// QUIC's and UDP's part: BenchmarkWatchQUIC.
 	reportCost = 320
@@ -23,13 +23,15 @@
 const (
 	suspectShare = 1.0 / 8
 	earlyShare   = 1.0 / 16
+	// listJitter is how far a long interval is shortened or lengthened at random.
+	listJitter = 0.25
 )
 
-// watchIntervals spaces the reports of watched agents so that all of them
+// WatchIntervals spaces the reports of watched agents so that all of them
 // together stay within watchBudget. Where an entry watches the whole fleet,
 // the configured intervals hold. An agent that leaves or fails reports at once,
 // whatever the interval.
-func watchIntervals(shortest, longest time.Duration, watched, agents int) (time.Duration, time.Duration) {
+func WatchIntervals(shortest, longest time.Duration, watched, agents int) (time.Duration, time.Duration) {
 	if watched >= agents {
 		return shortest, longest
 	}
@@ -41,8 +43,8 @@
 	return spaced, max(longest, spaced)
 }
 
-// listIntervalFor spaces the reads of a list of so many lines.
-func listIntervalFor(shortest time.Duration, lines int) time.Duration {
+// ListInterval spaces the reads of a list of so many lines.
+func ListInterval(shortest time.Duration, lines int) time.Duration {
 	return max(shortest, time.Duration(lines*lineCost)*time.Second/listBudget)
 }
 
--- a/membership/view.go
+++ b/membership/view.go
@@ -48,8 +48,12 @@
 
 // Listed takes in the watched lines of the instance list. Agents that the list
 // no longer names are forgotten only when they are not live by their own
-// reports, since the list lags.
+// reports, since the list lags. A list without any agent is not believed: it
+// would leave nothing to route to.
 func (v *View) Listed(instances []platform.Instance) {
+	if len(instances) == 0 {
+		return
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	named := make(map[string]bool, len(instances))
--- a/membership/watcher.go
+++ b/membership/watcher.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,8 +56,10 @@
 	mu      sync.Mutex
 	watches map[watchKey]context.CancelFunc
 	wg      sync.WaitGroup
-	// lines is the length of the list read last, 0 before; Run alone uses it.
-	lines int
+	// listed is the list read last with what was heard since; Run alone uses it.
+	listed []platform.Instance
+	news   *News
+	heard  chan []platform.Instance
 }
 
 // watchKey names one watch stream: an id can come back at another address, and
@@ -80,41 +84,103 @@
 	if cfg.MaxInterval == 0 {
 		cfg.MaxInterval = DefaultMaxInterval
 	}
-	return &Watcher{cfg: cfg, watches: map[watchKey]context.CancelFunc{}}
+	return &Watcher{
+		cfg: cfg, watches: map[watchKey]context.CancelFunc{}, news: NewNews(), heard: make(chan []platform.Instance, mostNews),
+	}
 }
 
 // Run watches until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	defer w.wg.Wait()
 	for ctx.Err() == nil {
-		w.refresh(ctx)
-		w.awaitListDue(ctx)
+		interval := w.listInterval(w.refresh(ctx))
+		w.awaitListDue(ctx, interval)
+	}
+}
+
+// listInterval is when to read the list again. A reading that failed is
+// repeated early; entries that started together come apart by jitter.
+func (w *Watcher) listInterval(read bool) time.Duration {
+	interval := ListInterval(w.cfg.ListInterval, len(w.listed))
+	if !read {
+		interval = time.Duration(float64(interval) * earlyShare)
+	}
+	if interval <= w.cfg.ListInterval {
+		return w.cfg.ListInterval
 	}
+	return time.Duration(float64(interval) * (1 - listJitter + 2*listJitter*rand.Float64()))
 }
 
-// awaitListDue waits until the list is to be read again or ctx ends.
-func (w *Watcher) awaitListDue(ctx context.Context) {
-	interval := listIntervalFor(w.cfg.ListInterval, w.lines)
-	for waited := time.Duration(0); !listDue(waited, interval, w.cfg.View.Snapshot()); waited += w.cfg.ListInterval {
+// awaitListDue waits until the list is to be read again or ctx ends, and
+// meanwhile takes in what other entries tell.
+func (w *Watcher) awaitListDue(ctx context.Context, interval time.Duration) {
+	read := time.Now()
+	tick := time.NewTicker(w.cfg.ListInterval)
+	defer tick.Stop()
+	for !listDue(time.Since(read), interval, w.cfg.View.Snapshot()) {
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(w.cfg.ListInterval):
+		case <-tick.C:
+		case heard := <-w.heard:
+			w.apply(ctx, merge(w.listed, heard, w.cfg.View.Snapshot()))
+		}
+	}
+}
+
+// News is what this entry tells others of instances.
+func (w *Watcher) News() []wire.Member { return w.news.Tell() }
+
+// Hear takes in what another entry tells of instances. It never blocks: what
+// finds no room is learnt from the list.
+func (w *Watcher) Hear(members []wire.Member) {
+	fresh := w.news.Hear(members)
+	if len(fresh) == 0 {
+		return
+	}
+	select {
+	case w.heard <- fresh:
+	default:
+	}
+}
+
+// merge adds instances that were heard of to a list. An address that was heard
+// takes the place of a known one unless the agent there is live: the list is
+// older than the news, but an agent's own reports are newer than both.
+func merge(listed, heard []platform.Instance, snap *Snapshot) []platform.Instance {
+	merged := slices.Clone(listed)
+	for _, in := range heard {
+		i := slices.IndexFunc(merged, func(known platform.Instance) bool { return known.ID == in.ID })
+		if i < 0 {
+			merged = append(merged, in)
+			continue
+		}
+		if a := snap.Agent(in.ID); a == nil || a.State != StateLive {
+			merged[i] = in
 		}
 	}
+	return merged
 }
 
-// refresh reads the list once. When the list is down, the last view stays.
-func (w *Watcher) refresh(ctx context.Context) {
+// refresh reads the list once and says whether it could. When the list is down,
+// the last view stays.
+func (w *Watcher) refresh(ctx context.Context) bool {
 	instances, err := w.cfg.List.Instances(ctx)
 	if err != nil {
 		w.cfg.Log.WithError(err).Warn("instance list not read; the last view stays")
-		return
+		return false
 	}
+	w.news.Compare(w.listed, instances)
+	w.apply(ctx, instances)
+	return true
+}
+
+// apply chooses the agents to watch from a list.
+func (w *Watcher) apply(ctx context.Context, instances []platform.Instance) {
 	subset := Subset(w.cfg.EntryID, w.cfg.Zone, instances, w.cfg.Subset)
 	w.cfg.View.ListedEntries(w.otherEntries(instances))
 	w.cfg.View.Listed(subset)
-	w.lines = len(instances)
+	w.listed = instances
 	wanted := w.keys(instances, subset)
 	w.follow(ctx, subset, wanted)
 	w.unfollow(instances, wanted)
@@ -128,7 +194,7 @@
 			agents++
 		}
 	}
-	shortest, longest := watchIntervals(w.cfg.MinInterval, w.cfg.MaxInterval, len(subset), agents)
+	shortest, longest := WatchIntervals(w.cfg.MinInterval, w.cfg.MaxInterval, len(subset), agents)
 	keys := make([]watchKey, len(subset))
 	for i, in := range subset {
 		keys[i] = watchKey{in.ID, in.Addr, shortest, longest}
--- a/results/run.go
+++ b/results/run.go
@@ -159,6 +159,14 @@
 	}
 }
 
+// useless says whether a run ended with nothing for a request that needs minVersion.
+func (r *Run) useless(minVersion uint64) bool {
+	if r.machine.State() == StateFailed {
+		return true
+	}
+	return r.done != nil && len(r.done.Spans) > 0 && api.OldestVersion(r.done.Spans) < minVersion
+}
+
 // keep says whether an ended run stays for late readers.
 func (r *Run) keep() bool {
 	switch r.machine.State() {
--- a/results/store.go
+++ b/results/store.go
@@ -90,13 +90,14 @@
 }
 
 // attachable is the run that a request attaches to. An idempotent run that
-// failed is attached to only by a request that may not begin another.
+// failed, or whose text is too old for the request, is attached to only by a
+// request that may not begin another.
 func (s *Store) attachable(req *wire.Run) *Run {
 	run, ok := s.runs[req.Key]
 	if req.Key == "" || !ok {
 		return nil
 	}
-	if run.machine.State() == StateFailed && !run.nonIdempotent && !req.AttachOnly {
+	if !run.nonIdempotent && !req.AttachOnly && run.useless(req.MinVersion) {
 		return nil
 	}
 	return run
--- a/results/store_test.go
+++ b/results/store_test.go
@@ -251,3 +251,56 @@
 		}
 	})
 }
+
+// TestResultTooOldRunsAnew asks for newer weights than those of a kept result.
+func TestResultTooOldRunsAnew(t *testing.T) {
+	s := New(Options{})
+	run := begin(t, s, generation("k", time.Minute)).Run()
+	run.Start()
+	run.Append("old", 3, 1)
+	run.FinishText(start, "stop")
+	again := generation("k", time.Minute)
+	again.MinVersion = 3
+	if r := begin(t, s, again); !r.Attached() {
+		t.Error("a result that is fresh enough was dropped")
+	}
+	again.MinVersion, again.AttachOnly = 4, true
+	if r := begin(t, s, again); !r.Attached() {
+		t.Error("a request that may not begin a run was not attached")
+	}
+	again.AttachOnly = false
+	if r := begin(t, s, again); r.Attached() {
+		t.Error("a request was attached to a result that is too old for it")
+	}
+}
+
+// TestTurnRemembersTheIncarnationBefore ends incarnations of the memory.
+func TestTurnRemembersTheIncarnationBefore(t *testing.T) {
+	s := New(Options{MaxKeys: 4})
+	req := generation("k", 0)
+	req.NonIdempotent = true
+	reader := begin(t, s, req)
+	reader.Run().Start()
+	reader.Run().FinishText(start, "stop")
+	reader.Close(start)
+	s.Sweep(start.Add(time.Hour))
+	if _, refusal := s.Fence(start, "f"); refusal != nil {
+		t.Fatal(refusal)
+	}
+	refused := func(key string) api.Code {
+		again := generation(key, 0)
+		again.NonIdempotent = true
+		if _, refusal := s.Begin(start, again, nil); refusal != nil {
+			return refusal.Code
+		}
+		return ""
+	}
+	s.Turn()
+	if refused("k") != api.CodeDuplicate || refused("f") != api.CodeFenced {
+		t.Error("a key of the incarnation before is forgotten")
+	}
+	s.Turn()
+	if s.notRun("k", false) != api.NotRunUnknown {
+		t.Error("it is said of a key that may have been forgotten that it did not run")
+	}
+}
--- a/service/agent/drain.go
+++ b/service/agent/drain.go
@@ -5,12 +5,16 @@
 
 	"github.com/gravitational/trace"
 
+	"mulberryscale.example/admission"
 	"mulberryscale.example/api"
+	"mulberryscale.example/wire"
 )
 
-// Drain stops the agent gracefully: watchers learn of it at once, new and
-// waiting runs are refused as not run, running ones end and are answered; they
-// can be attached to until then. Results that nobody has fetched are kept for
+// Drain stops the agent gracefully: watchers learn of it at once, new runs and
+// waiting samples are refused as not run, so that they are placed elsewhere.
+// Running ones and waiting interactive ones, which may have nowhere to go when
+// everything stops at once, end and are answered; they can be attached to until
+// then. Results that nobody has fetched are kept for
 // HandOver. It returns when nothing runs any more; the caller then ends Run's
 // context. The error is the context's.
 func (a *Agent) Drain(ctx context.Context) error {
@@ -75,9 +79,12 @@
 	}
 	a.log.WithField("reason", reason).Info("agent drains")
 	a.urgent.Fire()
-	a.refuseQueued(refusal, everyItem)
+	a.refuseQueued(refusal, isTraining)
 }
 
+// isTraining matches the waiting samples of trainers.
+func isTraining(it *admission.Item) bool { return it.Class == wire.ClassTraining }
+
 func (a *Agent) drainingRefusal() *api.Refusal {
 	return a.refuseRetry(api.CodeDraining, api.NotRunTrue, stepDrain, "the agent is stopping")
 }
--- a/service/agent/poll.go
+++ b/service/agent/poll.go
@@ -183,7 +183,9 @@
 	}
 	m.target = max(m.target, m.version) // an engine that restarted gets its weights back
 	m.version, m.floor, m.fetched = 0, 0, 0
-	if !m.ordering && now.Sub(m.returnedAt) >= a.cfg.SettleTime {
+	phase := m.machine.State()
+	shown := phase == phaseReady || phase == phaseDraining
+	if shown || (!m.ordering && now.Sub(m.returnedAt) >= a.cfg.SettleTime) {
 		a.modelBroken(now, m)
 	}
 }
--- a/service/entry/entry.go
+++ b/service/entry/entry.go
@@ -47,7 +47,7 @@
 	Table     platform.TableService
 	Counters  *observe.Counters
 	Log       logrus.FieldLogger
-	// Subset is how many agents the entry watches at most.
+	// Subset is how many agents an entry watches in the mean of all entries.
 	Subset int
 	// Linger is how long agents keep a trainer's runs when the entry is gone.
 	Linger time.Duration
@@ -206,7 +206,9 @@
 	return e.cfg.Listener.Serve(ctx, e.servePeer)
 }
 
-// Drain refuses new calls and waits until those in progress have ended or ctx ends.
+// Drain refuses new calls and waits until those in progress have ended or ctx
+// ends. Then it closes the steps that still run with a refusal, on which their
+// trainers ask another entry instance for the rest; nothing of them is lost.
 func (e *Entry) Drain(ctx context.Context) error {
 	e.admitting.Lock()
 	e.draining.Store(true)
@@ -220,6 +222,12 @@
 	case <-ended:
 		return nil
 	case <-ctx.Done():
+	}
+	e.sessions.handOver()
+	select {
+	case <-ended:
+		return nil
+	case <-time.After(handOverTime):
 		return trace.Wrap(ctx.Err(), "step entry.drain: calls are still in progress")
 	}
 }
--- a/service/entry/gossip.go
+++ b/service/entry/gossip.go
@@ -29,7 +29,8 @@
 	stepGossip    = "entry.gossip"
 )
 
-// gossip shares the rows' limits out between the entries.
+// gossip shares the rows' limits out between the entries and passes on which
+// instances came.
 type gossip struct {
 	e       *Entry
 	average *limits.Averager
@@ -79,11 +80,13 @@
 	peer := peers[g.rng.IntN(len(peers))]
 	offer := g.average.Offer()
 	offer.Entries = entries
+	offer.Members = g.e.watcher.News()
 	reply, err := g.exchange(ctx, peer.Addr, offer)
 	if err != nil {
 		g.e.cfg.Log.WithError(err).WithField("peer", peer.ID).Debug("no exchange of demand")
 		return
 	}
+	g.e.watcher.Hear(reply.Members)
 	g.average.Take(time.Now(), offer, *reply, entries, demand)
 }
 
@@ -116,5 +119,7 @@
 	entries := len(g.e.view.Entries()) + 1
 	reply := g.average.Answer(time.Now(), *offer, entries, g.e.limits.Demand())
 	reply.Entries = entries
+	reply.Members = g.e.watcher.News()
+	g.e.watcher.Hear(offer.Members)
 	return wire.Reply{Header: g.e.header(), Gossip: &reply}
 }
--- a/service/entry/steps.go
+++ b/service/entry/steps.go
@@ -21,8 +21,12 @@
 const (
 	// maxStepSamples bounds the samples of one step request.
 	maxStepSamples = 1 << 16
+	// maxIDLength bounds the ids of samples and groups and the names of steps, in bytes.
+	maxIDLength = 256
 	// heartbeatInterval is how often a step's answer shows that its entry lives.
 	heartbeatInterval = time.Second
+	// handOverTime bounds the closing of steps at the end of a drain.
+	handOverTime = 2 * time.Second
 )
 
 // handleStep serves POST /v1/trainers/{row}/steps/{step}.
@@ -37,7 +41,8 @@
 		e.refuse(c, row.Name, refusal)
 		return
 	}
-	if err := checkStep(&req); err != nil {
+	step := c.Params().Get("step")
+	if err := checkStep(step, &req); err != nil {
 		e.refuse(c, row.Name, e.refusal(api.CodeBadRequest, err.Error(), StepRead, 0))
 		return
 	}
@@ -47,7 +52,7 @@
 		return
 	}
 	defer cancel()
-	end, ok := e.sessions.begin(sessionKey{row.Name, c.Params().Get("step")}, req.Session, cancel)
+	end, ok := e.sessions.begin(sessionKey{row.Name, step}, req.Session, cancel)
 	if !ok {
 		e.refuse(c, row.Name, e.refusal(api.CodeFenced, "a newer session of this step is known here", StepStep, 0))
 		return
@@ -56,13 +61,19 @@
 	e.answerStep(ctx, c, row, &req)
 }
 
-func checkStep(req *api.StepRequest) error {
+func checkStep(name string, req *api.StepRequest) error {
+	if len(name) > maxIDLength {
+		return fmt.Errorf("a step's name must not be longer than %d bytes", maxIDLength)
+	}
 	if len(req.Samples) == 0 {
 		return errors.New("samples must name at least one sample")
 	}
 	if len(req.Samples) > maxStepSamples {
 		return fmt.Errorf("a step has at most %d samples", maxStepSamples)
 	}
+	if len(req.Hints) > len(req.Samples) {
+		return errors.New("hints must not name more samples than the step")
+	}
 	if req.WaitFor < 0 || req.Held < 0 {
 		return errors.New("wait_for and held must not be negative")
 	}
@@ -81,6 +92,8 @@
 		return errors.New("id is missing")
 	case seen[s.ID]:
 		return fmt.Errorf("id %q stands twice", s.ID)
+	case len(s.ID) > maxIDLength || len(s.Group) > maxIDLength:
+		return fmt.Errorf("id and group must not be longer than %d bytes", maxIDLength)
 	case s.Prompt == "":
 		return errors.New("prompt is missing")
 	case s.MaxTokens <= 0 || s.MaxTokens > maxTokensBound:
@@ -112,9 +125,13 @@
 // may have run, and the trainer asks for them again.
 func (e *Entry) stepRefusal(err error) *api.Refusal {
 	r := e.refusal(api.CodeCancelled, "the step's connection is gone: "+err.Error(), StepStep, drainingRetryAfter)
-	if errors.Is(err, context.DeadlineExceeded) {
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
 		r.Code = api.CodeDeadline
 		r.Message = "the step's deadline passed"
+	case e.draining.Load():
+		r.Code = api.CodeDraining
+		r.Message = "this entry instance is stopping; the step goes on at another"
 	}
 	r.NotRun = api.NotRunUnknown
 	return r
@@ -237,6 +254,15 @@
 	return func() { s.end(key, mine) }, true
 }
 
+// handOver cancels all sessions, whose trainers then go to another entry.
+func (s *sessions) handOver() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, running := range s.running {
+		running.cancel()
+	}
+}
+
 func (s *sessions) end(key sessionKey, mine *session) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/service/entry/tablesync.go
+++ b/service/entry/tablesync.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mulberryscale.example/api"
+	"mulberryscale.example/membership"
 	"mulberryscale.example/platform"
 	"mulberryscale.example/tablestore"
 	"mulberryscale.example/tablesync"
@@ -44,9 +45,12 @@
 	return t
 }
 
+// entries are the neighbours among the other entries, whose connections are
+// kept. An entry that is nobody's neighbour learns of a version from the headers
+// of its own exchanges.
 func (t *tableSync) entries() []tablesync.Peer {
 	var peers []tablesync.Peer
-	for _, in := range t.e.view.Entries() {
+	for _, in := range membership.Neighbours(t.e.cfg.ID, t.e.view.Entries(), gossipPeers) {
 		peers = append(peers, tablesync.Peer{ID: in.ID, Addr: in.Addr})
 	}
 	return peers
--- /dev/null
+++ b/transport/quictransport/idle_bench_test.go
@@ -0,0 +1,105 @@
+package quictransport
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"mulberryscale.example/keys"
+	"mulberryscale.example/transport"
+)
+
+// BenchmarkIdleConnections is what idle connections with one open stream each
+// cost a second, both ends together, by connections. Run it with -benchtime=1x.
+func BenchmarkIdleConnections(b *testing.B) {
+	for _, n := range []int{8, 16, 32, 64} {
+		b.Run(fmt.Sprintf("connections=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				idleConnections(b, n)
+			}
+		})
+	}
+}
+
+func idleConnections(b *testing.B, n int) {
+	const watched = 4 * time.Second
+	ctx, cancel := context.WithCancel(b.Context())
+	defer cancel()
+	authority, d := benchDialer(b)
+	defer d.Close()
+	for i := range n {
+		addr := benchListen(ctx, b, authority, fmt.Sprintf("agent-%d", i))
+		s, err := d.Open(ctx, addr)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if err := s.Send([]byte("watch")); err != nil {
+			b.Fatal(err)
+		}
+	}
+	time.Sleep(8 * time.Second) // path MTU discovery is over
+	sent, cpu := d.bytes(), processorTime(b)
+	time.Sleep(watched)
+	b.ReportMetric(float64(d.bytes()-sent)/watched.Seconds(), "B/s")
+	b.ReportMetric(float64(processorTime(b)-cpu)/1e3/watched.Seconds(), "cpu-us/s")
+}
+
+// BenchmarkHandshake is one new connection with one exchange, both ends.
+func BenchmarkHandshake(b *testing.B) {
+	authority, first := benchDialer(b)
+	defer first.Close()
+	ctx, cancel := context.WithCancel(b.Context())
+	defer cancel()
+	addr := benchListen(ctx, b, authority, "agent-1")
+	source, err := authority.Source("entry-1")
+	if err != nil {
+		b.Fatal(err)
+	}
+	var sent uint64
+	cpu := processorTime(b)
+	for b.Loop() {
+		d := NewDialer(source).(*dialer)
+		s, err := d.Open(ctx, addr)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if err := s.Send([]byte("watch")); err != nil {
+			b.Fatal(err)
+		}
+		sent += d.bytes()
+		d.Close()
+	}
+	b.ReportMetric(float64(sent)/float64(b.N), "B/handshake")
+	b.ReportMetric(float64(processorTime(b)-cpu)/1e3/float64(b.N), "cpu-us/handshake")
+}
+
+func benchDialer(b *testing.B) (*keys.Authority, *dialer) {
+	authority, err := keys.NewDevAuthority()
+	if err != nil {
+		b.Fatal(err)
+	}
+	source, err := authority.Source("entry-1")
+	if err != nil {
+		b.Fatal(err)
+	}
+	return authority, NewDialer(source).(*dialer)
+}
+
+// benchListen serves streams that are read and answered never, until ctx ends.
+func benchListen(ctx context.Context, b *testing.B, authority *keys.Authority, id string) string {
+	source, err := authority.Source(id)
+	if err != nil {
+		b.Fatal(err)
+	}
+	l, err := Listen("127.0.0.1:0", source)
+	if err != nil {
+		b.Fatal(err)
+	}
+	context.AfterFunc(ctx, func() { l.Close() })
+	go l.Serve(ctx, func(ctx context.Context, s transport.Stream) {
+		drain(s)
+		<-ctx.Done()
+	})
+	return l.Addr()
+}
--- a/weights/fetch.go
+++ b/weights/fetch.go
@@ -88,15 +88,20 @@
 	}
 }
 
-// replan looks for other sources since one does not serve the model.
-func (f *fetch) replan(lacking source) {
+// replan looks for other sources since one does not serve the model; false says
+// that it was done too often.
+func (f *fetch) replan(lacking source) bool {
 	f.r.cfg.Peers.Lacks(time.Now(), lacking.peer.ID, f.model)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.replans++; f.replans > maxReplans || !slices.Contains(f.sources, lacking) {
-		return
+	if !slices.Contains(f.sources, lacking) {
+		return true // another part's fetch has done it
+	}
+	if f.replans++; f.replans > maxReplans {
+		return false
 	}
 	f.sources = sourcesOf(f.r.Place(f.model, f.version))
+	return true
 }
 
 // fromAny calls get with one source after another until one succeeds or ctx ends.
@@ -130,8 +135,8 @@
 func (f *fetch) failed(s source, err error) (replanned bool) {
 	f.r.count(func(st *RelayStats) { st.SourceFailures++ })
 	f.r.cfg.Log.WithError(err).WithField(observe.FieldPeer, s.name()).Debug("weights not fetched from a source")
-	if refusal := refusalOf(err); refusal != nil && refusal.Code == api.CodeBadRequest && !s.store {
-		f.replan(s)
+	refusal := refusalOf(err)
+	if refusal != nil && refusal.Code == api.CodeBadRequest && !s.store && f.replan(s) {
 		return true
 	}
 	f.demote(s)
--- a/weights/news.go
+++ b/weights/news.go
@@ -176,7 +176,9 @@
 	req := wire.Request{Gossip: &wire.Gossip{Weights: n.Known()}}
 	err := n.caller.call(ctx, stepNews, addr, req, func(r *wire.Reply) bool {
 		if r.Gossip != nil {
-			n.learnAll(r.Gossip.Weights)
+			for _, p := range r.Gossip.Weights {
+				n.Learn(p.Model, p.Version)
+			}
 		}
 		return true
 	})
@@ -184,15 +186,3 @@
 		n.cfg.Log.WithError(err).Debug("peer not told of weights")
 	}
 }
-
-func (n *News) learnAll(published []wire.Published) {
-	for _, p := range published {
-		n.Learn(p.Model, p.Version)
-	}
-}
-
-// Answer learns from a peer's gossip and returns what is known here.
-func (n *News) Answer(g *wire.Gossip) []wire.Published {
-	n.learnAll(g.Weights)
-	return n.Known()
-}
