--- a/cmd/mulberry-agent/settings.go
+++ b/cmd/mulberry-agent/settings.go
@@ -4,30 +4,22 @@
 	"errors"
 	"time"
 
-	"mulberryscale.example/observe"
+	"mulberryscale.example/daemon/process"
 	"mulberryscale.example/service/agent"
 	"mulberryscale.example/settings"
 	"mulberryscale.example/weights"
 )
 
-// defaultDrainTimeout leaves room for a step that takes the 6 minutes of the
-// longest deadlines.
-const defaultDrainTimeout = 10 * time.Minute
-
 // agentSettings are the program's settings; they hold once set.Check has passed.
 type agentSettings struct {
+	process.Settings
 	set *settings.Set
 
-	id, zone, listen *string
+	listen           *string
 	engine, service  *string
 	services, models *[]string
 	table, weights   *string
 	instances        *string
-	ca, cert, key    *string
-	logLevel         *string
-	logFormat        *string
-	admin            *string
-	adminToken       *string
 
 	reserve, maxQueue  *int
 	serviceConcurrency *int
@@ -35,14 +27,11 @@
 	targetInterval     *time.Duration
 	loadTimeout        *time.Duration
 	swapWindow         *time.Duration
-	drainTimeout       *time.Duration
 }
 
 func newSettings() *agentSettings {
 	set := settings.NewSet("mulberry-agent")
-	s := &agentSettings{set: set}
-	s.id = set.RequiredString("id", "instance id, as in the certificate")
-	s.zone = set.Zone("zone", "availability zone of this instance")
+	s := &agentSettings{set: set, Settings: process.Declare(set)}
 	s.listen = set.IPPort("listen", "127.0.0.1:7100", "address for our processes (UDP)")
 	s.engine = set.URL("engine", "", "address of the model engine")
 	s.service = set.URL("service", "", "address of the plain service")
@@ -51,13 +40,6 @@
 	s.table = set.URL("table-service", "", "address of the table service, for fencing numbers")
 	s.weights = set.URL("weight-store", "", "address of the weight store; none: no orders to load")
 	s.instances = set.URL("instance-list", "", "address of the instance list, to spread weights among agents; none: each agent polls the weight store")
-	s.ca = set.RequiredFile("ca", "certificates of the authorities of our processes, PEM")
-	s.cert = set.RequiredFile("cert", "certificate of this process, PEM")
-	s.key = set.RequiredFile("key", "private key of this process, PEM")
-	s.logLevel = set.Choice("log-level", observe.DefaultLevel, "least level of log lines", "error", "warning", "info", "debug")
-	s.logFormat = set.Choice("log-format", observe.FormatText, "form of log lines", observe.FormatText, observe.FormatJSON)
-	s.admin = set.IPPort("admin", "", "operators' HTTP address; none: no listener")
-	s.adminToken = set.Secret("admin-token", "bearer token of operators' calls")
 	s.declareLimits()
 	set.Rule(s.check)
 	return s
@@ -76,8 +58,6 @@
 	s.swapWindow = set.Duration("swap-window", weights.DefaultSwapWindow, time.Second, time.Hour,
 		"time over which the engines of a rolling swap take turns")
 	s.loadTimeout = set.Duration("load-timeout", agent.DefaultLoadTimeout, time.Second, time.Hour, "how long an engine may load")
-	s.drainTimeout = set.Duration("drain-timeout", defaultDrainTimeout, time.Second, 24*time.Hour,
-		"how long running requests may take to end at a stop")
 }
 
 // check holds over several settings.
--- a/cmd/mulberry-entry/run.go
+++ b/cmd/mulberry-entry/run.go
@@ -9,32 +9,23 @@
 	"time"
 
 	"github.com/gravitational/trace"
-	"github.com/sirupsen/logrus"
 
 	"mulberryscale.example/api"
 	"mulberryscale.example/daemon"
-	"mulberryscale.example/keys"
-	"mulberryscale.example/observe"
+	"mulberryscale.example/daemon/process"
 	"mulberryscale.example/platform/httpplatform"
 	"mulberryscale.example/service/entry"
 	"mulberryscale.example/tablesync"
-	"mulberryscale.example/transport"
-	"mulberryscale.example/transport/quictransport"
 )
 
 // run serves until a signal or an operator asks the entry to stop.
 func run(ctx context.Context, s *entrySettings) error {
-	log, err := observe.NewLogger(observe.LogOptions{Level: *s.logLevel, Format: *s.logFormat})
+	p, err := s.Open(*s.peerListen)
 	if err != nil {
 		return err
 	}
-	counters := observe.NewCounters()
-	peers, err := openPeers(s)
-	if err != nil {
-		return err
-	}
-	defer peers.close(log)
-	e, err := newEntry(s, peers, log, counters)
+	defer p.Close()
+	e, err := newEntry(s, p)
 	if err != nil {
 		return err
 	}
@@ -45,50 +36,20 @@
 	server := &http.Server{
 		Handler: e.Handler(), ReadHeaderTimeout: *s.headerTimeout, IdleTimeout: *s.idleTimeout,
 	}
-	return daemon.Run(ctx, daemon.Program{
-		Name:         *s.id,
-		Log:          log,
-		Counters:     counters,
-		AdminAddr:    *s.admin,
-		AdminToken:   *s.adminToken,
-		Routes:       []daemon.Route{{Pattern: "GET " + api.PathStatus, Handler: statusHandler(e)}},
-		DrainTimeout: *s.unreadyDelay + *s.drainTimeout,
-		Serve:        func(ctx context.Context) error { return serve(ctx, e, server, callers) },
-		Drain:        func(ctx context.Context) error { return drain(ctx, e, server, *s.unreadyDelay) },
-		Ready:        e.Ready,
-	})
-}
-
-// peers are the entry's ends of our own transport.
-type peers struct {
-	listener transport.Listener
-	dialer   transport.Dialer
-}
-
-func openPeers(s *entrySettings) (*peers, error) {
-	source, err := keys.LoadFiles(*s.ca, *s.cert, *s.key)
-	if err != nil {
-		return nil, trace.Wrap(err, "keys")
-	}
-	listener, err := quictransport.Listen(*s.peerListen, source)
-	if err != nil {
-		return nil, trace.Wrap(err, "listen on %s", *s.peerListen)
-	}
-	return &peers{listener: listener, dialer: quictransport.NewDialer(source)}, nil
-}
-
-// close tells the other processes at once that this incarnation has gone.
-func (p *peers) close(log *logrus.Logger) {
-	if err := errors.Join(p.listener.Close(), p.dialer.Close()); err != nil {
-		log.WithError(err).Warn("connections not closed in order")
-	}
+	program := s.Program(p)
+	program.Routes = []daemon.Route{{Pattern: "GET " + api.PathStatus, Handler: statusHandler(e)}}
+	program.DrainTimeout += *s.unreadyDelay
+	program.Serve = func(ctx context.Context) error { return serve(ctx, e, server, callers) }
+	program.Drain = func(ctx context.Context) error { return drain(ctx, e, server, *s.unreadyDelay) }
+	program.Ready = e.Ready
+	return daemon.Run(ctx, program)
 }
 
-func newEntry(s *entrySettings, p *peers, log *logrus.Logger, counters *observe.Counters) (*entry.Entry, error) {
+func newEntry(s *entrySettings, p *process.Process) (*entry.Entry, error) {
 	return entry.New(entry.Config{
-		ID: *s.id, Zone: *s.zone, Listener: p.listener, Dialer: p.dialer,
+		ID: *s.ID, Zone: *s.Zone, Listener: p.Listener, Dialer: p.Dialer,
 		Holder: tablesync.NewHolder(), Instances: httpplatform.NewInstances(*s.instances),
-		Table: httpplatform.NewTable(*s.table), Counters: counters, Log: log,
+		Table: httpplatform.NewTable(*s.table), Counters: p.Counters, Log: p.Log,
 		Subset: *s.subset, Linger: *s.linger, MaxBody: *s.maxBody,
 	})
 }
--- a/cmd/mulberry-entry/settings.go
+++ b/cmd/mulberry-entry/settings.go
@@ -3,29 +3,20 @@
 import (
 	"time"
 
+	"mulberryscale.example/daemon/process"
 	"mulberryscale.example/membership"
-	"mulberryscale.example/observe"
 	"mulberryscale.example/rollout"
 	"mulberryscale.example/service/entry"
 	"mulberryscale.example/settings"
 )
 
-// defaultDrainTimeout leaves room for a step that takes the 6 minutes of the
-// longest deadlines.
-const defaultDrainTimeout = 10 * time.Minute
-
 // entrySettings are the program's settings; they hold once set.Check has passed.
 type entrySettings struct {
+	process.Settings
 	set *settings.Set
 
-	id, zone           *string
 	listen, peerListen *string
 	table, instances   *string
-	ca, cert, key      *string
-	logLevel           *string
-	logFormat          *string
-	admin              *string
-	adminToken         *string
 
 	subset        *int
 	maxBody       *int64
@@ -33,25 +24,15 @@
 	headerTimeout *time.Duration
 	idleTimeout   *time.Duration
 	unreadyDelay  *time.Duration
-	drainTimeout  *time.Duration
 }
 
 func newSettings() *entrySettings {
 	set := settings.NewSet("mulberry-entry")
-	s := &entrySettings{set: set}
-	s.id = set.RequiredString("id", "instance id, as in the certificate")
-	s.zone = set.Zone("zone", "availability zone of this instance")
+	s := &entrySettings{set: set, Settings: process.Declare(set)}
 	s.listen = set.IPPort("listen", "127.0.0.1:8080", "address for callers and trainers (TCP)")
 	s.peerListen = set.IPPort("peer-listen", "127.0.0.1:7000", "address for our processes (UDP)")
 	s.table = set.RequiredURL("table-service", "address of the table service")
 	s.instances = set.RequiredURL("instance-list", "address of the instance list")
-	s.ca = set.RequiredFile("ca", "certificates of the authorities of our processes, PEM")
-	s.cert = set.RequiredFile("cert", "certificate of this process, PEM")
-	s.key = set.RequiredFile("key", "private key of this process, PEM")
-	s.logLevel = set.Choice("log-level", observe.DefaultLevel, "least level of log lines", "error", "warning", "info", "debug")
-	s.logFormat = set.Choice("log-format", observe.FormatText, "form of log lines", observe.FormatText, observe.FormatJSON)
-	s.admin = set.IPPort("admin", "", "operators' HTTP address; none: no listener")
-	s.adminToken = set.Secret("admin-token", "bearer token of operators' calls")
 	s.declareLimits()
 	return s
 }
@@ -67,6 +48,4 @@
 	s.idleTimeout = set.Duration("idle-timeout", time.Minute, time.Second, time.Hour, "how long an idle connection is kept")
 	s.unreadyDelay = set.Duration("unready-delay", 2*time.Second, 0, time.Minute,
 		"how long this entry shows itself unready before it drains, for the balancer to notice")
-	s.drainTimeout = set.Duration("drain-timeout", defaultDrainTimeout, time.Second, 24*time.Hour,
-		"how long running requests may take to end at a stop")
 }
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -16,8 +16,9 @@
 )
 
 // DefaultDrainTimeout bounds a drain whose Program names no other time. It
-// leaves room for the longest streams.
-const DefaultDrainTimeout = 5 * time.Minute
+// leaves time for a step in progress: trainers' deadlines are 6 minutes unless
+// their rows say otherwise.
+const DefaultDrainTimeout = 10 * time.Minute
 
 // stopTimeout is how long Serve may take to return once its context has ended.
 const stopTimeout = 10 * time.Second
