Agents send the text of samples and whole answers in fewer, larger chunks

Cause: docs/CAPACITY.md puts the data path at 11.4 ms of processor time a request; every chunk of an engine (4 tokens in the stand-in) became a message of its own, encoded, encrypted and decoded, although nobody reads a sample before it is whole.

Change: a run names the least time between two chunks (wire.Run.ChunkInterval): 200 ms for samples, 100 ms for answers that callers get whole, none for streamed ones. The first chunk is sent at once, the end at once. The mover's window grows from 0.4 s to 0.8 s, since pace is now seen every 200 ms.

Ruled out: dropping chunks altogether (a lost agent would cost all of a long sample, and slow engines could not be told from fast ones).

The capacity page's path_cpu is of streamed completions and stays as it is.

--- a/rollout/move.go
+++ b/rollout/move.go
@@ -19,7 +19,7 @@
 	// moveInterval is how often running samples are looked at.
 	moveInterval = 200 * time.Millisecond
 	// paceWindow is the least time over which a leg's pace is taken.
-	paceWindow = 400 * time.Millisecond
+	paceWindow = 800 * time.Millisecond
 	// moveGain is how many times faster the other engine must be.
 	moveGain = 1.5
 	// mostMoves bounds the moves of one sample.
--- a/rollout/task.go
+++ b/rollout/task.go
@@ -23,6 +23,9 @@
 	firstDelay    = 20 * time.Millisecond
 	mostDelay     = time.Second
 	attachTimeout = 500 * time.Millisecond
+	// chunkInterval spaces the chunks of a sample: a trainer waits for whole
+	// samples, and what is lost with an agent is generated again.
+	chunkInterval = 200 * time.Millisecond
 )
 
 // StepSample is the step named in refusals of samples.
@@ -225,7 +228,7 @@
 	return &wire.Run{
 		RunID: uuid.NewString(), Key: t.key, Row: t.s.row.Name, Class: wire.ClassTraining,
 		Budget: t.s.row.Deadline, Linger: t.s.Linger, MinVersion: t.s.minVersion,
-		ExpectedTokens: t.remaining(),
+		ExpectedTokens: t.remaining(), ChunkInterval: chunkInterval,
 		Generate: &wire.Generate{
 			Model: t.s.row.Model, Prompt: t.req.Prompt, MaxTokens: t.req.MaxTokens,
 			Temperature: t.req.Temperature, Seed: t.req.Seed,
--- a/service/agent/run.go
+++ b/service/agent/run.go
@@ -20,7 +20,7 @@
 		return
 	}
 	defer func() { reader.Close(time.Now()) }()
-	a.stream(ctx, s, req.Row, reader)
+	a.stream(ctx, s, req, reader)
 }
 
 func (a *Agent) countAnswering(n int) {
@@ -30,7 +30,13 @@
 	a.settled.Fire()
 }
 
-func (a *Agent) stream(ctx context.Context, s transport.Stream, row string, reader *results.Reader) {
+// mostChunkInterval bounds what a request may ask for.
+const mostChunkInterval = time.Second
+
+// stream passes a run on until its end.
+func (a *Agent) stream(ctx context.Context, s transport.Stream, req *wire.Run, reader *results.Reader) {
+	interval := min(req.ChunkInterval, mostChunkInterval)
+	row := req.Row
 	for {
 		event, err := reader.Next(ctx)
 		switch {
@@ -48,6 +54,9 @@
 		if a.reply(s, &wire.Reply{Chunk: event.Chunk}) != nil {
 			return
 		}
+		if interval > 0 {
+			reader.Pause(ctx, interval)
+		}
 	}
 }
 
--- a/service/entry/run.go
+++ b/service/entry/run.go
@@ -23,6 +23,10 @@
 	mostDelay  = 500 * time.Millisecond
 )
 
+// wholeAnswerInterval spaces the chunks of an answer that the caller gets as a
+// whole; they only serve to go on elsewhere after a failure.
+const wholeAnswerInterval = 100 * time.Millisecond
+
 // call is one interactive request on its way to an endpoint.
 type call struct {
 	row *table.Row
@@ -124,6 +128,9 @@
 	run.Budget = budgetOf(ctx)
 	run.NonIdempotent = !c.idempotent
 	run.Generate = resumed(c.work.Generate, &c.progress)
+	if c.onText == nil {
+		run.ChunkInterval = wholeAnswerInterval
+	}
 	done, err := e.client.Run(ctx, agent, &run, func(chunk *wire.Chunk) {
 		c.progress.Add(chunk)
 		if c.onText != nil {
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -71,6 +71,9 @@
 	ExpectedTokens int `cbor:"12,keyasint,omitempty"`
 	// NonIdempotent marks a run that is sent to the endpoint at most once.
 	NonIdempotent bool `cbor:"13,keyasint,omitempty"`
+	// ChunkInterval is the least time between two chunks after the first; the
+	// text of more is sent as one. 0 sends each as it comes.
+	ChunkInterval time.Duration `cbor:"14,keyasint,omitempty"`
 }
 
 // Generate is a completion on a model engine, perhaps resumed after a prefix.
