Running samples make room for waiting interactive requests; no slots in reserve

Cause: an engine admits what arrives and knows no priorities, so a lookup beside saturated trainers waited for the end of a sample.

Change: when interactive requests wait and no slot is free, the agent ends as many running samples, the youngest first, as are needed; a quarter of the slots stays with training. The entry goes on with the sample's text where there is room (reason `preempted`, retry `preempt`, no delay, no budget).

--- /dev/null
+++ b/admission/preempt_test.go
@@ -0,0 +1,55 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"mulberryscale.example/wire"
+)
+
+// TestPreemptNeedsAndFloor: as many samples make room as interactive requests
+// wait for, and never those that training's floor keeps.
+func TestPreemptNeedsAndFloor(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(0, 0)
+		slots := rapid.IntRange(1, 16).Draw(t, "slots")
+		training := rapid.IntRange(0, slots).Draw(t, "training")
+		interactive := rapid.IntRange(0, 24).Draw(t, "interactive")
+		q := New(Options{})
+		q.SetSlots(slots)
+		always := func(string) bool { return true }
+		push(t, q, now, wire.ClassTraining, training)
+		for range training {
+			q.Pop(now, always)
+		}
+		push(t, q, now, wire.ClassInteractive, interactive)
+		started := 0
+		for next, _ := q.Pop(now, always); next != nil; next, _ = q.Pop(now, always) {
+			started++
+		}
+		preempting := rapid.IntRange(0, training).Draw(t, "preempting")
+		got := q.Preempt(preempting)
+		waiting := interactive - started
+		if got > max(waiting-preempting, 0) {
+			t.Fatalf("%d make room for %d that wait, with %d on their way", got, waiting, preempting)
+		}
+		left := training - preempting - got
+		floor := max(slots/trainingFloor, 1)
+		if got > 0 && left < floor {
+			t.Fatalf("training keeps %d slots, want %d", left, floor)
+		}
+		if waiting > preempting && left > floor && got < waiting-preempting {
+			t.Fatalf("%d make room although %d more could and %d wait", got, left-floor, waiting)
+		}
+	})
+}
+
+func push(t *rapid.T, q *Queue, now time.Time, c wire.Class, n int) {
+	for range n {
+		if refusal := q.Push(now, &Item{Row: "row", Class: c, Tokens: 1}); refusal != nil {
+			t.Fatal(refusal)
+		}
+	}
+}
--- a/api/refusal.go
+++ b/api/refusal.go
@@ -71,6 +71,7 @@
 	CodeRetryBudget      Code = "retry_budget"      // retries would exceed their budget
 	CodeNoTable          Code = "no_table"          // no table version is known yet
 	CodeScorerFailed     Code = "scorer_failed"     // the scoring service failed
+	CodePreempted        Code = "preempted"         // a sample made room for an interactive request
 	CodeTransport        Code = "transport"         // a connection between our processes failed
 	CodeInternal         Code = "internal"          // a fault of ours
 )
@@ -144,6 +145,7 @@
 	CodeRetryBudget:      http.StatusServiceUnavailable,
 	CodeNoTable:          http.StatusServiceUnavailable,
 	CodeScorerFailed:     http.StatusBadGateway,
+	CodePreempted:        http.StatusServiceUnavailable,
 	CodeTransport:        http.StatusBadGateway,
 	CodeInternal:         http.StatusInternalServerError,
 }
--- a/cmd/mulberry-agent/run.go
+++ b/cmd/mulberry-agent/run.go
@@ -55,9 +55,6 @@
 		LoadTimeout:        *s.loadTimeout,
 		SwapWindow:         *s.swapWindow,
 	}
-	if *s.reserve == 0 {
-		cfg.InteractiveReserve = agent.NoReserve
-	}
 	connect(s, &cfg)
 	return agent.New(cfg)
 }
--- a/cmd/mulberry-agent/settings.go
+++ b/cmd/mulberry-agent/settings.go
@@ -47,8 +47,8 @@
 
 func (s *agentSettings) declareLimits() {
 	set := s.set
-	s.reserve = set.Int("interactive-reserve", agent.DefaultInteractiveReserve, 0, 1024,
-		"slots kept free of training while interactive rows are active")
+	s.reserve = set.Int("interactive-reserve", 0, 0, 1024,
+		"slots kept free of training while interactive rows are active, besides preemption")
 	s.maxQueue = set.Int("max-queue", agent.DefaultMaxQueue, 1, 1<<20, "waiting requests of all rows")
 	s.serviceConcurrency = set.Int("service-concurrency", agent.DefaultServiceConcurrency, 1, 1<<16,
 		"calls of the plain service that run at once")
--- a/observe/names.go
+++ b/observe/names.go
@@ -39,6 +39,9 @@
 	// NameOrdersFailed counts orders that failed or whose replies were lost;
 	// the row is empty.
 	NameOrdersFailed Name = "agent_orders_failed"
+	// NamePreempted counts running samples, by row, that made room for
+	// interactive requests.
+	NamePreempted Name = "agent_preempted"
 	// NameAgent is a gauge: the agent's report (queue depths by row, slots,
 	// versions in force), the phase of each model, the table's version and the
 	// bytes of kept results.
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -24,6 +24,7 @@
 	ReasonAttach      Reason = "attach"      // asks again for a run that may still go on
 	ReasonMove        Reason = "move"        // moved off a slow endpoint
 	ReasonPark        Reason = "park"        // made room for samples that had not begun
+	ReasonPreempt     Reason = "preempt"     // made room for an interactive request
 	ReasonScorer      Reason = "scorer"      // the scoring service failed
 	ReasonUnfinished  Reason = "unfinished"  // resumed after a prefix
 	ReasonReadBack    Reason = "read_back"   // a write's outcome is read back
@@ -33,7 +34,7 @@
 // Reasons lists all reasons.
 func Reasons() []Reason {
 	return []Reason{
-		ReasonRefused, ReasonBroken, ReasonEndpoint, ReasonStale, ReasonAttach, ReasonMove, ReasonPark,
+		ReasonRefused, ReasonBroken, ReasonEndpoint, ReasonStale, ReasonAttach, ReasonMove, ReasonPark, ReasonPreempt,
 		ReasonScorer, ReasonUnfinished, ReasonReadBack, ReasonUnreachable,
 	}
 }
@@ -44,7 +45,7 @@
 func Repeatable(r *api.Refusal, idempotent bool) bool {
 	switch r.Code {
 	case api.CodeQueueFull, api.CodeDraining, api.CodeNoEndpoint, api.CodeStale,
-		api.CodeTransport, api.CodeEndpointFailed, api.CodeWrongIncarnation, api.CodeCancelled:
+		api.CodeTransport, api.CodeEndpointFailed, api.CodeWrongIncarnation, api.CodeCancelled, api.CodePreempted:
 		return idempotent || r.NotRun == api.NotRunTrue
 	}
 	return false
--- a/rollout/task.go
+++ b/rollout/task.go
@@ -114,6 +114,9 @@
 			return nil, refusal
 		}
 		t.count(refusal)
+		if refusal.Code == api.CodePreempted {
+			continue // the engine is sound, and the placer waits for a free slot
+		}
 		if t.progress.Tokens() > before {
 			delays.Reset()
 		}
@@ -153,7 +156,7 @@
 	if refusal.Code == api.CodeTransport && refusal.NotRun != api.NotRunTrue {
 		done, refusal = t.reattach(ctx, last, refusal)
 	}
-	if refusal != nil {
+	if refusal != nil && refusal.Code != api.CodePreempted {
 		t.avoid = map[string]bool{last.ID: true}
 	}
 	return done, refusal
@@ -277,6 +280,7 @@
 }
 
 var reasonByCode = map[api.Code]retry.Reason{
+	api.CodePreempted:      retry.ReasonPreempt,
 	api.CodeTransport:      retry.ReasonBroken,
 	api.CodeEndpointFailed: retry.ReasonEndpoint,
 	api.CodeStale:          retry.ReasonStale,
--- a/scripts/local.sh
+++ b/scripts/local.sh
@@ -54,7 +54,8 @@
     service) printf '%s\n' $standin service --id service --listen $HOST:9201 ;;
     scorer) printf '%s\n' $standin scorer --id scorer --listen $HOST:9202 ;;
     agent-[123]) printf '%s\n' $BIN/mulberry-agent $(common "$1") --listen "$HOST:710${1#agent-}" --admin "$HOST:711${1#agent-}" \
-      --engine "http://$HOST:910${1#agent-}" --weight-store http://$WEIGHTS --target-interval 1s ;;
+      --engine "http://$HOST:910${1#agent-}" --models guide --weight-store http://$WEIGHTS \
+      --instance-list http://$INSTANCES --target-interval 1s ;;
     agent-service) printf '%s\n' $BIN/mulberry-agent $(common "$1") --listen $HOST:7104 --admin $HOST:7114 \
       --service http://$HOST:9201 --services listings,bookings ;;
     agent-scorer) printf '%s\n' $BIN/mulberry-agent $(common "$1") --listen $HOST:7105 --admin $HOST:7115 \
--- a/service/agent/config.go
+++ b/service/agent/config.go
@@ -17,7 +17,6 @@
 // Defaults of Config.
 const (
 	DefaultServiceConcurrency = 64
-	DefaultInteractiveReserve = 1
 	DefaultMaxQueue           = 1024
 	DefaultMaxRequestBytes    = 4 << 20
 	DefaultMaxAnswerBytes     = 8 << 20
@@ -36,9 +35,6 @@
 	DefaultRetryAfter         = time.Second
 )
 
-// NoReserve as Config.InteractiveReserve keeps no slots for interactive rows.
-const NoReserve = -1
-
 // Config is what an agent is made of. Zero values of durations and limits mean
 // their defaults.
 type Config struct {
@@ -74,8 +70,10 @@
 	Seed uint64
 
 	// InteractiveReserve is how many slots stay free of training while
-	// interactive rows are active; NoReserve for none.
+	// interactive rows are active, on top of what preemption gives them.
 	InteractiveReserve int
+	// NoPreemption lets interactive requests wait for the end of a sample.
+	NoPreemption bool
 	// MaxQueue bounds the waiting requests of all rows.
 	MaxQueue int
 	// ServiceConcurrency is how many calls of a plain service run at once.
@@ -146,7 +144,6 @@
 	if c.Counters == nil {
 		c.Counters = observe.NewCounters()
 	}
-	setInt(&c.InteractiveReserve, DefaultInteractiveReserve)
 	c.InteractiveReserve = max(c.InteractiveReserve, 0)
 	setInt(&c.MaxQueue, DefaultMaxQueue)
 	setInt(&c.ServiceConcurrency, DefaultServiceConcurrency)
--- a/service/agent/endpointrun.go
+++ b/service/agent/endpointrun.go
@@ -122,6 +122,8 @@
 		return a.refuse(api.CodeDeadline, notRun, stepRun, "the deadline passed during the run")
 	case errors.Is(cause, errUnwanted):
 		return a.refuse(api.CodeCancelled, notRun, stepRun, cause.Error())
+	case errors.Is(cause, errPreempted):
+		return a.refuseRetry(api.CodePreempted, notRun, stepRun, cause.Error())
 	case errors.Is(cause, errStalled):
 		return a.refuseRetry(api.CodeEndpointFailed, notRun, stepRun, cause.Error())
 	case j.req.NonIdempotent && notRun == api.NotRunUnknown:
--- a/service/agent/job.go
+++ b/service/agent/job.go
@@ -24,8 +24,12 @@
 	cancel context.CancelCauseFunc
 	timer  *time.Timer // fires at the deadline
 	queued time.Time   // when it arrived
-	// deadline is guarded by the agent's lock.
+	// The rest is guarded by the agent's lock.
 	deadline time.Time
+	// started is when it got a slot, zero before; preempted says that it was
+	// told to give it up.
+	started   time.Time
+	preempted bool
 }
 
 // Causes for which a job's context ends.
@@ -109,8 +113,11 @@
 		item, expired := a.queue.Pop(time.Now(), a.modelReady)
 		if item != nil {
 			j := item.Value.(*job)
+			j.started = time.Now()
 			a.engine.count(item.Model, 1)
 			a.tasks.Go(func() { a.execute(j) })
+		} else {
+			a.preempt()
 		}
 		a.mu.Unlock()
 		for _, it := range expired {
