--- a/internal/capacity/bench_test.go
+++ b/internal/capacity/bench_test.go
@@ -1,23 +1,22 @@
 package capacity
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"runtime"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
 	"mulberryscale.example/api"
 	"mulberryscale.example/endpoint"
 	"mulberryscale.example/endpoint/httpendpoint"
+	"mulberryscale.example/internal/benchmeter"
+	"mulberryscale.example/internal/caller"
 	"mulberryscale.example/internal/deployment"
 	"mulberryscale.example/internal/standin/engine"
 	"mulberryscale.example/observe"
@@ -34,14 +33,18 @@
 	benchRequests = 100 // of each caller
 )
 
-func startBench(b *testing.B, fabric deployment.Fabric, o engine.Options) *deployment.Deployment {
+// startBench starts entries and, for each of the options, an engine with its agent.
+func startBench(b *testing.B, fabric deployment.Fabric, entries int, engines ...engine.Options) *deployment.Deployment {
 	b.Helper()
-	o.ID, o.Models = "engine-1", map[string]uint64{"guide": 1}
-	d, err := deployment.Start(b.Context(), deployment.Options{
-		Fabric: fabric, Table: benchTable, Log: observe.Discard(), Seed: 1,
-		Entries: []deployment.EntrySpec{{Zone: "patan", ID: "entry-1"}},
-		Engines: []deployment.EngineSpec{{Zone: "patan", Options: o}},
-	})
+	opts := deployment.Options{Fabric: fabric, Table: benchTable, Log: observe.Discard(), Seed: 1}
+	for i := range entries {
+		opts.Entries = append(opts.Entries, deployment.EntrySpec{Zone: "patan", ID: fmt.Sprintf("entry-%d", i)})
+	}
+	for i, o := range engines {
+		o.ID, o.Models = fmt.Sprintf("engine-%d", i), map[string]uint64{"guide": 1}
+		opts.Engines = append(opts.Engines, deployment.EngineSpec{Zone: "patan", Options: o})
+	}
+	d, err := deployment.Start(b.Context(), opts)
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -72,7 +75,7 @@
 		b.Fatal(err)
 	}
 	defer fabric.Close()
-	d := startBench(b, fabric, engine.Options{Slots: benchCallers, TokenTime: 500 * time.Microsecond})
+	d := startBench(b, fabric, 1, engine.Options{Slots: benchCallers, TokenTime: 500 * time.Microsecond})
 	defer d.Close()
 	url := d.EntryURLs()[0] + api.PathCompletions
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: benchCallers}}
@@ -99,7 +102,7 @@
 // cpuOfCalls is the processor time of this process for one call, in microseconds.
 func cpuOfCalls(b *testing.B, call func(i int) error) float64 {
 	var callers sync.WaitGroup
-	before := processorTime(b)
+	before := benchmeter.ProcessorTime(b)
 	for c := range benchCallers {
 		callers.Go(func() {
 			for i := range benchRequests {
@@ -111,7 +114,7 @@
 		})
 	}
 	callers.Wait()
-	return float64(processorTime(b)-before) / 1e3 / (benchCallers * benchRequests)
+	return benchmeter.Micros(b, before, benchCallers*benchRequests)
 }
 
 func callEntry(ctx context.Context, client *http.Client, url string, tokens, i int) error {
@@ -119,19 +122,12 @@
 	if err != nil {
 		return err
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	answer, err := caller.Do(ctx, client, caller.Call{URL: url, Body: body})
 	if err != nil {
 		return err
 	}
-	resp, err := client.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return errors.New(resp.Status)
-	}
-	_, err = io.Copy(io.Discard, resp.Body)
+	defer answer.Close()
+	_, err = io.Copy(io.Discard, answer)
 	return err
 }
 
@@ -170,9 +166,9 @@
 func stepMemory(b *testing.B, n int) float64 {
 	fabric := deployment.NewMemory()
 	defer fabric.Close()
-	d := startBench(b, fabric, engine.Options{Slots: 1, TokenTime: time.Hour})
+	d := startBench(b, fabric, 1, engine.Options{Slots: 1, TokenTime: time.Hour})
 	defer d.Close()
-	before := memoryInUse()
+	before := benchmeter.MemoryInUse()
 	client, err := trainer.New(trainer.Config{Row: "training", Entries: d.EntryURLs(), HTTP: fabric.Client()})
 	if err != nil {
 		b.Fatal(err)
@@ -188,7 +184,7 @@
 		_, _ = client.RunStep(ctx, trainer.Step{Name: "1", Version: 1, Samples: samples}, func(api.Sample) error { return nil })
 	}()
 	time.Sleep(2 * time.Second) // all samples are placed or wait
-	used := memoryInUse() - before
+	used := benchmeter.MemoryInUse() - before
 	cancel()
 	<-ended
 	return float64(used)
@@ -219,43 +215,11 @@
 }
 
 func nodeMemory(b *testing.B, entries, agents int) float64 {
-	before := memoryInUse()
+	before := benchmeter.MemoryInUse()
 	fabric := deployment.NewMemory()
 	defer fabric.Close()
-	opts := deployment.Options{Fabric: fabric, Table: benchTable, Log: observe.Discard(), Seed: 1}
-	for i := range entries {
-		opts.Entries = append(opts.Entries, deployment.EntrySpec{Zone: "patan", ID: fmt.Sprintf("entry-%d", i)})
-	}
-	for i := range agents {
-		o := engine.Options{ID: fmt.Sprintf("engine-%d", i), Models: map[string]uint64{"guide": 1}}
-		opts.Engines = append(opts.Engines, deployment.EngineSpec{Zone: "patan", Options: o})
-	}
-	d, err := deployment.Start(b.Context(), opts)
-	if err != nil {
-		b.Fatal(err)
-	}
+	d := startBench(b, fabric, entries, make([]engine.Options, agents)...)
 	defer d.Close()
-	ready, cancel := context.WithTimeout(b.Context(), 10*time.Second)
-	defer cancel()
-	if err := d.AwaitReady(ready); err != nil {
-		b.Fatal(err)
-	}
 	time.Sleep(time.Second)
-	return float64(memoryInUse() - before)
-}
-
-func memoryInUse() int64 {
-	runtime.GC()
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return int64(m.HeapAlloc + m.StackInuse)
-}
-
-func processorTime(b *testing.B) time.Duration {
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		b.Fatal(err)
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+	return float64(benchmeter.MemoryInUse() - before)
 }
--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -37,7 +37,7 @@
 var needed = []string{
 	"report_size", "report_quic_size", "report_quic_cpu", "report_take_cpu", "connection_bytes", "connection_cpu",
 	"connection_memory", "exchange_size", "exchange_cpu", "list_size", "list_cpu", "subset_cpu", "spread_cpu",
-	"spread_time", "spread_notices", "step_memory", "results_memory", "admit_cpu", "pick_cpu", "queue_cpu",
+	"spread_time", "spread_notices", "step_memory", "results_memory", "waiting_memory", "admit_cpu", "pick_cpu", "queue_cpu",
 	"claims_per_commit", "path_cpu", "call_cpu", "entry_memory", "agent_memory",
 }
 
@@ -163,7 +163,7 @@
 	watchers := m.watchers()
 	interval := weights.ListInterval(m.d.Agents).Seconds()
 	poll := Line{What: "engine's status", Mechanism: "HTTP on the same instance, twice a second", Messages: 2 * pollsPerSecond, CPU: pollsPerSecond * m.s.at("call_cpu", 0)}
-	queue := Line{What: "queue and kept results", Mechanism: "bounded queue (admission), results until confirmed (results)", Memory: m.s.at("results_memory", float64(m.d.EngineSlots+m.d.QueuedAtAgent))}
+	queue := Line{What: "running and waiting requests", Mechanism: "bounded queue (admission), runs kept by key (results)", Memory: m.s.at("results_memory", float64(m.d.EngineSlots)) + m.s.at("waiting_memory", float64(m.d.QueuedAtAgent))}
 	return []Line{
 		{What: "idle process", Mechanism: "heap and stacks of an agent, the stand-in engine's included", Memory: m.s.byName["agent_memory"].PerUnit},
 		m.connections(watchers, "QUIC, one connection from each watching entry"),
--- a/membership/news_test.go
+++ b/membership/news_test.go
@@ -8,11 +8,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"mulberryscale.example/platform"
-	"mulberryscale.example/transport"
-	"mulberryscale.example/transport/memtransport"
 	"mulberryscale.example/wire"
 )
 
@@ -91,31 +87,20 @@
 // before the list is read again.
 func TestHeardAgentIsWatched(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		network := memtransport.NewNetwork()
 		ctx, cancel := context.WithCancel(t.Context())
 		var running sync.WaitGroup
 		defer running.Wait()
 		defer cancel()
 		agents := instanceList(0, 2, 1)
-		for i := range agents {
-			l, err := network.Listen(transport.PeerID(agents[i].ID), "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			agents[i].Addr = l.Addr()
-			running.Go(func() { _ = l.Serve(ctx, serveReports(agents[i].ID)) })
-		}
-		log := logrus.New()
-		log.SetLevel(logrus.PanicLevel)
-		view := NewView()
-		w := NewWatcher(WatcherConfig{EntryID: "entry-1", Zone: "zone-00", View: view, Dialer: network.Dialer("entry-1"), List: fixedList(agents[:1]),
-			Header: func() wire.Header { return wire.Header{From: "entry-1"} }, ListInterval: time.Hour, Log: log})
+		cfg := watcherConfig(serveAgents(ctx, t, &running, agents), agents[:1])
+		cfg.ListInterval = time.Hour
+		w := NewWatcher(cfg)
 		running.Go(func() { w.Run(ctx) })
 		time.Sleep(time.Second)
 		in := agents[1]
 		w.Hear([]wire.Member{{ID: in.ID, Role: in.Role, Zone: in.Zone, Addr: in.Addr}})
 		time.Sleep(time.Second)
-		if a := view.Snapshot().Agent(in.ID); a == nil || a.State != StateLive {
+		if a := cfg.View.Snapshot().Agent(in.ID); a == nil || a.State != StateLive {
 			t.Errorf("the agent heard of is %+v", a)
 		}
 	})
--- a/membership/watcher_bench_test.go
+++ b/membership/watcher_bench_test.go
@@ -3,14 +3,13 @@
 import (
 	"context"
 	"fmt"
-	"runtime"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"mulberryscale.example/internal/benchmeter"
 	"mulberryscale.example/platform"
 	"mulberryscale.example/transport"
 	"mulberryscale.example/transport/memtransport"
@@ -46,6 +45,31 @@
 	}
 }
 
+// serveAgents serves reports of the listed agents and notes their addresses in the list.
+func serveAgents(ctx context.Context, tb testing.TB, running *sync.WaitGroup, list []platform.Instance) *memtransport.Network {
+	tb.Helper()
+	network := memtransport.NewNetwork()
+	for i := range list {
+		l, err := network.Listen(transport.PeerID(list[i].ID), "127.0.0.1:0")
+		if err != nil {
+			tb.Fatal(err)
+		}
+		list[i].Addr = l.Addr()
+		running.Go(func() { _ = l.Serve(ctx, serveReports(list[i].ID)) })
+	}
+	return network
+}
+
+// watcherConfig is the settings of entry-1's watcher with a list that does not change.
+func watcherConfig(network *memtransport.Network, list []platform.Instance) WatcherConfig {
+	log := logrus.New()
+	log.SetLevel(logrus.PanicLevel)
+	return WatcherConfig{
+		EntryID: "entry-1", Zone: "zone-00", View: NewView(), Dialer: network.Dialer("entry-1"), List: fixedList(list),
+		Header: func() wire.Header { return wire.Header{From: "entry-1"} }, Log: log,
+	}
+}
+
 // BenchmarkWatcher is the processor time of a report from the agent's message
 // to the entry's snapshot, both ends in memory, and the memory of a watch, by
 // watched agents. Run it with -benchtime=1x.
@@ -60,52 +84,26 @@
 }
 
 func benchWatcher(b *testing.B, n int) {
-	network := memtransport.NewNetwork()
 	ctx, cancel := context.WithCancel(b.Context())
 	var running sync.WaitGroup
 	defer running.Wait()
 	defer cancel()
-	list := fixedList(instanceList(0, n, 4))
-	for i := range list {
-		l, err := network.Listen(transport.PeerID(list[i].ID), "127.0.0.1:0")
-		if err != nil {
-			b.Fatal(err)
-		}
-		list[i].Addr = l.Addr()
-		running.Go(func() { _ = l.Serve(ctx, serveReports(list[i].ID)) })
-	}
-	log := logrus.New()
-	log.SetLevel(logrus.PanicLevel)
-	view := NewView()
-	w := NewWatcher(WatcherConfig{EntryID: "entry-1", Zone: "zone-00", View: view, Dialer: network.Dialer("entry-1"), List: list,
-		Header: func() wire.Header { return wire.Header{From: "entry-1"} }, Subset: n, Log: log})
-	before := benchMemory()
+	list := instanceList(0, n, 4)
+	network := serveAgents(ctx, b, &running, list)
+	cfg := watcherConfig(network, list)
+	cfg.Subset = n
+	w := NewWatcher(cfg)
+	before := benchmeter.MemoryInUse()
 	running.Go(func() { w.Run(ctx) })
 	time.Sleep(time.Second)
-	b.ReportMetric(float64(benchMemory()-before)/float64(n), "B/watch")
-	cpu := benchProcessorTime(b)
+	b.ReportMetric(float64(benchmeter.MemoryInUse()-before)/float64(n), "B/watch")
+	cpu := benchmeter.ProcessorTime(b)
 	time.Sleep(benchWatchTime)
 	reports := float64(n) * benchWatchTime.Seconds() / benchReportInterval.Seconds()
-	b.ReportMetric(float64(benchProcessorTime(b)-cpu)/1e3/reports, "cpu-us/report")
-	for _, a := range view.Snapshot().Agents {
+	b.ReportMetric(benchmeter.Micros(b, cpu, reports), "cpu-us/report")
+	for _, a := range cfg.View.Snapshot().Agents {
 		if a.State != StateLive {
 			b.Errorf("%s is %s", a.ID, a.State)
 		}
 	}
 }
-
-func benchMemory() int64 {
-	runtime.GC()
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return int64(m.HeapAlloc + m.StackInuse)
-}
-
-func benchProcessorTime(b *testing.B) time.Duration {
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		b.Fatal(err)
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
--- a/results/keep.go
+++ b/results/keep.go
@@ -28,9 +28,9 @@
 	}
 	s.fenced.add(key)
 	switch {
-	case run != nil && run.machine.State() == StateRunning:
+	case run != nil && run.state == StateRunning:
 		return wire.FenceRunning, nil, nil
-	case run != nil && run.machine.State() == StateQueued:
+	case run != nil && run.state == StateQueued:
 		onEnd = run.fence(now)
 	case run != nil:
 		return wire.FenceDone, nil, nil
@@ -45,12 +45,11 @@
 }
 
 func (r *Run) fence(now time.Time) (onEnd func()) {
-	if r.machine.Fire(triggerFence) != nil {
+	if !r.fire(triggerFence) {
 		return nil
 	}
 	r.refusal = r.store.refuse(api.CodeFenced, "the key was fenced", r.store.notRun(r.key, r.nonIdempotent))
-	r.ended(now)
-	return r.onEnd
+	return r.ended(now)
 }
 
 // Forget drops the results of keys whose answers have arrived, and cancels
@@ -70,7 +69,7 @@
 	if !ok {
 		return nil
 	}
-	if run.machine.Final() {
+	if run.final {
 		s.drop(run)
 		return nil
 	}
@@ -96,9 +95,9 @@
 	for _, run := range s.runs {
 		over := run.readers == 0 && now.Sub(run.idleSince) >= run.linger
 		switch {
-		case run.machine.Final() && over:
+		case run.final && over:
 			s.drop(run)
-		case run.machine.Final() && run.readers == 0:
+		case run.final && run.readers == 0:
 			kept = append(kept, run)
 		case over && !(run.nonIdempotent && run.started):
 			if end := run.cancel(now); end != nil {
--- a/results/reader.go
+++ b/results/reader.go
@@ -115,7 +115,7 @@
 		return nil
 	}
 	run.idleSince = now
-	if run.machine.Final() {
+	if run.final {
 		if !run.keep() {
 			s.drop(run)
 		}
@@ -129,7 +129,7 @@
 
 // cancel ends an unwanted run; the caller calls what it returns without the lock.
 func (r *Run) cancel(now time.Time) (onEnd func()) {
-	if r.machine.Fire(triggerCancel) != nil {
+	if !r.fire(triggerCancel) {
 		return nil
 	}
 	notRun := r.store.notRun(r.key, r.nonIdempotent)
@@ -137,6 +137,5 @@
 		notRun = api.NotRunFalse
 	}
 	r.refusal = r.store.refuse(api.CodeCancelled, "nobody waits for the run any more", notRun)
-	r.ended(now)
-	return r.onEnd
+	return r.ended(now)
 }
--- a/results/run.go
+++ b/results/run.go
@@ -18,6 +18,9 @@
 	generation    bool
 
 	// All below is guarded by store.mu.
+	state State
+	final bool // nothing leaves state
+	// machine is set while the run is running.
 	machine *chart.Machine[State, trigger]
 	started bool
 	// remembered is true when this run's start made the store remember the key.
@@ -34,10 +37,10 @@
 	refusal     *api.Refusal
 	linger      time.Duration
 	readers     int
-	idleSince   time.Time // when the last reader left or the run ended, whichever was later
-	changed     chan struct{}
-	onEnd       func()
-	size        int
+	idleSince   time.Time     // when the last reader left or the run ended, whichever was later
+	changed     chan struct{} // closed by news; nil once the run has ended
+	onEnd       func()        // nil once the run has ended, since it holds the request
+	size        int           // what store.bytes counts for the run
 }
 
 // mark is one appended chunk.
@@ -54,15 +57,17 @@
 func (r *Run) State() State {
 	r.store.mu.Lock()
 	defer r.store.mu.Unlock()
-	return r.machine.State()
+	return r.state
 }
 
 // OnEnd sets what is called, without locks held, when the run ends by a fence
 // or because nobody wants it any more. If that has come already, it is called at once.
 func (r *Run) OnEnd(f func()) {
 	r.store.mu.Lock()
-	ended := r.machine.Final()
-	r.onEnd = f
+	ended := r.final
+	if !ended {
+		r.onEnd = f
+	}
 	r.store.mu.Unlock()
 	if ended {
 		f()
@@ -74,11 +79,12 @@
 func (r *Run) Start() bool {
 	r.store.mu.Lock()
 	defer r.store.mu.Unlock()
-	if r.machine.Fire(triggerStart) != nil {
+	if !r.fire(triggerStart) {
 		return false
 	}
 	r.started = true
 	r.store.remember(r)
+	r.resize()
 	return true
 }
 
@@ -86,12 +92,12 @@
 func (r *Run) Append(text string, version uint64, tokens int) {
 	r.store.mu.Lock()
 	defer r.store.mu.Unlock()
-	if r.machine.State() != StateRunning || (text == "" && tokens == 0) {
+	if r.state != StateRunning || (text == "" && tokens == 0) {
 		return
 	}
 	r.text = append(r.text, text...)
 	r.marks = append(r.marks, mark{version, len(text), tokens})
-	r.grow(len(text) + markSize)
+	r.resize()
 	r.wake()
 }
 
@@ -107,18 +113,16 @@
 func (r *Run) FinishAnswer(now time.Time, answer *wire.Answer) {
 	r.store.mu.Lock()
 	defer r.store.mu.Unlock()
-	r.grow(len(answer.Body))
 	r.finish(now, &wire.Done{RunID: r.id, Answer: answer})
 }
 
 func (r *Run) finish(now time.Time, done *wire.Done) {
-	if r.machine.Final() || r.machine.Fire(triggerFinish) != nil {
+	if r.final || !r.fire(triggerFinish) {
 		return
 	}
 	r.done = done
 	// Readers take the whole text from done.
-	r.grow(-len(r.marks) * markSize)
-	r.text, r.marks = nil, nil
+	r.text, r.marks, r.prefixSpans = nil, nil, nil
 	r.ended(now)
 }
 
@@ -138,7 +142,7 @@
 func (r *Run) end(now time.Time, t trigger, refusal *api.Refusal) {
 	r.store.mu.Lock()
 	defer r.store.mu.Unlock()
-	if r.machine.Final() || r.machine.Fire(t) != nil {
+	if r.final || !r.fire(t) {
 		return
 	}
 	r.refusal = refusal
@@ -150,18 +154,42 @@
 	r.ended(now)
 }
 
-// ended wakes the readers and frees the key of a run that is of no more use.
-func (r *Run) ended(now time.Time) {
+// fire applies a trigger and says whether the chart takes it there. The
+// machine, which is large, lives no longer than it is needed.
+func (r *Run) fire(t trigger) bool {
+	m := r.machine
+	if r.state == StateQueued {
+		m = newMachine()
+	}
+	if m == nil || m.Fire(t) != nil {
+		return false
+	}
+	r.state, r.final = m.State(), m.Final()
+	r.machine = m
+	if r.final {
+		r.machine = nil
+	}
+	return true
+}
+
+// ended wakes the readers, lets go of what an ended run does not need, and
+// frees the key of a run that is of no more use. It returns what OnEnd set.
+func (r *Run) ended(now time.Time) (onEnd func()) {
+	onEnd = r.onEnd
+	r.onEnd = nil
 	r.idleSince = now
-	r.wake()
+	close(r.changed)
+	r.changed = nil
+	r.resize()
 	if !r.keep() {
 		r.store.drop(r)
 	}
+	return onEnd
 }
 
 // useless says whether a run ended with nothing for a request that needs minVersion.
 func (r *Run) useless(minVersion uint64) bool {
-	if r.machine.State() == StateFailed {
+	if r.state == StateFailed {
 		return true
 	}
 	return r.done != nil && len(r.done.Spans) > 0 && api.OldestVersion(r.done.Spans) < minVersion
@@ -169,7 +197,7 @@
 
 // keep says whether an ended run stays for late readers.
 func (r *Run) keep() bool {
-	switch r.machine.State() {
+	switch r.state {
 	case StateDone:
 	case StateFailed:
 		if r.freed {
@@ -186,13 +214,6 @@
 	r.changed = make(chan struct{})
 }
 
-func (r *Run) grow(n int) {
-	r.size += n
-	if r.store.runs[r.key] == r {
-		r.store.bytes += n
-	}
-}
-
 // spans are the spans of the whole text, prefix included.
 func (r *Run) spans() []api.VersionSpan {
 	spans := append([]api.VersionSpan(nil), r.prefixSpans...)
--- a/results/store.go
+++ b/results/store.go
@@ -17,12 +17,7 @@
 	DefaultAnswerLinger = time.Minute
 )
 
-const (
-	stepAttach = "agent.attach"
-	// markSize and runSize are the memory of a mark and of a run without its text, in bytes.
-	markSize = 24
-	runSize  = 512
-)
+const stepAttach = "agent.attach"
 
 // Options are the bounds of a store; the zero value of a field means its default.
 type Options struct {
@@ -131,12 +126,11 @@
 		key:           req.Key,
 		nonIdempotent: req.NonIdempotent,
 		generation:    req.Generate != nil,
-		machine:       newMachine(),
+		state:         StateQueued,
 		linger:        req.Linger,
 		readers:       1,
 		idleSince:     now,
 		changed:       make(chan struct{}),
-		size:          runSize + len(req.Key),
 	}
 	if run.nonIdempotent && run.key != "" {
 		run.linger = max(run.linger, s.opts.AnswerLinger)
@@ -145,11 +139,10 @@
 		run.text = []byte(g.Prefix)
 		run.prefixBytes = len(g.Prefix)
 		run.prefixSpans = g.PrefixSpans
-		run.size += len(g.Prefix)
 	}
 	if run.key != "" {
 		s.runs[run.key] = run
-		s.bytes += run.size
+		run.resize()
 	}
 	return &Reader{run: run, bytes: run.prefixBytes}
 }
--- a/transport/quictransport/bench_test.go
+++ b/transport/quictransport/bench_test.go
@@ -3,42 +3,21 @@
 import (
 	"testing"
 	"time"
-
-	"mulberryscale.example/keys"
 )
 
-func benchPair(b *testing.B) (*listener, *dialer) {
+// benchPair is an echoing listener's address and a dialer.
+func benchPair(b *testing.B) (addr string, d *dialer) {
 	b.Helper()
-	a, err := keys.NewDevAuthority()
-	if err != nil {
-		b.Fatal(err)
-	}
-	server, err := a.Source("agent-1")
-	if err != nil {
-		b.Fatal(err)
-	}
-	client, err := a.Source("entry-1")
-	if err != nil {
-		b.Fatal(err)
-	}
-	l, err := Listen("127.0.0.1:0", server)
-	if err != nil {
-		b.Fatal(err)
-	}
-	d := NewDialer(client).(*dialer)
-	b.Cleanup(func() {
-		d.Close()
-		l.Close()
-	})
-	go l.Serve(b.Context(), echoHandler)
-	return l.(*listener), d
+	authority, d := benchDialer(b)
+	b.Cleanup(func() { d.Close() })
+	return benchListen(b.Context(), b, authority, "agent-1", echoHandler), d
 }
 
 // BenchmarkExchange is one stream with one message each way.
 func BenchmarkExchange(b *testing.B) {
-	l, d := benchPair(b)
+	addr, d := benchPair(b)
 	for b.Loop() {
-		if err := exchange(b.Context(), d, l.Addr()); err != nil {
+		if err := exchange(b.Context(), d, addr); err != nil {
 			b.Fatal(err)
 		}
 	}
@@ -48,12 +27,12 @@
 // connection costs the dialer's side, each way. Run it with -benchtime=1x.
 func BenchmarkIdleConnection(b *testing.B) {
 	const watched = 10 * time.Second
-	l, d := benchPair(b)
-	if err := exchange(b.Context(), d, l.Addr()); err != nil {
+	addr, d := benchPair(b)
+	if err := exchange(b.Context(), d, addr); err != nil {
 		b.Fatal(err)
 	}
 	d.mu.Lock()
-	conn := d.conns[l.Addr()].conn
+	conn := d.conns[addr].conn
 	d.mu.Unlock()
 	time.Sleep(2 * time.Second) // path MTU discovery is over
 	for b.Loop() {
--- a/transport/quictransport/idle_bench_test.go
+++ b/transport/quictransport/idle_bench_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"mulberryscale.example/internal/benchmeter"
 	"mulberryscale.example/keys"
 	"mulberryscale.example/transport"
 )
@@ -29,20 +30,14 @@
 	authority, d := benchDialer(b)
 	defer d.Close()
 	for i := range n {
-		addr := benchListen(ctx, b, authority, fmt.Sprintf("agent-%d", i))
-		s, err := d.Open(ctx, addr)
-		if err != nil {
-			b.Fatal(err)
-		}
-		if err := s.Send([]byte("watch")); err != nil {
-			b.Fatal(err)
-		}
+		addr := benchListen(ctx, b, authority, fmt.Sprintf("agent-%d", i), drainHandler)
+		benchOpen(ctx, b, d, addr)
 	}
 	time.Sleep(8 * time.Second) // path MTU discovery is over
-	sent, cpu := d.bytes(), processorTime(b)
+	sent, cpu := d.bytes(), benchmeter.ProcessorTime(b)
 	time.Sleep(watched)
 	b.ReportMetric(float64(d.bytes()-sent)/watched.Seconds(), "B/s")
-	b.ReportMetric(float64(processorTime(b)-cpu)/1e3/watched.Seconds(), "cpu-us/s")
+	b.ReportMetric(benchmeter.Micros(b, cpu, watched.Seconds()), "cpu-us/s")
 }
 
 // BenchmarkHandshake is one new connection with one exchange, both ends.
@@ -51,27 +46,21 @@
 	defer first.Close()
 	ctx, cancel := context.WithCancel(b.Context())
 	defer cancel()
-	addr := benchListen(ctx, b, authority, "agent-1")
+	addr := benchListen(ctx, b, authority, "agent-1", drainHandler)
 	source, err := authority.Source("entry-1")
 	if err != nil {
 		b.Fatal(err)
 	}
 	var sent uint64
-	cpu := processorTime(b)
+	cpu := benchmeter.ProcessorTime(b)
 	for b.Loop() {
 		d := NewDialer(source).(*dialer)
-		s, err := d.Open(ctx, addr)
-		if err != nil {
-			b.Fatal(err)
-		}
-		if err := s.Send([]byte("watch")); err != nil {
-			b.Fatal(err)
-		}
+		benchOpen(ctx, b, d, addr)
 		sent += d.bytes()
 		d.Close()
 	}
 	b.ReportMetric(float64(sent)/float64(b.N), "B/handshake")
-	b.ReportMetric(float64(processorTime(b)-cpu)/1e3/float64(b.N), "cpu-us/handshake")
+	b.ReportMetric(benchmeter.Micros(b, cpu, float64(b.N)), "cpu-us/handshake")
 }
 
 func benchDialer(b *testing.B) (*keys.Authority, *dialer) {
@@ -86,8 +75,8 @@
 	return authority, NewDialer(source).(*dialer)
 }
 
-// benchListen serves streams that are read and answered never, until ctx ends.
-func benchListen(ctx context.Context, b *testing.B, authority *keys.Authority, id string) string {
+// benchListen serves streams by a handler until ctx ends.
+func benchListen(ctx context.Context, b *testing.B, authority *keys.Authority, id string, h transport.Handler) string {
 	source, err := authority.Source(id)
 	if err != nil {
 		b.Fatal(err)
@@ -97,9 +86,24 @@
 		b.Fatal(err)
 	}
 	context.AfterFunc(ctx, func() { l.Close() })
-	go l.Serve(ctx, func(ctx context.Context, s transport.Stream) {
-		drain(s)
-		<-ctx.Done()
-	})
+	go l.Serve(ctx, h)
 	return l.Addr()
 }
+
+// drainHandler reads a stream, answers nothing and keeps it open.
+func drainHandler(ctx context.Context, s transport.Stream) {
+	drain(s)
+	<-ctx.Done()
+}
+
+// benchOpen opens a stream with its first message sent.
+func benchOpen(ctx context.Context, b *testing.B, d *dialer, addr string) transport.Stream {
+	s, err := d.Open(ctx, addr)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := s.Send([]byte("watch")); err != nil {
+		b.Fatal(err)
+	}
+	return s
+}
--- a/transport/quictransport/watch_bench_test.go
+++ b/transport/quictransport/watch_bench_test.go
@@ -5,12 +5,10 @@
 	"context"
 	"fmt"
 	"io"
-	"runtime"
-	"syscall"
 	"testing"
 	"time"
 
-	"mulberryscale.example/keys"
+	"mulberryscale.example/internal/benchmeter"
 	"mulberryscale.example/transport"
 )
 
@@ -43,46 +41,22 @@
 }
 
 func watchQUIC(b *testing.B, n int) {
-	authority, err := keys.NewDevAuthority()
-	if err != nil {
-		b.Fatal(err)
-	}
-	client, err := authority.Source("entry-1")
-	if err != nil {
-		b.Fatal(err)
-	}
-	d := NewDialer(client).(*dialer)
-	defer d.Close()
-	memory := memoryInUse()
 	ctx, cancel := context.WithCancel(b.Context())
 	defer cancel()
+	authority, d := benchDialer(b)
+	defer d.Close()
+	memory := benchmeter.MemoryInUse()
 	for i := range n {
-		server, err := authority.Source(fmt.Sprintf("agent-%d", i))
-		if err != nil {
-			b.Fatal(err)
-		}
-		l, err := Listen("127.0.0.1:0", server)
-		if err != nil {
-			b.Fatal(err)
-		}
-		defer l.Close()
-		go l.Serve(ctx, reportHandler)
-		s, err := d.Open(ctx, l.Addr())
-		if err != nil {
-			b.Fatal(err)
-		}
-		if err := s.Send([]byte("watch")); err != nil {
-			b.Fatal(err)
-		}
-		go drain(s)
+		addr := benchListen(ctx, b, authority, fmt.Sprintf("agent-%d", i), reportHandler)
+		go drain(benchOpen(ctx, b, d, addr))
 	}
 	time.Sleep(2 * time.Second) // path MTU discovery is over
-	b.ReportMetric(float64(memoryInUse()-memory)/float64(n), "B/connection")
-	sent, cpu := d.bytes(), processorTime(b)
+	b.ReportMetric(float64(benchmeter.MemoryInUse()-memory)/float64(n), "B/connection")
+	sent, cpu := d.bytes(), benchmeter.ProcessorTime(b)
 	time.Sleep(reportTime)
 	reports := float64(n) * reportTime.Seconds() / reportInterval.Seconds()
 	b.ReportMetric(float64(d.bytes()-sent)/reports, "B/report")
-	b.ReportMetric(float64(processorTime(b)-cpu)/1e3/reports, "cpu-us/report")
+	b.ReportMetric(benchmeter.Micros(b, cpu, reports), "cpu-us/report")
 }
 
 func drain(s transport.Stream) {
@@ -104,19 +78,3 @@
 	}
 	return n
 }
-
-func memoryInUse() int64 {
-	runtime.GC()
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return int64(m.HeapAlloc + m.StackInuse)
-}
-
-func processorTime(b *testing.B) time.Duration {
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		b.Fatal(err)
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
