--- /dev/null
+++ b/e2e/agentstop_test.go
@@ -0,0 +1,104 @@
+package e2e
+
+import (
+	"context"
+	"errors"
+	"io"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"mulberryscale.example/keys"
+	"mulberryscale.example/transport"
+	"mulberryscale.example/transport/quictransport"
+	"mulberryscale.example/wire"
+)
+
+// peer is the keys of a further entry, whose part the test plays.
+func (f *fleet) peer() keys.Source {
+	f.t.Helper()
+	source, err := f.authority.Source("entry-3")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return source
+}
+
+// openRun sends a run to an agent and returns its stream once the first chunk is there.
+func (f *fleet) openRun(source keys.Source, agent *node) transport.Stream {
+	f.t.Helper()
+	dialer := quictransport.NewDialer(source)
+	f.t.Cleanup(func() { dialer.Close() })
+	s, err := dialer.Open(f.t.Context(), agent.addr)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	run := &wire.Run{RunID: "r", Row: rowLookups, Budget: time.Minute,
+		Generate: &wire.Generate{Model: model, Prompt: "p", MaxTokens: 400}}
+	var reply wire.Reply
+	if err := errors.Join(s.Send(&wire.Request{Run: run}), s.Recv(&reply)); err != nil || reply.Chunk == nil {
+		f.t.Fatalf("got %+v, %v, want a chunk", reply, err)
+	}
+	return s
+}
+
+// A SIGTERM in the middle of a stream cuts nothing off, and the agent ends well.
+func TestSIGTERMCutsNothingOff(t *testing.T) {
+	f := startFleet(t, fleetOptions{tokenTime: 20 * time.Millisecond})
+	agent := f.agents[0]
+	s := f.openRun(f.peer(), agent)
+	agent.signal(syscall.SIGTERM)
+	var reply wire.Reply
+	for reply.Done == nil {
+		reply = wire.Reply{}
+		if err := s.Recv(&reply); err != nil {
+			t.Fatalf("the stream was cut off: %v", err)
+		}
+		if reply.Refusal != nil {
+			t.Fatal(reply.Refusal)
+		}
+	}
+	if reply.Done.Text == "" || reply.Done.FinishReason == "" {
+		t.Fatalf("got %+v", reply.Done)
+	}
+	s.Close()
+	if err := agent.awaitEnd(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A stop tells the peers at once, so that none waits for its idle timeout
+// before it looks for the next incarnation.
+func TestStopClosesConnections(t *testing.T) {
+	f := startFleet(t, fleetOptions{})
+	source, agent := f.peer(), f.agents[0]
+	f.openRun(source, agent).Close()
+	conn := openConnection(t, source, agent.addr)
+	agent.signal(syscall.SIGTERM)
+	<-conn.Context().Done()
+	var closed *quic.ApplicationError
+	if cause := context.Cause(conn.Context()); !errors.As(cause, &closed) {
+		t.Fatalf("the connection ended with %v, want a close by the agent", cause)
+	}
+}
+
+// openConnection returns a connection that the agent has begun to serve.
+func openConnection(t *testing.T, source keys.Source, addr string) *quic.Conn {
+	t.Helper()
+	conn, err := quic.DialAddr(t.Context(), addr, source.ClientConfig(), &quic.Config{KeepAlivePeriod: quictransport.KeepAlive})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := conn.OpenStreamSync(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	// The stream without a request is ended by the agent.
+	_, _ = io.ReadAll(s)
+	return conn
+}
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -52,6 +52,7 @@
 type fleet struct {
 	t         *testing.T
 	dir       string
+	authority *keys.Authority
 	table     *process
 	tableURL  string
 	instances string
@@ -129,6 +130,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	f.authority = authority
 	if err := keys.WriteCertificates(f.file("ca.pem"), authority.CertPEM()); err != nil {
 		f.t.Fatal(err)
 	}
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -144,6 +144,11 @@
 	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		return fmt.Errorf("%s: SIGTERM: %w", p.name, err)
 	}
+	return p.awaitEnd()
+}
+
+// awaitEnd waits until the process has ended with status 0 after a SIGTERM.
+func (p *process) awaitEnd() error {
 	select {
 	case <-p.ended:
 	case <-time.After(waitBound):
--- a/internal/deployment/fabric.go
+++ b/internal/deployment/fabric.go
@@ -33,8 +33,12 @@
 	// Engine and Service give an agent the way to the endpoint beside it.
 	Engine(core *engine.Engine) (endpoint.Engine, error)
 	Service(core *plain.Service) (endpoint.Service, error)
-	// Serve serves HTTP to callers until stop is called and returns the base URL.
+	// Serve serves HTTP to callers until stop is called, which cuts off the
+	// requests in progress, and returns the base URL.
 	Serve(id string, h http.Handler) (baseURL string, stop func(), err error)
+	// Shutdown ends what Serve began at the base URL once the requests in
+	// progress are answered. The error is the context's.
+	Shutdown(ctx context.Context, baseURL string) error
 	// Client calls what Serve serves.
 	Client() *http.Client
 	// Kill breaks all connections of a process.
@@ -45,8 +49,7 @@
 type Loopback struct {
 	authority *keys.Authority
 	client    *http.Client
-	mu        sync.Mutex
-	servers   []*http.Server
+	servers   httpServers
 }
 
 // NewLoopback returns a fabric with a development authority of its own.
@@ -101,11 +104,13 @@
 		return "", nil, trace.Wrap(err, "listening for HTTP")
 	}
 	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
-	go server.Serve(ln)
-	l.mu.Lock()
-	l.servers = append(l.servers, server)
-	l.mu.Unlock()
-	return "http://" + ln.Addr().String(), func() { server.Close() }, nil
+	baseURL := "http://" + ln.Addr().String()
+	return baseURL, l.servers.serve(baseURL, server, ln), nil
+}
+
+// Shutdown implements Fabric.
+func (l *Loopback) Shutdown(ctx context.Context, baseURL string) error {
+	return l.servers.shutdown(ctx, baseURL)
 }
 
 // Client implements Fabric.
@@ -117,11 +122,7 @@
 // Close ends all HTTP servers.
 func (l *Loopback) Close() {
 	l.client.CloseIdleConnections()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, s := range l.servers {
-		s.Close()
-	}
+	l.servers.close()
 }
 
 // Memory connects in memory and calls the stand-ins directly.
@@ -129,6 +130,7 @@
 	// Network has the faults of our own transport.
 	Network *memtransport.Network
 	client  *http.Client
+	servers httpServers
 	mu      sync.Mutex
 	pipes   map[string]*pipeListener // by host
 }
@@ -159,12 +161,16 @@
 // Serve implements Fabric; the host of the URL is the id.
 func (m *Memory) Serve(id string, h http.Handler) (string, func(), error) {
 	ln := newPipeListener()
-	server := &http.Server{Handler: h}
-	go server.Serve(ln)
 	m.mu.Lock()
 	m.pipes[id] = ln
 	m.mu.Unlock()
-	return "http://" + id, func() { server.Close() }, nil
+	baseURL := "http://" + id
+	return baseURL, m.servers.serve(baseURL, &http.Server{Handler: h}, ln), nil
+}
+
+// Shutdown implements Fabric.
+func (m *Memory) Shutdown(ctx context.Context, baseURL string) error {
+	return m.servers.shutdown(ctx, baseURL)
 }
 
 func (m *Memory) dial(ctx context.Context, _, addr string) (net.Conn, error) {
@@ -189,45 +195,3 @@
 
 // Close ends idle connections.
 func (m *Memory) Close() { m.client.CloseIdleConnections() }
-
-// pipeListener is a net.Listener whose connections are net.Pipes.
-type pipeListener struct {
-	conns  chan net.Conn
-	closed chan struct{}
-	once   sync.Once
-}
-
-func newPipeListener() *pipeListener {
-	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
-}
-
-func (p *pipeListener) dial(ctx context.Context) (net.Conn, error) {
-	client, server := net.Pipe()
-	select {
-	case p.conns <- server:
-		return client, nil
-	case <-p.closed:
-		return nil, net.ErrClosed
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
-// Accept implements net.Listener.
-func (p *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-p.conns:
-		return c, nil
-	case <-p.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-// Close implements net.Listener.
-func (p *pipeListener) Close() error {
-	p.once.Do(func() { close(p.closed) })
-	return nil
-}
-
-// Addr implements net.Listener.
-func (p *pipeListener) Addr() net.Addr { return &net.UnixAddr{Name: "pipe", Net: "pipe"} }
--- a/internal/deployment/nodes.go
+++ b/internal/deployment/nodes.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 
 	"github.com/gravitational/trace"
 
@@ -93,11 +95,15 @@
 	cfg := agent.Config{
 		ID: a.ID, Zone: a.zone(), Listener: a.listener, Dialer: a.dialer, Engine: a.engine, Service: a.service,
 		Holder: tablesync.NewHolder(), Logger: a.d.opts.Log, Counters: a.Counters, Seed: a.d.opts.Seed + 1,
+		Instances: a.d.Instances,
 	}
 	if a.serviceSpec != nil {
 		cfg.Services = a.serviceSpec.Rows
 	} else {
 		cfg.Targets = a.d.Weights
+		cfg.Weights = a.d.Weights
+		// An engine that has crashed does not list its models any more.
+		cfg.Models = slices.Sorted(maps.Keys(a.engineSpec.Options.Models))
 		cfg.Fencer = agent.NewTableFencer(a.d.Table, a.ID)
 	}
 	if a.d.opts.Agent != nil {
@@ -180,9 +186,12 @@
 	e.stop()
 }
 
-// Stop drains the entry and ends it.
+// Stop drains the entry, lets the last answers reach their callers and ends it.
 func (e *Entry) Stop(ctx context.Context) error {
 	err := e.Entry.Drain(ctx)
+	if err == nil {
+		err = e.d.opts.Fabric.Shutdown(ctx, e.URL)
+	}
 	e.stopHTTP()
 	e.stop()
 	e.d.Instances.Remove(e.ID)
--- a/internal/oracle/oracle.go
+++ b/internal/oracle/oracle.go
@@ -3,12 +3,14 @@
 package oracle
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
 
 	"mulberryscale.example/api"
 	"mulberryscale.example/internal/standin/engine"
+	"mulberryscale.example/internal/standin/scorer"
 )
 
 // Text is the only whole text for a prompt and seed whose tokens were produced
@@ -71,6 +73,35 @@
 	return nil
 }
 
+// Delivery is a sample as its trainer took it in.
+type Delivery struct {
+	Sample  api.Sample
+	Version uint64 // the trainer's own at that time
+}
+
+// CheckScored says what is wrong with what a scored trainer took in for one
+// request: not exactly one sample, or one with a wrong text, label or score or
+// older than bound; nil means nothing.
+func (r Records) CheckScored(req *api.SampleRequest, got []Delivery, bound uint64) error {
+	if len(got) != 1 {
+		return fmt.Errorf("delivered %d times", len(got))
+	}
+	s := &got[0].Sample
+	err := r.CheckSample(req, s)
+	if Stale(s.Versions, got[0].Version, bound) {
+		err = errors.Join(err, fmt.Errorf("has versions %v at the trainer's version %d", s.Versions, got[0].Version))
+	}
+	if s.Score == nil || *s.Score != scorer.Score(s.Text) {
+		err = errors.Join(err, errors.New("has no score, or that of another text"))
+	}
+	return err
+}
+
+// CheckCompletion is CheckAnswer of an answer with one choice.
+func CheckCompletion(req *api.CompletionRequest, answer *api.Completion) error {
+	return CheckAnswer(req.Prompt, req.Seed, req.MaxTokens, answer.Choices[0].Text, answer.WeightVersions)
+}
+
 // Stale says whether a sample is older than a trainer at version current with
 // the given bound accepts.
 func Stale(spans []api.VersionSpan, current, bound uint64) bool {
--- a/service/entry/completions.go
+++ b/service/entry/completions.go
@@ -43,22 +43,37 @@
 		e.refuse(c, row.Name, refusal)
 		return
 	}
+	ctx, end := e.beginCall(c, row)
+	if end == nil {
+		return
+	}
+	tokens := 0
+	defer func() { end(tokens) }()
+	tokens = e.answerCompletion(ctx, c, row, &req, id)
+	e.cfg.Counters.Add(observe.NameTokens, row.Name, int64(tokens))
+}
+
+// beginCall bounds a call by its deadline and admits it under the row's limits.
+// The call ends with end, which takes the tokens it generated; nil means that
+// the call was refused here.
+func (e *Entry) beginCall(c iris.Context, row *table.Row) (ctx context.Context, end func(tokens int)) {
 	ctx, cancel, refusal := e.withDeadline(c, row)
 	if refusal != nil {
 		e.refuse(c, row.Name, refusal)
-		return
+		return nil, nil
 	}
-	defer cancel()
 	release, refusal := e.admit(row)
 	if refusal != nil {
+		cancel()
 		e.refuse(c, row.Name, refusal)
-		return
+		return nil, nil
 	}
 	began := time.Now()
-	tokens := e.answerCompletion(ctx, c, row, &req, id)
-	e.observeSince(observe.NameCallTime, row.Name, began)
-	e.cfg.Counters.Add(observe.NameTokens, row.Name, int64(tokens))
-	release(tokens)
+	return ctx, func(tokens int) {
+		e.observeSince(observe.NameCallTime, row.Name, began)
+		release(tokens)
+		cancel()
+	}
 }
 
 func (e *Entry) checkCompletion(req *api.CompletionRequest) (*table.Row, *api.Refusal) {
--- a/service/entry/services.go
+++ b/service/entry/services.go
@@ -3,13 +3,11 @@
 import (
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/kataras/iris/v12"
 
 	"mulberryscale.example/api"
 	"mulberryscale.example/claims"
-	"mulberryscale.example/observe"
 	"mulberryscale.example/routing"
 	"mulberryscale.example/table"
 	"mulberryscale.example/wire"
@@ -34,19 +32,11 @@
 		e.refuse(c, row.Name, refusal)
 		return
 	}
-	ctx, cancel, refusal := e.withDeadline(c, row)
-	if refusal != nil {
-		e.refuse(c, row.Name, refusal)
-		return
-	}
-	defer cancel()
-	release, refusal := e.admit(row)
-	if refusal != nil {
-		e.refuse(c, row.Name, refusal)
+	ctx, end := e.beginCall(c, row)
+	if end == nil {
 		return
 	}
-	defer release(0)
-	defer e.observeSince(observe.NameCallTime, row.Name, time.Now())
+	defer end(0)
 	call := work.work.Call
 	digest := claims.Digest(call.Method, call.Path, string(call.Body))
 	done, refusal := e.runIdentified(ctx, work, id, digest)
--- /dev/null
+++ b/service/entry/stall_test.go
@@ -0,0 +1,74 @@
+package entry_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"mulberryscale.example/api"
+	"mulberryscale.example/internal/deployment"
+	"mulberryscale.example/internal/standin/engine"
+	"mulberryscale.example/observe"
+)
+
+const stallTable = `name,kind,model,share,staleness_bound,max_rps,max_tps,max_concurrency,max_queue,deadline,wait_share,leftover,scorer,swap,repeatable
+training,trainer,guide,1,1,,,,4000,1h,1,carry,,at_once,
+`
+
+// stallTime is how long the trainer does not read; the step's deadline is an hour.
+const stallTime = 2 * time.Minute
+
+// TestStalledTrainerLosesItsSession starts a step and does not read its answer.
+func TestStalledTrainerLosesItsSession(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fabric := deployment.NewMemory()
+		defer fabric.Close()
+		d, err := deployment.Start(t.Context(), deployment.Options{
+			Fabric: fabric, Table: stallTable, Log: observe.Discard(), Seed: 1,
+			Engines: []deployment.EngineSpec{{Zone: "patan", Options: engine.Options{
+				ID: "engine-1", Models: map[string]uint64{"guide": 1},
+			}}},
+			Entries: []deployment.EntrySpec{{Zone: "patan", ID: "entry-1"}},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer d.Close()
+		if err := d.AwaitReady(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		resp := startStep(t, d.EntryURLs()[0], fabric.Client())
+		defer resp.Body.Close()
+		time.Sleep(stallTime)
+		if n := d.Entries[0].Counters.Refusals("training", api.CodeCancelled); n != 1 {
+			t.Errorf("%d sessions ended by %s of not reading, want 1", n, stallTime)
+		}
+	})
+}
+
+// startStep asks for more samples than the pipe between client and entry holds.
+func startStep(t *testing.T, url string, client *http.Client) *http.Response {
+	t.Helper()
+	req := api.StepRequest{Session: 1, Version: 1}
+	for i := range 64 {
+		req.Samples = append(req.Samples, api.SampleRequest{
+			ID: fmt.Sprintf("s-%d", i), Group: "g", Prompt: "what is open in Patan", MaxTokens: 64,
+		})
+	}
+	body, err := json.Marshal(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := client.Post(url+"/v1/trainers/training/steps/1", "application/json", bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		t.Fatalf("the step was answered with %s", resp.Status)
+	}
+	return resp
+}
--- a/service/entry/steps.go
+++ b/service/entry/steps.go
@@ -25,6 +25,9 @@
 	maxIDLength = 256
 	// heartbeatInterval is how often a step's answer shows that its entry lives.
 	heartbeatInterval = time.Second
+	// eventWriteTimeout is how long a trainer may take to read so far that an
+	// event or heartbeat can be written; then its connection counts as broken.
+	eventWriteTimeout = 30 * time.Second
 	// handOverTime bounds the closing of steps at the end of a drain.
 	handOverTime = 2 * time.Second
 )
@@ -159,16 +162,24 @@
 // stepSink writes a step's events. It is safe for concurrent use.
 type stepSink struct {
 	// turn holds the one token of the writer; a write lasts as long as the
-	// trainer takes to read.
+	// trainer takes to read, at most eventWriteTimeout.
 	turn chan struct{}
 	w    http.ResponseWriter
+	// conn is the connection below w, which hides it.
+	conn *http.ResponseController
 }
 
-func newStepSink(w http.ResponseWriter) *stepSink {
+// responseWriter is what iris answers a request with.
+type responseWriter interface {
+	http.ResponseWriter
+	Naive() http.ResponseWriter
+}
+
+func newStepSink(w responseWriter) *stepSink {
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Cache-Control", "no-cache")
 	w.WriteHeader(http.StatusOK)
-	return &stepSink{w: w, turn: make(chan struct{}, 1)}
+	return &stepSink{w: w, conn: http.NewResponseController(w.Naive()), turn: make(chan struct{}, 1)}
 }
 
 // Sample implements rollout.Sink.
@@ -182,9 +193,19 @@
 	if err != nil {
 		return err
 	}
+	return s.write(func() error { return writeEvent(s.w, name, body) })
+}
+
+// write calls f, which writes to w, in turn and with a deadline. A write that
+// fails ends the request's context, as net/http has it, and thus the session.
+func (s *stepSink) write(f func() error) error {
 	s.turn <- struct{}{}
 	defer func() { <-s.turn }()
-	return writeEvent(s.w, name, body)
+	err := s.conn.SetWriteDeadline(time.Now().Add(eventWriteTimeout))
+	if err != nil && !errors.Is(err, http.ErrNotSupported) { // a writer that is no connection has no deadline
+		return err
+	}
+	return f()
 }
 
 // startHeartbeats sends comments until the returned function is called.
@@ -212,12 +233,13 @@
 func (s *stepSink) heartbeat() {
 	m := &sse.Message{}
 	m.AppendComment("heartbeat")
-	s.turn <- struct{}{}
-	defer func() { <-s.turn }()
-	if _, err := m.WriteTo(s.w); err == nil {
-		// A failed flush shows in the next event's error.
-		_ = http.NewResponseController(s.w).Flush()
-	}
+	// A failed write ends the request's context.
+	_ = s.write(func() error {
+		if _, err := m.WriteTo(s.w); err != nil {
+			return err
+		}
+		return http.NewResponseController(s.w).Flush()
+	})
 }
 
 // sessionKey names a step of a trainer's row.
--- a/transport/quictransport/doc.go
+++ b/transport/quictransport/doc.go
@@ -3,7 +3,11 @@
 // message stream.
 //
 // A peer that falls silent is noticed after IdleTimeout: dialers keep their
-// connections alive, listeners only answer.
+// connections alive, listeners only answer. A listener that was killed and
+// starts again on its address with its private key resets the connections of
+// the process before as soon as a peer sends a request on them; a peer that
+// only waits sends packets too small to be answered by a reset, and notices
+// after IdleTimeout.
 //
 // A connection that is closed takes with it what its peer has not read yet. So
 // a stream whose handler has returned counts as served when its opener has
--- a/transport/quictransport/listener.go
+++ b/transport/quictransport/listener.go
@@ -33,8 +33,13 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "quictransport: listen on %s", addr)
 	}
-	tr := &quic.Transport{Conn: packets}
-	ln, err := tr.Listen(source.ServerConfig(), options.withDefaults().listenConfig())
+	config := source.ServerConfig()
+	key, err := resetKey(config, packets.LocalAddr().String())
+	if err != nil {
+		return nil, trace.Wrap(errors.Join(err, packets.Close()), "quictransport: listen on %s", addr)
+	}
+	tr := &quic.Transport{Conn: packets, StatelessResetKey: key}
+	ln, err := tr.Listen(config, options.withDefaults().listenConfig())
 	if err != nil {
 		return nil, trace.Wrap(errors.Join(err, packets.Close()), "quictransport: listen on %s", addr)
 	}
--- /dev/null
+++ b/transport/quictransport/reset.go
@@ -0,0 +1,34 @@
+package quictransport
+
+import (
+	"crypto/hkdf"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+
+	"github.com/gravitational/trace"
+	"github.com/quic-go/quic-go"
+)
+
+// resetKeyInfo sets the reset key apart from other uses of the private key.
+const resetKeyInfo = "mulberryscale stateless reset "
+
+// resetKey is the key by which a listener proves to the peers of its
+// predecessor that their connections are gone. It is the same for all processes
+// that listen on addr with this private key, one after the other.
+func resetKey(config *tls.Config, addr string) (*quic.StatelessResetKey, error) {
+	cert, err := config.GetCertificate(&tls.ClientHelloInfo{})
+	if err != nil {
+		return nil, trace.Wrap(err, "read the certificate")
+	}
+	secret, err := x509.MarshalPKCS8PrivateKey(cert.PrivateKey)
+	if err != nil {
+		return nil, trace.Wrap(err, "read the private key")
+	}
+	derived, err := hkdf.Key(sha256.New, secret, nil, resetKeyInfo+addr, len(quic.StatelessResetKey{}))
+	if err != nil {
+		return nil, trace.Wrap(err, "derive the reset key")
+	}
+	key := quic.StatelessResetKey(derived)
+	return &key, nil
+}
