Tests: one processor for bubbles under the race detector; a race in a test's order

And service/agent.TestUnwantedRunIsCancelled failed once: it closed the waiting run and the running one in one go, so that the slot could be free before the agent saw that nobody waited.

Ruled out: running these packages without -race (races would go unseen).

The other test waits until the agent has seen the close; it checks the same.

--- /dev/null
+++ b/internal/racelimit/race.go
@@ -0,0 +1,7 @@
+//go:build race
+
+package racelimit
+
+import "runtime"
+
+func init() { runtime.GOMAXPROCS(1) }
--- a/service/agent/run_test.go
+++ b/service/agent/run_test.go
@@ -79,6 +79,7 @@
 		waiting := r.open(wire.Request{Run: generation("waiting")})
 		time.Sleep(30 * time.Millisecond)
 		waiting.Close()
+		synctest.Wait() // else the slot may be free before the agent sees that nobody waits
 		s.Close()
 		time.Sleep(10 * time.Millisecond)
 		if rec := r.record("running"); !rec.Cancelled {
