--- a/api/completion.go
+++ b/api/completion.go
@@ -51,11 +51,12 @@
 	FinishReason string `json:"finish_reason,omitempty"`
 }
 
-// Usage counts the tokens of a completion.
+// Usage counts the tokens of a completion. PromptTokens and TotalTokens are
+// left out while engines do not tell how long a prompt is in tokens.
 type Usage struct {
-	PromptTokens     int `json:"prompt_tokens"`
+	PromptTokens     int `json:"prompt_tokens,omitempty"`
 	CompletionTokens int `json:"completion_tokens"`
-	TotalTokens      int `json:"total_tokens"`
+	TotalTokens      int `json:"total_tokens,omitempty"`
 }
 
 // Completion is the answer, and with streaming each event, of POST /v1/completions.
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -168,7 +168,7 @@
 func (d *Deployment) EntryURLs() []string {
 	var urls []string
 	for _, e := range d.Entries {
-		urls = append(urls, e.URL)
+		urls = append(urls, e.URL())
 	}
 	return urls
 }
--- a/internal/deployment/nodes.go
+++ b/internal/deployment/nodes.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync/atomic"
 
 	"github.com/gravitational/trace"
 
@@ -140,12 +141,21 @@
 	d        *Deployment
 	ID       string
 	Zone     string
-	URL      string
+	url      atomic.Pointer[string]
 	Counters *observe.Counters
 	Entry    *entry.Entry
 	stopHTTP func()
 }
 
+// URL is the base URL of the entry's last start, empty before the first. Any
+// goroutine may call it.
+func (e *Entry) URL() string {
+	if url := e.url.Load(); url != nil {
+		return *url
+	}
+	return ""
+}
+
 // Start starts the entry, or starts it again, and registers it.
 func (e *Entry) Start() (err error) {
 	fabric := e.d.opts.Fabric
@@ -169,9 +179,12 @@
 		return trace.Wrap(err, "entry %v", e.ID)
 	}
 	e.run(e.d.base, e.Entry.Run)
-	if e.URL, e.stopHTTP, err = fabric.Serve(e.ID, e.Entry.Handler()); err != nil {
+	url, stopHTTP, err := fabric.Serve(e.ID, e.Entry.Handler())
+	if err != nil {
 		return trace.Wrap(err, "entry %v", e.ID)
 	}
+	e.url.Store(&url)
+	e.stopHTTP = stopHTTP
 	e.d.Instances.Register(platform.Instance{ID: e.ID, Role: platform.RoleEntry, Zone: e.Zone, Addr: e.listener.Addr()})
 	return nil
 }
@@ -190,7 +203,7 @@
 func (e *Entry) Stop(ctx context.Context) error {
 	err := e.Entry.Drain(ctx)
 	if err == nil {
-		err = e.d.opts.Fabric.Shutdown(ctx, e.URL)
+		err = e.d.opts.Fabric.Shutdown(ctx, e.URL())
 	}
 	e.stopHTTP()
 	e.stop()
--- a/service/entry/completions.go
+++ b/service/entry/completions.go
@@ -144,8 +144,7 @@
 }
 
 func usageOf(done *wire.Done) *api.Usage {
-	n := generation.CountTokens(done.Spans)
-	return &api.Usage{CompletionTokens: n, TotalTokens: n}
+	return &api.Usage{CompletionTokens: generation.CountTokens(done.Spans)}
 }
 
 // completionStream writes a completion as server-sent events.
--- /dev/null
+++ b/service/entry/completions_test.go
@@ -0,0 +1,22 @@
+package entry
+
+import (
+	"encoding/json"
+	"testing"
+
+	"mulberryscale.example/api"
+	"mulberryscale.example/wire"
+)
+
+// TestUsageStatesOnlyWhatIsCounted checks that an answer says nothing of the
+// prompt's tokens, which engines do not tell.
+func TestUsageStatesOnlyWhatIsCounted(t *testing.T) {
+	done := &wire.Done{Spans: []api.VersionSpan{{Version: 1, Tokens: 2}, {Version: 2, Tokens: 3}}}
+	got, err := json.Marshal(usageOf(done))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want := `{"completion_tokens":5}`; string(got) != want {
+		t.Errorf("usage is %s, want %s", got, want)
+	}
+}
