mulberryscale keeps the habits of the other programs; parking reads plainly

Cause: `mulberryscale` had its own main: no version command, wrong flags printed a page besides the error, and a wrong part or workload of an experiment ended with status 1. And a parked sample was told from other refusals by its message.

--- a/cmd/mulberryscale/capacity.go
+++ b/cmd/mulberryscale/capacity.go
@@ -46,7 +46,7 @@
 	}
 	slopes, err := capacity.LoadSlopes()
 	if err != nil {
-		return cli.Exit(err.Error(), exitBroken)
+		return err
 	}
 	report := capacity.Compute(size, capacity.PlannedBudget(), capacity.PlannedPlatform(), slopes)
 	switch c.String("output") {
--- /dev/null
+++ b/cmd/mulberryscale/demo.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"mulberryscale.example/daemon"
+	"mulberryscale.example/internal/demo"
+)
+
+// errBroken ends the demo with a status that is not 0.
+var errBroken = errors.New("a promise broke")
+
+func demoCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "demo",
+		Usage: "run entries, agents and stand-ins in this process, with one trainer step and lookups",
+		UsageText: "mulberryscale demo\n" +
+			"mulberryscale demo --samples 1024 --lookups 200 --seed 7",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "samples", Value: demo.DefaultSamples, Usage: fmt.Sprintf("samples of the trainer's step, 1 to %d", demo.MaxSamples)},
+			&cli.IntFlag{Name: "lookups", Value: demo.DefaultLookups, Usage: fmt.Sprintf("lookups beside it, 0 to %d", demo.MaxLookups)},
+			&cli.Int64Flag{Name: "seed", Value: demo.DefaultSeed, Usage: "makes the workload repeatable"},
+		},
+		Action: runDemo,
+	}
+}
+
+func runDemo(ctx context.Context, c *cli.Command) error {
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	opts := demo.Options{
+		Samples: c.Int("samples"), Lookups: c.Int("lookups"), Seed: c.Int64("seed"), Progress: os.Stderr,
+	}
+	if err := opts.Check(); err != nil {
+		return &daemon.UsageError{Err: err}
+	}
+	result, err := demo.Run(ctx, opts)
+	if err != nil {
+		return err
+	}
+	line, err := json.Marshal(result)
+	if err != nil {
+		return err
+	}
+	fmt.Print(result.Table())
+	fmt.Println(string(line))
+	if !result.Kept() {
+		return errBroken
+	}
+	return nil
+}
--- a/cmd/mulberryscale/experiment.go
+++ b/cmd/mulberryscale/experiment.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -40,28 +41,29 @@
 }
 
 func runExperiment(ctx context.Context, c *cli.Command) error {
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	if d := c.Duration("time"); d < leastExperimentTime || d > mostExperimentTime {
 		return daemon.Usagef("time must be between %v and %v, not %v", leastExperimentTime, mostExperimentTime, d)
 	}
-	report, err := experiment.Run(ctx, experiment.Options{
+	opts := experiment.Options{
 		Workload: c.String("workload"), Parts: c.StringSlice("part"), Duration: c.Duration("time"),
 		Seed: c.Uint64("seed"), Progress: os.Stderr,
-	})
+	}
+	if err := opts.Check(); err != nil {
+		return &daemon.UsageError{Err: err}
+	}
+	report, err := experiment.Run(ctx, opts)
 	if err != nil {
-		return cli.Exit(err.Error(), exitBroken)
+		return err
 	}
 	if dir := c.String("plot"); dir != "" {
 		if err := plotReport(report, dir); err != nil {
-			return cli.Exit(err.Error(), exitBroken)
+			return err
 		}
 	}
-	if daemon.OutputOf(c) == "json" {
-		line, err := json.Marshal(report)
-		if err != nil {
-			return cli.Exit(err.Error(), exitBroken)
-		}
-		fmt.Println(string(line))
-		return nil
+	if daemon.OutputOf(c) == daemon.OutputJSON {
+		return json.NewEncoder(os.Stdout).Encode(report)
 	}
 	return report.WriteTable(os.Stdout)
 }
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -36,6 +37,19 @@
 // an engine does in a few seconds.
 const sharesFactor = 3
 
+// Check returns an error that names an unknown workload or part.
+func (o *Options) Check() error {
+	if _, err := LoadWorkload(o.Workload); err != nil {
+		return err
+	}
+	for _, part := range o.Parts {
+		if !slices.Contains(Parts(), part) {
+			return fmt.Errorf("no part %q; there are %s", part, strings.Join(Parts(), ", "))
+		}
+	}
+	return nil
+}
+
 // offeredLoads are the rates of lookups relative to capacity.
 var offeredLoads = []float64{0.7, 1, 1.5, 3}
 
@@ -83,9 +97,8 @@
 	case PartOverhead:
 		o.progress("overhead")
 		r.Overhead, err = RunOverhead(ctx, o.Duration)
-		return err
 	}
-	return fmt.Errorf("no part %q; there are %s", part, strings.Join(Parts(), ", "))
+	return err
 }
 
 func (o *Options) progress(format string, args ...any) {
--- a/rollout/park.go
+++ b/rollout/park.go
@@ -6,7 +6,6 @@
 	"slices"
 
 	"mulberryscale.example/api"
-	"mulberryscale.example/retry"
 )
 
 const (
@@ -21,6 +20,9 @@
 	parkShareOfAll = 0.8
 )
 
+// stepPark is the step of a parked sample's refusal, which stays within the entry.
+const stepPark = "entry.park"
+
 // errParked says that a sample made room for samples that have not begun.
 var errParked = errors.New("the sample was parked")
 
@@ -85,14 +87,15 @@
 
 // park ends a leg whose sample waits again, with its text.
 func (t *task) park(ctx context.Context, l *leg) *api.Refusal {
-	t.s.Counters.Retry(t.s.row.Name, string(retry.ReasonPark))
 	l.stop()
 	t.progress = l.text()
 	if t.parked.Add(1) == 1 {
 		t.s.noteLength(t.progress.Tokens())
 	}
 	t.s.forget(ctx, map[peer][]string{peerOf(l.agent): {t.key}})
-	return t.refusal(api.CodeFenced, errParked, api.NotRunFalse)
+	refusal := t.refusal(api.CodePreempted, errParked, api.NotRunFalse)
+	refusal.Step = stepPark
+	return refusal
 }
 
 // waitsForAll says whether the trainer waits for every sample of the step.
--- a/rollout/task.go
+++ b/rollout/task.go
@@ -50,7 +50,10 @@
 }
 
 func newTask(s *step, req *api.SampleRequest) *task {
-	return &task{s: s, req: req, key: Key(s.row.Name, req.ID), avoid: map[string]bool{}, moves: make(chan *placement, 1), parks: make(chan struct{}, 1)}
+	return &task{
+		s: s, req: req, key: Key(s.row.Name, req.ID), avoid: map[string]bool{},
+		moves: make(chan *placement, 1), parks: make(chan struct{}, 1),
+	}
 }
 
 // Key is a sample's identity at agents.
@@ -105,17 +108,14 @@
 			return done, nil
 		}
 		if refusal == nil {
-			refusal = t.stale(done)
-		}
-		if refusal.Message == errParked.Error() && ctx.Err() == nil {
-			continue
+			refusal = t.stale()
 		}
 		if ctx.Err() != nil || !retry.Repeatable(refusal, true) {
 			return nil, refusal
 		}
 		t.count(refusal)
 		if refusal.Code == api.CodePreempted {
-			continue // the engine is sound, and the placer waits for a free slot
+			continue // nothing is wrong, and the placer waits for a free slot
 		}
 		if t.progress.Tokens() > before {
 			delays.Reset()
@@ -268,7 +268,7 @@
 }
 
 // stale drops a result whose weights were too old.
-func (t *task) stale(done *wire.Done) *api.Refusal {
+func (t *task) stale() *api.Refusal {
 	t.progress = generation.Progress{}
 	return t.refusal(api.CodeStale, errStale, api.NotRunFalse)
 }
@@ -289,7 +289,10 @@
 // count counts a retry by its reason.
 func (t *task) count(refusal *api.Refusal) {
 	reason, ok := reasonByCode[refusal.Code]
-	if !ok {
+	switch {
+	case refusal.Step == stepPark:
+		reason = retry.ReasonPark
+	case !ok:
 		reason = retry.ReasonRefused
 	}
 	t.s.Counters.Retry(t.s.row.Name, string(reason))
