--- a/rollout/task.go
+++ b/rollout/task.go
@@ -25,7 +25,7 @@
 	attachTimeout = 500 * time.Millisecond
 	// chunkInterval spaces the chunks of a sample: a trainer waits for whole
 	// samples, and what is lost with an agent is generated again.
-	chunkInterval = 200 * time.Millisecond
+	chunkInterval = 50 * time.Millisecond
 )
 
 // StepSample is the step named in refusals of samples.
