A caller that does not read its streamed answer is given up

Cause: the write of an event blocked for ever when a caller stopped reading; the deadline of the request ends its context, not the write, so that the call held its place and every drain waited for it. Steps had been given a write deadline before; streamed completions had the same hole.

Change: both write through writeInTime, 30 s for an event; a failed write ends the request and its run. net/http clears the deadline before the connection's next request.

TestStalledCallerLosesItsStream failed before ("after 2m0s of not reading: step entry.drain: calls are still in progress") and passes after.

--- a/service/entry/completions.go
+++ b/service/entry/completions.go
@@ -106,7 +106,10 @@
 	}
 	var stream *completionStream
 	if req.Stream {
-		stream = newCompletionStream(c.ResponseWriter(), completion)
+		var gone context.CancelFunc
+		ctx, gone = context.WithCancel(ctx)
+		defer gone()
+		stream = newCompletionStream(c.ResponseWriter(), completion, gone)
 		work.onText = stream.text
 	}
 	done, refusal := e.runIdentified(ctx, work, id, claimDigest(req))
@@ -149,14 +152,19 @@
 
 // completionStream writes a completion as server-sent events.
 type completionStream struct {
-	w          http.ResponseWriter
+	w http.ResponseWriter
+	// conn is the connection below w, which hides it.
+	conn *http.ResponseController
+	// gone ends the request when its caller does not read any more.
+	gone       context.CancelFunc
 	completion *api.Completion
 	begun      bool
 	sent       int // bytes of the text already sent
 }
 
-func newCompletionStream(w http.ResponseWriter, completion *api.Completion) *completionStream {
-	return &completionStream{w: w, completion: completion}
+// newCompletionStream makes a stream; gone is called when its caller is lost.
+func newCompletionStream(w responseWriter, completion *api.Completion, gone context.CancelFunc) *completionStream {
+	return &completionStream{w: w, conn: http.NewResponseController(w.Naive()), completion: completion, gone: gone}
 }
 
 // text sends what is new of the text.
@@ -202,7 +210,9 @@
 		s.w.WriteHeader(http.StatusOK)
 		s.begun = true
 	}
-	writeEvent(s.w, name, data)
+	if err := writeInTime(s.conn, func() error { return writeEvent(s.w, name, data) }); err != nil {
+		s.gone()
+	}
 }
 
 // writeEvent writes one server-sent event and flushes it.
--- a/service/entry/stall_test.go
+++ b/service/entry/stall_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -22,30 +23,64 @@
 // stallTime is how long the trainer does not read; the step's deadline is an hour.
 const stallTime = 2 * time.Minute
 
+// startStalled starts an entry and an engine in a bubble.
+func startStalled(t *testing.T, fabric *deployment.Memory) *deployment.Deployment {
+	t.Helper()
+	d, err := deployment.Start(t.Context(), deployment.Options{
+		Fabric: fabric, Table: stallTable, Log: observe.Discard(), Seed: 1,
+		Engines: []deployment.EngineSpec{{Zone: "patan", Options: engine.Options{
+			ID: "engine-1", Models: map[string]uint64{"guide": 1},
+		}}},
+		Entries: []deployment.EntrySpec{{Zone: "patan", ID: "entry-1"}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	if err := d.AwaitReady(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
 // TestStalledTrainerLosesItsSession starts a step and does not read its answer.
 func TestStalledTrainerLosesItsSession(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fabric := deployment.NewMemory()
 		defer fabric.Close()
-		d, err := deployment.Start(t.Context(), deployment.Options{
-			Fabric: fabric, Table: stallTable, Log: observe.Discard(), Seed: 1,
-			Engines: []deployment.EngineSpec{{Zone: "patan", Options: engine.Options{
-				ID: "engine-1", Models: map[string]uint64{"guide": 1},
-			}}},
-			Entries: []deployment.EntrySpec{{Zone: "patan", ID: "entry-1"}},
+		d := startStalled(t, fabric)
+		resp := startStep(t, d.EntryURLs()[0], fabric.Client())
+		defer resp.Body.Close()
+		time.Sleep(stallTime)
+		if n := d.Entries[0].Counters.Refusals("training", api.CodeCancelled); n != 1 {
+			t.Errorf("%d sessions ended by %s of not reading, want 1", n, stallTime)
+		}
+	})
+}
+
+// TestStalledCallerLosesItsStream starts a streamed completion and does not
+// read it: the entry gives it up, so that it holds up no drain.
+func TestStalledCallerLosesItsStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fabric := deployment.NewMemory()
+		defer fabric.Close()
+		d := startStalled(t, fabric)
+		body, err := json.Marshal(api.CompletionRequest{
+			Model: "training", Prompt: engine.PromptOfLength(4000, "what is open"), MaxTokens: 4000, Stream: true,
 		})
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer d.Close()
-		if err := d.AwaitReady(t.Context()); err != nil {
+		resp, err := fabric.Client().Post(d.EntryURLs()[0]+api.PathCompletions, "application/json", bytes.NewReader(body))
+		if err != nil {
 			t.Fatal(err)
 		}
-		resp := startStep(t, d.EntryURLs()[0], fabric.Client())
 		defer resp.Body.Close()
 		time.Sleep(stallTime)
-		if n := d.Entries[0].Counters.Refusals("training", api.CodeCancelled); n != 1 {
-			t.Errorf("%d sessions ended by %s of not reading, want 1", n, stallTime)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if err := d.Entries[0].Entry.Drain(ctx); err != nil {
+			t.Errorf("after %s of not reading: %v", stallTime, err)
 		}
 	})
 }
--- a/service/entry/steps.go
+++ b/service/entry/steps.go
@@ -25,8 +25,8 @@
 	maxIDLength = 256
 	// heartbeatInterval is how often a step's answer shows that its entry lives.
 	heartbeatInterval = time.Second
-	// eventWriteTimeout is how long a trainer may take to read so far that an
-	// event or heartbeat can be written; then its connection counts as broken.
+	// eventWriteTimeout is how long a trainer or caller may take to read so far
+	// that an event can be written; then its connection counts as broken.
 	eventWriteTimeout = 30 * time.Second
 	// handOverTime bounds the closing of steps at the end of a drain.
 	handOverTime = 2 * time.Second
@@ -201,7 +201,13 @@
 func (s *stepSink) write(f func() error) error {
 	s.turn <- struct{}{}
 	defer func() { <-s.turn }()
-	err := s.conn.SetWriteDeadline(time.Now().Add(eventWriteTimeout))
+	return writeInTime(s.conn, f)
+}
+
+// writeInTime calls f, which writes to the connection; the write fails when the
+// reader takes longer than eventWriteTimeout.
+func writeInTime(conn *http.ResponseController, f func() error) error {
+	err := conn.SetWriteDeadline(time.Now().Add(eventWriteTimeout))
 	if err != nil && !errors.Is(err, http.ErrNotSupported) { // a writer that is no connection has no deadline
 		return err
 	}
