--- /dev/null
+++ b/retry/pause.go
@@ -0,0 +1,18 @@
+package retry
+
+import (
+	"context"
+	"time"
+)
+
+// Pause sleeps for d; false says that ctx ended meanwhile.
+func Pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/service/agent/agent.go
+++ b/service/agent/agent.go
@@ -187,15 +187,3 @@
 func (a *Agent) jitter(d time.Duration) time.Duration {
 	return d/2 + time.Duration(a.rand.Int64N(int64(d)+1))
 }
-
-// pause sleeps; false says that the context ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/service/agent/fencer.go
+++ b/service/agent/fencer.go
@@ -10,6 +10,7 @@
 	"github.com/gravitational/trace"
 
 	"mulberryscale.example/platform"
+	"mulberryscale.example/retry"
 )
 
 // Fencer gives fencing numbers; each call returns a larger one than all before
@@ -90,7 +91,7 @@
 		wait := a.jitter(backoff)
 		a.mu.Unlock()
 		a.log.WithError(err).Warn("no fencing number yet; the engine keeps its weights")
-		if !pause(ctx, wait) {
+		if !retry.Pause(ctx, wait) {
 			return
 		}
 		backoff = min(2*backoff, a.cfg.MaxBackoff)
--- a/service/agent/weights.go
+++ b/service/agent/weights.go
@@ -8,6 +8,7 @@
 	"mulberryscale.example/endpoint"
 	"mulberryscale.example/observe"
 	"mulberryscale.example/platform"
+	"mulberryscale.example/retry"
 	"mulberryscale.example/weights"
 )
 
@@ -25,7 +26,7 @@
 func (a *Agent) followTargets(ctx context.Context) {
 	for {
 		wait := a.askTargets(ctx)
-		if !pause(ctx, wait) {
+		if !retry.Pause(ctx, wait) {
 			return
 		}
 	}
--- a/tablestore/apply.go
+++ b/tablestore/apply.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"mulberryscale.example/platform"
+	"mulberryscale.example/retry"
 	"mulberryscale.example/table"
 )
 
@@ -74,7 +75,7 @@
 		case !mayHaveTakenEffect && !errors.Is(err, platform.ErrPrecondition):
 			return Entry{}, err
 		}
-		if sleep(ctx, delay) != nil {
+		if !retry.Pause(ctx, delay) {
 			break
 		}
 		delay = min(2*delay, maxDelay)
@@ -251,14 +252,3 @@
 	}
 	return table.Parse(doc.Format, doc.Body)
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/weights/fetch.go
+++ b/weights/fetch.go
@@ -15,6 +15,7 @@
 	"mulberryscale.example/api"
 	"mulberryscale.example/observe"
 	"mulberryscale.example/platform"
+	"mulberryscale.example/retry"
 	"mulberryscale.example/wire"
 )
 
@@ -125,7 +126,7 @@
 				break
 			}
 		}
-		if !pause(ctx, f.r.rand.jitter(wait)) {
+		if !retry.Pause(ctx, f.r.rand.jitter(wait)) {
 			return context.Cause(ctx)
 		}
 	}
@@ -268,7 +269,7 @@
 		if refusal == nil || refusal.RetryAfter == 0 || time.Now().After(until) {
 			return err
 		}
-		if !pause(ctx, notYetPause) {
+		if !retry.Pause(ctx, notYetPause) {
 			return context.Cause(ctx)
 		}
 	}
--- a/weights/peers.go
+++ b/weights/peers.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"mulberryscale.example/platform"
+	"mulberryscale.example/retry"
 )
 
 // lackTime is how long a peer that does not serve a model is passed over for it.
@@ -43,7 +44,7 @@
 func (p *PeerList) Run(ctx context.Context) {
 	for {
 		p.read(ctx)
-		if !pause(ctx, p.rand.jitter(ListInterval(p.Len()))) {
+		if !retry.Pause(ctx, p.rand.jitter(ListInterval(p.Len()))) {
 			return
 		}
 	}
--- a/weights/random.go
+++ b/weights/random.go
@@ -1,7 +1,6 @@
 package weights
 
 import (
-	"context"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -44,15 +43,3 @@
 	}
 	return drawn
 }
-
-// pause sleeps; false says that the context ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
