--- /dev/null
+++ b/batch/enginestate.go
@@ -0,0 +1,253 @@
+package batch
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"mulberryscale.example/fleet"
+)
+
+const (
+	// watchInterval is how often the engine is asked for its report while it
+	// has or may get work; the report is free on its own machine.
+	watchInterval = 100 * time.Millisecond
+	// quietInterval is the same while no job is open.
+	quietInterval = 500 * time.Millisecond
+	// maxLosses is how many failures in a row make an engine count as down.
+	maxLosses = 2
+	// settleTime is how long after a version was named an engine waits for the
+	// step that goes with it. That step may use the version before, so it runs
+	// at once instead of waiting for the load, and the load follows it.
+	settleTime = 2500 * time.Millisecond
+	// orderTimeout is after how long an order that was not carried out is given again.
+	orderTimeout = 4 * time.Second
+	// paceWeight is the weight of the newest event in the mean pace.
+	paceWeight = 0.1
+)
+
+// engineState is what is believed of the engine beside this process. It is
+// guarded by the worker's mu.
+type engineState struct {
+	up     bool
+	losses int
+	// versions are the weights by model; sequence is the number of orders accepted.
+	versions map[string]uint64
+	sequence uint64
+	known    bool
+	// order is the order being carried out, nil if none.
+	order   *Order
+	ordered time.Time
+	// pace is the mean time between two events of a run, 0 while unknown.
+	pace time.Duration
+	// stepped is the newest MinVersion+1 of the jobs seen, by model: the version
+	// whose step has come.
+	stepped map[string]uint64
+}
+
+func newEngineState() engineState {
+	return engineState{up: true, versions: map[string]uint64{}, stepped: map[string]uint64{}}
+}
+
+// serves reports whether the engine's weights are recent enough for a job and
+// not about to change.
+func (e *engineState) serves(job *Job) bool {
+	if e.order != nil && e.order.Model == job.Model {
+		return false
+	}
+	if !e.known {
+		return false
+	}
+	return job.Model == "" || e.versions[job.Model] >= job.MinVersion
+}
+
+// observe takes an event of a run.
+func (e *engineState) observe(model string, version uint64, gap time.Duration, paced bool) {
+	e.losses, e.up = 0, true
+	if e.versions[model] < version {
+		e.versions[model] = version
+	}
+	if !paced {
+		return
+	}
+	if e.pace == 0 {
+		e.pace = gap
+		return
+	}
+	e.pace += time.Duration(paceWeight * float64(gap-e.pace))
+}
+
+func (e *engineState) notRun() {}
+
+// broke counts a broken answer; a stalled one weighs as much as two.
+func (e *engineState) broke(stalled bool) {
+	e.losses++
+	if stalled {
+		e.losses = maxLosses
+	}
+	if e.losses >= maxLosses {
+		e.up = false
+	}
+}
+
+// watchEngine keeps the engine's state abreast and gives it orders.
+func (w *Worker) watchEngine(ctx context.Context) {
+	for {
+		w.report(ctx)
+		w.orderVersions(ctx)
+		interval := quietInterval
+		if w.active() {
+			interval = watchInterval
+		}
+		if pause(ctx, interval) != nil {
+			return
+		}
+	}
+}
+
+func (w *Worker) active() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.engine.order != nil || !w.engine.up || !w.engine.known {
+		return true
+	}
+	for _, j := range w.jobs {
+		if !j.ended && !j.finished {
+			return true
+		}
+	}
+	return false
+}
+
+// report asks the engine for its state.
+func (w *Worker) report(ctx context.Context) {
+	r, err := w.Engines.Report(ctx, w.Engine)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e := &w.engine
+	was := e.up
+	if err != nil {
+		e.losses++
+		if e.losses >= maxLosses {
+			e.up = false
+		}
+		if was && !e.up {
+			w.Log.WithError(err).WithField("engine", w.Engine).Warn("engine lost")
+		}
+		return
+	}
+	e.losses, e.up = 0, true
+	if !was {
+		w.Log.WithField("engine", w.Engine).Info("engine regained")
+	}
+	e.known, e.sequence = true, r.Sequence
+	e.versions = r.Versions
+	if o := e.order; o != nil {
+		w.checkOrder(o, r)
+	}
+	w.wake()
+}
+
+// checkOrder sees whether the order in progress is done. It is called with w.mu held.
+func (w *Worker) checkOrder(o *Order, r Report) {
+	took := time.Since(w.engine.ordered)
+	log := w.Log.WithFields(logrus.Fields{
+		"model": o.Model, "version": o.Version, "took_ms": took.Milliseconds(), "sequence": r.Sequence,
+	})
+	switch {
+	case r.Versions[o.Model] >= o.Version:
+		log.Info("weights changed")
+		w.engine.order = nil
+	case took > orderTimeout && !r.Busy:
+		log.Warn("order not carried out")
+		w.engine.order = nil
+	}
+}
+
+// orderVersions gives the engine the order that is due, if any.
+func (w *Worker) orderVersions(ctx context.Context) {
+	instance, ok := w.instance()
+	if !ok {
+		return
+	}
+	o := w.dueOrder(instance)
+	if o == nil {
+		return
+	}
+	err := w.Engines.Order(ctx, *o)
+	log := w.Log.WithFields(logrus.Fields{
+		"model": o.Model, "version": o.Version, "token": o.Token, "sequence": o.Sequence, "engine": o.Instance,
+	})
+	if err == nil {
+		log.Info("order given")
+		return
+	}
+	log.WithError(err).Warn("order not answered or refused")
+}
+
+// dueOrder picks the model whose weights should change now.
+func (w *Worker) dueOrder(instance fleet.Instance) *Order {
+	snap := w.View.Snapshot()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e := &w.engine
+	if e.order != nil || !e.known || !e.up || w.token == 0 || w.stopping || snap.Config == nil {
+		return nil
+	}
+	service := snap.Config.Service(w.Service)
+	if service == nil {
+		return nil
+	}
+	deal := DealModels(addrs(snap.OfService(w.Service)), service.Models)
+	for _, model := range service.Models {
+		version := snap.Named[model]
+		if version <= e.versions[model] {
+			continue
+		}
+		mine := slices.Contains(deal[model], w.Engine)
+		if !w.due(model, version, mine, time.Since(snap.NamedAt[model])) {
+			continue
+		}
+		e.order = &Order{
+			Addr: w.Engine, Instance: instance.ID, Model: model, Version: version, Keep: true,
+			Holder: w.Node, Token: w.token, Sequence: e.sequence,
+		}
+		e.ordered = time.Now()
+		return e.order
+	}
+	return nil
+}
+
+// due reports whether a model's weights should change now: at once when items
+// wait for them; otherwise when the step of that version has come and nothing
+// of it is left here, or has not come for a while. It is called with w.mu held.
+func (w *Worker) due(model string, version uint64, mine bool, age time.Duration) bool {
+	held, stepped := false, false
+	for _, j := range w.jobs {
+		if j.ended || j.job.Model != model {
+			continue
+		}
+		stepped = stepped || j.job.MinVersion+1 >= version
+		for _, t := range j.tasks {
+			if t.cancel == nil && j.job.MinVersion > w.engine.versions[model] {
+				return true
+			}
+			held = true
+		}
+		held = held || (j.items == nil && slices.Contains(j.job.Owners, w.Engine))
+	}
+	if !mine || held {
+		return false
+	}
+	return stepped || age > settleTime
+}
+
+func addrs(instances []fleet.Instance) []string {
+	list := make([]string, 0, len(instances))
+	for _, i := range instances {
+		list = append(list, i.Addr)
+	}
+	return list
+}
--- /dev/null
+++ b/batch/help.go
@@ -0,0 +1,313 @@
+package batch
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"mulberryscale.example/observe"
+)
+
+const (
+	// helpInterval is how often an agent with free slots looks at the others.
+	helpInterval = 250 * time.Millisecond
+	// helpAge is the age below which a job is left to its owners.
+	helpAge = 400 * time.Millisecond
+	// orphanCheck is the least time between two reads of a job's results in
+	// search of items that nobody holds. It is longer than a handover takes.
+	orphanCheck = time.Second
+	// slowRatio is how many times slower another engine must be for its running
+	// items to be worth moving: a move costs a prompt read again, 30 ms.
+	slowRatio = 1.6
+)
+
+// help looks after the items of other agents while this one has room, and
+// gives away its own when its engine cannot run them.
+func (w *Worker) help(ctx context.Context) {
+	for pause(ctx, helpInterval) == nil {
+		jobs := w.openJobs()
+		if len(jobs) == 0 {
+			continue
+		}
+		w.mu.Lock()
+		free, held := w.free(), w.held()
+		w.mu.Unlock()
+		unable := w.unable()
+		if free == 0 && !(unable && held > 0) {
+			continue
+		}
+		statuses := w.ask(ctx, jobs)
+		if unable {
+			w.giveAll(ctx, statuses, true)
+			continue
+		}
+		w.takeFrom(ctx, jobs, statuses, free)
+		w.adoptOrphans(jobs, statuses)
+	}
+}
+
+// held is the number of items here. It is called with w.mu held.
+func (w *Worker) held() int { return len(w.waiting) + len(w.running) }
+
+// unable reports whether the engine takes no work.
+func (w *Worker) unable() bool {
+	_, registered := w.instance()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	listed := w.View.Snapshot().Listed
+	return (listed && !registered) || !w.engine.up || w.stopping
+}
+
+// openJobs are the jobs that may have unfinished items.
+func (w *Worker) openJobs() []*workJob {
+	now, known := w.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var open []*workJob
+	for _, j := range w.jobs {
+		if j.ended || j.finished || !known || now-j.job.Accepted < helpAge || now-j.job.Accepted > j.job.ItemTTL {
+			continue
+		}
+		open = append(open, j)
+	}
+	slices.SortFunc(open, func(a, b *workJob) int {
+		return cmp.Or(cmp.Compare(a.job.Accepted, b.job.Accepted), cmp.Compare(a.job.ID, b.job.ID))
+	})
+	return open
+}
+
+// participants are the engines whose agents may hold items of a job.
+func (w *Worker) participants(j *workJob) []string {
+	snap := w.View.Snapshot()
+	engines := map[string]bool{}
+	for _, o := range j.job.Owners {
+		engines[o] = true
+	}
+	if snap.Config != nil && j.job.Model != "" {
+		if service := snap.Config.Service(w.Service); service != nil {
+			for _, e := range DealModels(addrs(snap.OfService(w.Service)), service.Models)[j.job.Model] {
+				engines[e] = true
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(engines))
+}
+
+// ask asks all agents that may hold items of the jobs; those that do not
+// answer are missing in what it returns.
+func (w *Worker) ask(ctx context.Context, jobs []*workJob) map[string]*Status {
+	var ids []string
+	engines := map[string]bool{}
+	for _, j := range jobs {
+		ids = append(ids, j.job.ID)
+		for _, e := range w.participants(j) {
+			engines[e] = true
+		}
+	}
+	delete(engines, w.Engine)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	statuses := map[string]*Status{}
+	for e := range engines {
+		wg.Go(func() {
+			reply, err := w.call(ctx, e, &PeerRequest{Status: &StatusAsk{Jobs: ids}})
+			if err != nil || reply.Status == nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			statuses[e] = reply.Status
+		})
+	}
+	wg.Wait()
+	return statuses
+}
+
+// takeFrom takes items from the agent that has the most to give.
+func (w *Worker) takeFrom(ctx context.Context, jobs []*workJob, statuses map[string]*Status, free int) {
+	w.mu.Lock()
+	pace := w.engine.pace
+	w.mu.Unlock()
+	for _, j := range jobs {
+		if free <= 0 || !w.fresh(j) {
+			continue
+		}
+		engine, running, n := richest(j.job.ID, statuses, pace)
+		if n == 0 {
+			continue
+		}
+		ask := &TakeAsk{Job: j.job.ID, Max: min(free, (n+1)/2), Running: running}
+		if !w.read(j, false) {
+			continue
+		}
+		reply, err := w.call(ctx, engine, &PeerRequest{Take: ask})
+		if err != nil || reply.Handed == nil {
+			continue
+		}
+		free -= w.accept(engine, reply.Handed)
+	}
+}
+
+// fresh reports whether the engine's weights serve a job now.
+func (w *Worker) fresh(j *workJob) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.engine.serves(j.job)
+}
+
+// richest finds the agent with the most waiting items of a job, or else one
+// whose engine is much slower than a pace and runs some.
+func richest(job string, statuses map[string]*Status, pace time.Duration) (engine string, running bool, n int) {
+	for _, e := range slices.Sorted(maps.Keys(statuses)) {
+		if waiting := len(statuses[e].Jobs[job].Waiting); waiting > n {
+			engine, n = e, waiting
+		}
+	}
+	if n > 0 || pace == 0 {
+		return engine, false, n
+	}
+	var slowest time.Duration
+	for _, e := range slices.Sorted(maps.Keys(statuses)) {
+		s := statuses[e]
+		r := len(s.Jobs[job].Running)
+		if r > 0 && s.Pace > slowest && float64(s.Pace) > slowRatio*float64(pace) {
+			engine, n, slowest = e, 2*r, s.Pace
+		}
+	}
+	return engine, true, n
+}
+
+// giveAll gives away the items here, those that run only if asked to.
+func (w *Worker) giveAll(ctx context.Context, statuses map[string]*Status, running bool) {
+	engines := slices.SortedFunc(maps.Keys(statuses), func(a, b string) int {
+		return cmp.Or(cmp.Compare(statuses[b].Free, statuses[a].Free), cmp.Compare(a, b))
+	})
+	engines = slices.DeleteFunc(engines, func(e string) bool { return !statuses[e].Up })
+	if len(engines) == 0 {
+		return
+	}
+	w.mu.Lock()
+	byJob := map[*workJob][]*task{}
+	for _, j := range w.jobs {
+		for _, t := range j.tasks {
+			if (running && t.cancel != nil) || slices.Contains(w.waiting, t) {
+				byJob[j] = append(byJob[j], t)
+			}
+		}
+	}
+	w.mu.Unlock()
+	for j, tasks := range byJob {
+		w.giveJob(ctx, j, tasks, engines)
+	}
+}
+
+// giveJob deals items of one job out to other agents in turn. What none takes
+// waits here again.
+func (w *Worker) giveJob(ctx context.Context, j *workJob, tasks []*task, engines []string) {
+	for i, e := range engines {
+		share := tasks[i*len(tasks)/len(engines) : (i+1)*len(tasks)/len(engines)]
+		if len(share) == 0 {
+			continue
+		}
+		w.mu.Lock()
+		stopped := w.detach(share)
+		w.mu.Unlock()
+		handed := w.collect(j, share, stopped, e, "engine takes no work")
+		if len(handed.Items) == 0 {
+			continue
+		}
+		reply, err := w.call(ctx, e, &PeerRequest{Give: handed})
+		if err == nil && reply.Taken == len(handed.Items) {
+			continue
+		}
+		w.Log.WithError(err).WithFields(logrus.Fields{observe.FieldJob: j.job.ID, "to": e}).Warn("items not taken")
+		w.accept(w.Engine, handed)
+	}
+}
+
+// adoptOrphans takes the items that no agent holds and that are not done, as
+// happens when an agent died or a handover was lost.
+func (w *Worker) adoptOrphans(jobs []*workJob, statuses map[string]*Status) {
+	for _, j := range jobs {
+		missing, finished := w.missing(j, statuses)
+		if finished {
+			w.mu.Lock()
+			j.finished = true
+			w.mu.Unlock()
+			continue
+		}
+		if len(missing) == 0 {
+			continue
+		}
+		w.mu.Lock()
+		due := time.Since(j.checked) > orphanCheck
+		if due {
+			j.checked = time.Now()
+		}
+		w.mu.Unlock()
+		if due && w.read(j, true) {
+			w.adopt(j, missing, statuses)
+		}
+	}
+}
+
+// missing are the items that nobody who answered holds or has done; finished
+// says that all are done.
+func (w *Worker) missing(j *workJob, statuses map[string]*Status) (missing []int, finished bool) {
+	held, done := map[int]bool{}, map[int]bool{}
+	w.mu.Lock()
+	own := j.status()
+	w.mu.Unlock()
+	for _, s := range append(slices.Collect(maps.Values(statuses)), &Status{Jobs: map[string]JobStatus{j.job.ID: own}}) {
+		js := s.Jobs[j.job.ID]
+		for _, list := range [][]int{js.Waiting, js.Running} {
+			for _, i := range list {
+				held[i] = true
+			}
+		}
+		for _, i := range js.Done {
+			done[i] = true
+		}
+	}
+	for i := range j.job.Items {
+		if !held[i] && !done[i] {
+			missing = append(missing, i)
+		}
+	}
+	return missing, len(done) == j.job.Items
+}
+
+// adopt takes this agent's part of the items without a holder: all agents that
+// answer and are up share them by rendezvous hashing.
+func (w *Worker) adopt(j *workJob, missing []int, statuses map[string]*Status) {
+	engines := []string{w.Engine}
+	for e, s := range statuses {
+		if s.Up {
+			engines = append(engines, e)
+		}
+	}
+	slices.Sort(engines)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, i := range missing {
+		if j.done[i] || engines[best(j.items[i].ID, engines)] != w.Engine {
+			continue
+		}
+		if w.take(j, &task{index: i}) {
+			n++
+			w.Log.WithFields(logrus.Fields{
+				observe.FieldItem: j.items[i].ID, observe.FieldJob: j.job.ID, "owner": j.owners[i],
+				"answered": len(statuses),
+			}).Info("item without a holder taken")
+		}
+	}
+	if n > 0 {
+		w.wake()
+	}
+}
--- /dev/null
+++ b/batch/intake.go
@@ -0,0 +1,140 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"mulberryscale.example/fleet"
+	"mulberryscale.example/forward"
+	"mulberryscale.example/observe"
+	"mulberryscale.example/store"
+)
+
+// ErrMalformed says that a job cannot be accepted as it stands.
+var ErrMalformed = errors.New("batch: malformed job")
+
+const (
+	// acceptTime bounds the acceptance of a job whose client named no deadline.
+	acceptTime = 3 * time.Second
+	// acceptSlack is left of the client's deadline to write the answer.
+	acceptSlack = 100 * time.Millisecond
+)
+
+// Submission is a job as it arrives.
+type Submission struct {
+	ID         string
+	Host       string
+	Route      *fleet.Route
+	Model      string
+	Step       int
+	MinVersion uint64
+	Wanted     int
+	Items      []Item
+	// Deadline is when the client stops waiting; zero if it did not say.
+	Deadline time.Time
+}
+
+// Intake accepts and ends jobs. It is safe for concurrent use.
+type Intake struct {
+	View     *fleet.View
+	Ledger   *Ledger
+	Now      func() (time.Duration, bool)
+	Log      logrus.FieldLogger
+	Counters *observe.Counters
+}
+
+// Submit accepts a job; its error is ErrMalformed or as of Ledger.Submit.
+func (in *Intake) Submit(ctx context.Context, s Submission) error {
+	if err := s.check(); err != nil {
+		return err
+	}
+	now, ok := in.Now()
+	if !ok {
+		return fmt.Errorf("%w: the store has not been reached yet", store.ErrRefused)
+	}
+	began := time.Now()
+	limit := acceptTime
+	if !s.Deadline.IsZero() {
+		limit = min(limit, time.Until(s.Deadline)-acceptSlack)
+	}
+	if s.Route.Timeout > 0 {
+		limit = min(limit, s.Route.Timeout-acceptSlack)
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	job := in.job(s, now)
+	err := in.Ledger.Submit(ctx, job, s.Items)
+	took := time.Since(began)
+	log := in.Log.WithFields(logrus.Fields{
+		observe.FieldJob: s.ID, "route": s.Route.Name, "items": len(s.Items), "model": s.Model, "step": s.Step,
+		"min_version": s.MinVersion, "owners": len(job.Owners), "took_ms": took.Milliseconds(),
+	})
+	if err != nil {
+		log.WithError(err).Warn("job not accepted")
+		return err
+	}
+	in.Counters.Observe(observe.NameAccept, s.Route.Name, took)
+	log.Info("job accepted")
+	return nil
+}
+
+func (s *Submission) check() error {
+	if s.ID == "" {
+		return fmt.Errorf("%w: no id", ErrMalformed)
+	}
+	if len(s.Items) == 0 {
+		return fmt.Errorf("%w: no items", ErrMalformed)
+	}
+	seen := map[string]bool{}
+	for i := range s.Items {
+		item := &s.Items[i]
+		if item.ID == "" || item.Path == "" || item.Path[0] != '/' {
+			return fmt.Errorf("%w: item %d has id %q and path %q", ErrMalformed, i, item.ID, item.Path)
+		}
+		if seen[item.ID] {
+			return fmt.Errorf("%w: two items have the id %q", ErrMalformed, item.ID)
+		}
+		seen[item.ID] = true
+	}
+	return nil
+}
+
+// job deals a submission out to the engines that serve its model.
+func (in *Intake) job(s Submission, now time.Duration) *Job {
+	service := forward.Backend(s.Route, s.ID)
+	snap := in.View.Snapshot()
+	owners := addrs(snap.OfService(service))
+	if config := snap.Config.Service(service); config != nil && s.Model != "" {
+		if deal := DealModels(owners, config.Models)[s.Model]; len(deal) > 0 {
+			owners = deal
+		}
+	}
+	return &Job{
+		ID: s.ID, Route: s.Route.Name, Host: s.Host, Service: service, Model: s.Model, Step: s.Step,
+		MinVersion: s.MinVersion, SingleVersion: s.Route.SingleVersion, Items: len(s.Items), Wanted: s.Wanted,
+		MaxAttempts: s.Route.MaxAttempts, ItemTTL: s.Route.ItemTTL, Accepted: now, Owners: owners,
+	}
+}
+
+// End ends a job; ErrNoJob says that there is none.
+func (in *Intake) End(ctx context.Context, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, acceptTime)
+	defer cancel()
+	_, ended, found, err := in.Ledger.Job(ctx, id)
+	if err != nil {
+		return err
+	}
+	if !found {
+		return ErrNoJob
+	}
+	if ended {
+		return nil
+	}
+	err = in.Ledger.End(ctx, id)
+	in.Log.WithField(observe.FieldJob, id).WithError(err).Info("job's end")
+	return err
+}
--- /dev/null
+++ b/batch/job.go
@@ -0,0 +1,73 @@
+// Package batch runs batch jobs: many requests that are accepted together, run
+// later on a service's engines, and listed one after the other as they finish.
+//
+// Nobody leads. An accepted job stands whole in the store; each agent beside an
+// engine computes the same split of its items, runs its part and appends what
+// it finishes. The order in which the store took those appends is the order of
+// the results, for all readers alike.
+package batch
+
+import (
+	"time"
+)
+
+// Item is one request of a job.
+type Item struct {
+	ID      string            `cbor:"1,keyasint"`
+	Path    string            `cbor:"2,keyasint"` // with its query
+	Headers map[string]string `cbor:"3,keyasint,omitempty"`
+	Body    []byte            `cbor:"4,keyasint,omitempty"`
+	// Tokens is the sum of the prompt's tokens and the most that may be generated.
+	Tokens int `cbor:"5,keyasint,omitempty"`
+	// Group holds items that share a prompt and count only together.
+	Group string `cbor:"6,keyasint,omitempty"`
+	// ExpectedTokens is the caller's estimate of the tokens generated; 0 is none.
+	ExpectedTokens int `cbor:"7,keyasint,omitempty"`
+}
+
+// Job is an accepted job without the contents of its items.
+type Job struct {
+	ID      string `cbor:"1,keyasint"`
+	Route   string `cbor:"2,keyasint"`
+	Host    string `cbor:"3,keyasint"`
+	Service string `cbor:"4,keyasint"`
+	Model   string `cbor:"5,keyasint,omitempty"`
+	Step    int    `cbor:"6,keyasint,omitempty"`
+	// MinVersion is the oldest weight version that may generate its text.
+	MinVersion uint64 `cbor:"7,keyasint,omitempty"`
+	// SingleVersion wants all of an item's text from one version.
+	SingleVersion bool `cbor:"8,keyasint,omitempty"`
+	// Items is the number of items.
+	Items int `cbor:"9,keyasint"`
+	// Wanted is how many complete groups the caller waits for; 0 is all.
+	Wanted      int `cbor:"10,keyasint,omitempty"`
+	MaxAttempts int `cbor:"11,keyasint"`
+	// ItemTTL is how long after Accepted an item may be given up.
+	ItemTTL time.Duration `cbor:"12,keyasint"`
+	// Accepted is the store's clock when the job was submitted.
+	Accepted time.Duration `cbor:"13,keyasint"`
+	// Owners are the addresses of the engines that the items are dealt to.
+	Owners []string `cbor:"14,keyasint"`
+	// Chunks is the number of rows, or of objects if InObjects, that hold the items.
+	Chunks    int  `cbor:"15,keyasint"`
+	InObjects bool `cbor:"16,keyasint,omitempty"`
+}
+
+// State is how an item ended.
+type State string
+
+// States of a result.
+const (
+	StateDone   State = "done"
+	StateFailed State = "failed"
+)
+
+// Result is one finished item.
+type Result struct {
+	ID    string `cbor:"1,keyasint"`
+	State State  `cbor:"2,keyasint"`
+	// Output is the data of all events, separated by line feeds.
+	Output string `cbor:"3,keyasint,omitempty"`
+	// Versions are the weight versions that generated the text.
+	Versions []uint64 `cbor:"4,keyasint,omitempty"`
+}
--- /dev/null
+++ b/batch/ledger.go
@@ -0,0 +1,306 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"mulberryscale.example/store"
+	"mulberryscale.example/transport/codec"
+)
+
+// Tables of the store.
+//
+//	batch_jobs     name ID: the Job; name ID/end: the job was ended
+//	batch_items    name ID/000…: the items, CBOR, cut into rows
+//	batch_results  part ID: what was appended, one transaction a batch of results
+//
+// Heads and items share one part, so that one transaction accepts a job whole.
+const (
+	TableJobs    = "batch_jobs"
+	tableItems   = "batch_items"
+	TableResults = "batch_results"
+
+	endSuffix = "/end"
+)
+
+const (
+	// maxInlineBytes is the most that a job's items may take in rows; more goes
+	// into objects. The store takes 1 MB a transaction, in an encoding that
+	// needs four bytes for three.
+	maxInlineBytes = 640 << 10
+	// maxAppendBytes bounds one append of results for the same reason.
+	maxAppendBytes = 512 << 10
+	// rowShare keeps a row's value under the store's bound.
+	rowShare = 0.9
+	// writePause is the pause before a write that got no clear answer is sent again.
+	writePause = 100 * time.Millisecond
+)
+
+// Ledger keeps jobs and their results in the store. It is safe for concurrent use.
+type Ledger struct {
+	Store store.Store
+	// RowBytes is the largest value of a row, ObjectBytes the largest object.
+	RowBytes, ObjectBytes int
+}
+
+// Submit accepts a job: once it returns nil the job stands whole in the store.
+// A job that was accepted before is accepted again. After an error that is
+// store.ErrRefused the job is not accepted and never will be by this call; any
+// other error leaves it open.
+func (l *Ledger) Submit(ctx context.Context, job *Job, items []Item) error {
+	data, err := codec.Marshal(items)
+	if err != nil {
+		return fmt.Errorf("%w: encode items: %v", store.ErrInvalid, err)
+	}
+	tx := store.Tx{If: []store.Condition{{Key: jobKey(job.ID)}}}
+	if len(data) > maxInlineBytes {
+		job.InObjects = true
+		job.Chunks, err = l.putObjects(ctx, job.ID, data)
+		if err != nil {
+			return err
+		}
+	} else {
+		pieces := cut(data, l.rowLimit())
+		job.Chunks = len(pieces)
+		for i, piece := range pieces {
+			tx.Put = append(tx.Put, store.Row{Key: itemsKey(job.ID, i), Value: piece})
+		}
+	}
+	head, err := codec.Marshal(job)
+	if err != nil {
+		return fmt.Errorf("%w: encode a job: %v", store.ErrInvalid, err)
+	}
+	tx.Put = append(tx.Put, store.Row{Key: jobKey(job.ID), Value: head})
+	return l.commitOnce(ctx, tx)
+}
+
+// commitOnce commits a transaction whose conditions can hold once only, again
+// after each answer that leaves its outcome open. A conflict means that it, or
+// one like it, was committed before.
+func (l *Ledger) commitOnce(ctx context.Context, tx store.Tx) error {
+	open := false // an earlier send may still be carried out
+	for {
+		_, err := l.Store.Commit(ctx, tx)
+		switch {
+		case err == nil, errors.Is(err, store.ErrConflict):
+			return nil
+		case errors.Is(err, store.ErrInvalid):
+			return err
+		case errors.Is(err, store.ErrUnknown):
+			open = true
+		}
+		if pause(ctx, writePause) != nil {
+			if open {
+				return fmt.Errorf("%w: %v", store.ErrUnknown, err)
+			}
+			return err
+		}
+	}
+}
+
+func (l *Ledger) putObjects(ctx context.Context, id string, data []byte) (int, error) {
+	pieces := cut(data, l.ObjectBytes)
+	for i, piece := range pieces {
+		for {
+			err := l.Store.PutObject(ctx, objectName(id, i), piece)
+			if err == nil || errors.Is(err, store.ErrConflict) {
+				break
+			}
+			// An object alone accepts nothing, so its outcome need not be known.
+			if errors.Is(err, store.ErrInvalid) || pause(ctx, writePause) != nil {
+				return 0, fmt.Errorf("%w: %v", store.ErrRefused, err)
+			}
+		}
+	}
+	return len(pieces), nil
+}
+
+// Job reads a job; found is false if there is none.
+func (l *Ledger) Job(ctx context.Context, id string) (job *Job, ended, found bool, err error) {
+	s, err := l.Store.List(ctx, store.Range{Table: TableJobs, From: id, To: id + endSuffix + "\x00"})
+	if err != nil {
+		return nil, false, false, err
+	}
+	for _, row := range s.Rows {
+		switch row.Name {
+		case id:
+			if job, err = DecodeJob(row.Value); err != nil {
+				return nil, false, false, err
+			}
+		case id + endSuffix:
+			ended = true
+		}
+	}
+	return job, ended, job != nil, nil
+}
+
+// Items reads the items of a job.
+func (l *Ledger) Items(ctx context.Context, job *Job) ([]Item, error) {
+	var data []byte
+	var err error
+	if job.InObjects {
+		data, err = l.objects(ctx, job)
+	} else {
+		data, err = l.itemRows(ctx, job)
+	}
+	if err != nil {
+		return nil, err
+	}
+	var items []Item
+	if err := codec.Unmarshal(data, &items); err != nil {
+		return nil, fmt.Errorf("items of job %s: %w", job.ID, err)
+	}
+	if len(items) != job.Items {
+		return nil, fmt.Errorf("items of job %s: %d instead of %d", job.ID, len(items), job.Items)
+	}
+	return items, nil
+}
+
+func (l *Ledger) objects(ctx context.Context, job *Job) ([]byte, error) {
+	var data []byte
+	for i := range job.Chunks {
+		piece, err := l.Store.GetObject(ctx, objectName(job.ID, i))
+		if err != nil {
+			return nil, err
+		}
+		data = append(data, piece...)
+	}
+	return data, nil
+}
+
+func (l *Ledger) itemRows(ctx context.Context, job *Job) ([]byte, error) {
+	s, err := store.ListAll(ctx, l.Store, store.Range{
+		Table: tableItems, From: job.ID + "/", To: job.ID + "/~",
+	})
+	if err != nil {
+		return nil, err
+	}
+	if len(s.Rows) != job.Chunks {
+		return nil, fmt.Errorf("items of job %s: %d rows instead of %d", job.ID, len(s.Rows), job.Chunks)
+	}
+	var data []byte
+	for _, row := range s.Rows {
+		data = append(data, row.Value...)
+	}
+	return data, nil
+}
+
+// End ends a job. It is idempotent.
+func (l *Ledger) End(ctx context.Context, id string) error {
+	key := jobKey(id + endSuffix)
+	return l.commitOnce(ctx, store.Tx{
+		If:  []store.Condition{{Key: key}},
+		Put: []store.Row{{Key: key, Value: []byte{}}},
+	})
+}
+
+// Append adds results to a job's list. The name must be new for each batch and
+// the same for each repetition of one, so that a batch is appended once.
+func (l *Ledger) Append(ctx context.Context, jobID, name string, results []Result) error {
+	data, err := codec.Marshal(results)
+	if err != nil {
+		return fmt.Errorf("%w: encode results: %v", store.ErrInvalid, err)
+	}
+	tx := store.Tx{}
+	for i, piece := range cut(data, l.rowLimit()) {
+		key := store.Key{Table: TableResults, Part: jobID, Name: fmt.Sprintf("%s/%03d", name, i)}
+		tx.If = append(tx.If, store.Condition{Key: key})
+		tx.Put = append(tx.Put, store.Row{Key: key, Value: piece})
+	}
+	return l.commitOnce(ctx, tx)
+}
+
+// Results reads all results of a job so far, and the version up to which they are whole.
+func (l *Ledger) Results(ctx context.Context, jobID string) (*Listing, error) {
+	s, err := store.ListAll(ctx, l.Store, store.Range{Table: TableResults, Part: jobID})
+	if err != nil {
+		return nil, err
+	}
+	listing := NewListing()
+	return listing, listing.Load(s)
+}
+
+// Remove deletes a job, its items and its results.
+func (l *Ledger) Remove(ctx context.Context, job *Job) error {
+	tx := store.Tx{Delete: []store.Key{jobKey(job.ID), jobKey(job.ID + endSuffix)}}
+	for i := range job.Chunks {
+		if !job.InObjects {
+			tx.Delete = append(tx.Delete, itemsKey(job.ID, i))
+			continue
+		}
+		if err := l.Store.DeleteObject(ctx, objectName(job.ID, i)); err != nil {
+			return err
+		}
+	}
+	if err := l.removeResults(ctx, job.ID); err != nil {
+		return err
+	}
+	_, err := l.Store.Commit(ctx, tx)
+	return err
+}
+
+// maxDeletes is how many entries one transaction of the store may have.
+const maxDeletes = 100
+
+func (l *Ledger) removeResults(ctx context.Context, jobID string) error {
+	for {
+		s, err := l.Store.List(ctx, store.Range{Table: TableResults, Part: jobID})
+		if err != nil || len(s.Rows) == 0 {
+			return err
+		}
+		tx := store.Tx{}
+		for _, row := range s.Rows[:min(len(s.Rows), maxDeletes)] {
+			tx.Delete = append(tx.Delete, row.Key)
+		}
+		if _, err := l.Store.Commit(ctx, tx); err != nil {
+			return err
+		}
+	}
+}
+
+// DecodeJob decodes a head row.
+func DecodeJob(value []byte) (*Job, error) {
+	job := &Job{}
+	if err := codec.Unmarshal(value, job); err != nil {
+		return nil, fmt.Errorf("decode a job: %w", err)
+	}
+	return job, nil
+}
+
+// HeadOf tells whose row of TableJobs a name is, and whether it says that the job was ended.
+func HeadOf(name string) (id string, end bool) {
+	id, end = strings.CutSuffix(name, endSuffix)
+	return id, end
+}
+
+func jobKey(name string) store.Key { return store.Key{Table: TableJobs, Name: name} }
+
+func itemsKey(id string, i int) store.Key {
+	return store.Key{Table: tableItems, Name: fmt.Sprintf("%s/%03d", id, i)}
+}
+
+func objectName(id string, i int) string { return fmt.Sprintf("items-%s-%03d", id, i) }
+
+func (l *Ledger) rowLimit() int { return int(rowShare * float64(l.RowBytes)) }
+
+func cut(data []byte, limit int) [][]byte {
+	var pieces [][]byte
+	for len(data) > limit {
+		pieces = append(pieces, data[:limit])
+		data = data[limit:]
+	}
+	return append(pieces, data)
+}
+
+// pause waits, or returns why it may not.
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
--- /dev/null
+++ b/batch/outbox.go
@@ -0,0 +1,100 @@
+package batch
+
+import (
+	"fmt"
+	"time"
+
+	"mulberryscale.example/observe"
+)
+
+// appendInterval is the least time between two appends of one process to one
+// job. A job's part of the store takes 150 transactions a second for all
+// processes together; callers look about twice a second.
+const appendInterval = 60 * time.Millisecond
+
+// outbox appends a job's finished results to the store, several at a time. Its
+// fields are guarded by the worker's mu.
+type outbox struct {
+	w       *Worker
+	j       *workJob
+	pending []finished
+	sending bool
+	batches int
+}
+
+type finished struct {
+	index  int
+	result Result
+}
+
+func newOutbox(w *Worker, j *workJob) *outbox { return &outbox{w: w, j: j} }
+
+// put queues a result. It is called with w.mu held.
+func (o *outbox) put(index int, r Result) {
+	o.pending = append(o.pending, finished{index, r})
+	if o.sending {
+		return
+	}
+	o.sending = true
+	go o.send()
+}
+
+// send appends until nothing is left. A batch that got no clear answer is sent
+// again under the same name until it is clear.
+func (o *outbox) send() {
+	for {
+		o.w.mu.Lock()
+		batch, name := o.next()
+		if len(batch) == 0 {
+			o.sending = false
+			o.w.mu.Unlock()
+			return
+		}
+		o.w.mu.Unlock()
+		began := time.Now()
+		results := make([]Result, len(batch))
+		for i := range batch {
+			results[i] = batch[i].result
+		}
+		err := o.w.Ledger.Append(o.w.ctx, o.j.job.ID, name, results)
+		o.appended(batch, err, time.Since(began))
+		if pause(o.w.ctx, max(0, appendInterval-time.Since(began))) != nil {
+			return
+		}
+	}
+}
+
+// next cuts off a batch that fits into one transaction. It is called with w.mu held.
+func (o *outbox) next() ([]finished, string) {
+	n, bytes := 0, 0
+	for n < len(o.pending) {
+		bytes += len(o.pending[n].result.Output)
+		if n > 0 && bytes > maxAppendBytes {
+			break
+		}
+		n++
+	}
+	batch := o.pending[:n:n]
+	o.pending = o.pending[n:]
+	o.batches++
+	return batch, fmt.Sprintf("%s-%s-%06d", o.w.Node, o.w.Incarnation, o.batches)
+}
+
+func (o *outbox) appended(batch []finished, err error, took time.Duration) {
+	log := o.w.Log.WithField(observe.FieldJob, o.j.job.ID).WithField("results", len(batch)).
+		WithField("took_ms", took.Milliseconds())
+	o.w.mu.Lock()
+	defer o.w.mu.Unlock()
+	for _, f := range batch {
+		delete(o.j.tasks, f.index)
+		if err == nil {
+			o.j.done[f.index] = true
+		}
+	}
+	if err != nil {
+		log.WithError(err).Error("results not appended")
+		return
+	}
+	o.w.Counters.Observe(observe.NameAppend, o.j.job.Route, took)
+	log.Info("results appended")
+}
--- /dev/null
+++ b/batch/reader.go
@@ -0,0 +1,335 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"mulberryscale.example/store"
+)
+
+// Errors of a Reader.
+var (
+	// ErrNoJob says that there is certainly no such job.
+	ErrNoJob = errors.New("batch: no such job")
+	// ErrNoItem says that there is certainly no such item to be had.
+	ErrNoItem = errors.New("batch: no such item")
+)
+
+const (
+	// forgetAfter is how long a job stays in a reader's memory after it was
+	// last asked for. Callers poll open jobs about twice a second.
+	forgetAfter = 15 * time.Second
+	forgetEvery = 2 * time.Second
+	// feedSilence is the age of the feed's last word above which a caller that
+	// finds nothing new is answered from the store itself; it is above the time
+	// that the store may hold a feed call.
+	feedSilence = store.FeedWait + 300*time.Millisecond
+)
+
+// Reader serves the results of jobs from the store, with what it has read kept
+// in memory. Results never change, so what it holds may be shown at any time,
+// also while the store is away. It is safe for concurrent use.
+type Reader struct {
+	ledger *Ledger
+	log    logrus.FieldLogger
+
+	mu      sync.Mutex
+	jobs    map[string]*readJob
+	version uint64    // of the feed
+	heard   time.Time // when the feed last said anything
+	gaps    int       // how often the feed lost its place
+}
+
+// readJob is a job that was asked for here.
+type readJob struct {
+	load sync.Mutex // held while the job is read from the store
+
+	// The rest is guarded by Reader.mu.
+	job     *Job // nil until known
+	ended   bool
+	listing *Listing // nil until read; replaced or appended to
+	loading bool     // the list is being read; missed collects what the feed says meanwhile
+	missed  []store.Row
+	items   map[string]Item
+	changed chan struct{}
+	used    time.Time
+}
+
+// NewReader returns a reader; Run must run for it to hear of new results.
+func NewReader(ledger *Ledger, log logrus.FieldLogger) *Reader {
+	return &Reader{ledger: ledger, log: log, jobs: map[string]*readJob{}}
+}
+
+// Run follows the results until ctx ends. Jobs are read whole when they are
+// first asked for, so the feed is followed from now on.
+func (r *Reader) Run(ctx context.Context) {
+	go r.forgetUnused(ctx)
+	failures := 0
+	for ctx.Err() == nil {
+		err := r.hear(ctx)
+		if err == nil {
+			failures = 0
+			continue
+		}
+		failures++
+		if errors.Is(err, store.ErrHistoryGone) || failures == maxFeedFailures {
+			store.LogLoss(r.log, TableResults, err)
+			r.unload()
+		}
+		_ = pause(ctx, writePause) // the loop ends with ctx
+	}
+}
+
+// maxFeedFailures is how often in a row the feed is asked again from where it
+// was before all lists are read anew.
+const maxFeedFailures = 3
+
+// anyPart is read for its snapshot's version only; it holds no rows.
+const anyPart = "none"
+
+// hear takes one answer of the feed.
+func (r *Reader) hear(ctx context.Context) error {
+	r.mu.Lock()
+	version := r.version
+	r.mu.Unlock()
+	var s store.Snapshot
+	var err error
+	if version == 0 {
+		s, err = r.ledger.Store.List(ctx, store.Range{Table: TableResults, Part: anyPart})
+	} else {
+		s, err = r.ledger.Store.Feed(ctx, TableResults, version, store.FeedWait)
+	}
+	if err != nil {
+		return err
+	}
+	r.apply(s)
+	return nil
+}
+
+// apply hands rows of the feed to the jobs that are kept.
+func (r *Reader) apply(s store.Snapshot) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version = max(r.version, s.Version)
+	r.heard = time.Now()
+	byJob := map[string][]store.Row{}
+	for _, row := range s.Rows {
+		byJob[row.Part] = append(byJob[row.Part], row)
+	}
+	for id, j := range r.jobs {
+		if j.loading {
+			j.missed = append(j.missed, byJob[id]...)
+		}
+		if j.listing == nil {
+			continue
+		}
+		if err := j.listing.Apply(byJob[id], s.Version); err != nil {
+			r.log.WithError(err).WithField("job", id).Error("results not readable")
+			j.listing = nil
+		}
+		if len(byJob[id]) > 0 {
+			j.signal()
+		}
+	}
+}
+
+func (j *readJob) signal() {
+	close(j.changed)
+	j.changed = make(chan struct{})
+}
+
+// unload forgets the lists, since the feed has a gap. They are read anew.
+func (r *Reader) unload() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version = 0
+	r.gaps++
+	for _, j := range r.jobs {
+		j.listing = nil
+	}
+}
+
+func (r *Reader) forgetUnused(ctx context.Context) {
+	for pause(ctx, forgetEvery) == nil {
+		r.mu.Lock()
+		for id, j := range r.jobs {
+			if time.Since(j.used) > forgetAfter {
+				delete(r.jobs, id)
+			}
+		}
+		r.mu.Unlock()
+	}
+}
+
+// touch returns the kept job, making it if need be.
+func (r *Reader) touch(id string) *readJob {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j, ok := r.jobs[id]
+	if !ok {
+		j = &readJob{changed: make(chan struct{})}
+		r.jobs[id] = j
+	}
+	j.used = time.Now()
+	return j
+}
+
+// Page is a part of a job's list.
+type Page struct {
+	Total   int // items of the job
+	Results []Result
+}
+
+// Read returns the results from a position on, at most maxBytes of output but
+// at least one if there is one. With none yet it waits up to wait.
+func (r *Reader) Read(ctx context.Context, id string, from, maxBytes int, wait time.Duration) (Page, error) {
+	deadline := time.Now().Add(wait)
+	j := r.touch(id)
+	for {
+		if err := r.loadJob(ctx, id, j); err != nil {
+			return Page{}, err
+		}
+		page, changed, stale := r.page(j, from, maxBytes)
+		if stale {
+			if err := r.loadListing(ctx, id, j); err != nil {
+				return Page{}, err
+			}
+			page, changed, _ = r.page(j, from, maxBytes)
+		}
+		left := time.Until(deadline)
+		if len(page.Results) > 0 || from >= page.Total || left <= 0 {
+			return page, nil
+		}
+		select {
+		case <-changed:
+		case <-time.After(left):
+		case <-ctx.Done():
+			return Page{}, context.Cause(ctx)
+		}
+	}
+}
+
+// page cuts a page out of the list; stale says that the list must be read
+// from the store first.
+func (r *Reader) page(j *readJob, from, maxBytes int) (page Page, changed <-chan struct{}, stale bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	page = Page{Total: j.job.Items}
+	if j.listing == nil {
+		return page, j.changed, true
+	}
+	bytes := 0
+	for i := from; i < len(j.listing.Results); i++ {
+		bytes += len(j.listing.Results[i].Output) + len(j.listing.Results[i].ID)
+		if bytes > maxBytes && len(page.Results) > 0 {
+			break
+		}
+		page.Results = append(page.Results, j.listing.Results[i])
+	}
+	whole := len(j.listing.Results) == j.job.Items
+	stale = len(page.Results) == 0 && !whole && time.Since(r.heard) > feedSilence
+	return page, j.changed, stale
+}
+
+// loadJob reads the job's head unless it is known.
+func (r *Reader) loadJob(ctx context.Context, id string, j *readJob) error {
+	j.load.Lock()
+	defer j.load.Unlock()
+	r.mu.Lock()
+	known := j.job != nil
+	r.mu.Unlock()
+	if known {
+		return nil
+	}
+	job, ended, found, err := r.ledger.Job(ctx, id)
+	if err != nil {
+		return err
+	}
+	if !found {
+		return ErrNoJob
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j.job, j.ended = job, ended
+	return nil
+}
+
+// loadListing reads the job's results from the store.
+func (r *Reader) loadListing(ctx context.Context, id string, j *readJob) error {
+	j.load.Lock()
+	defer j.load.Unlock()
+	r.mu.Lock()
+	j.loading, j.missed = true, nil
+	gaps := r.gaps
+	r.mu.Unlock()
+
+	listing, err := r.ledger.Results(ctx, id)
+
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	missed := j.missed
+	j.loading, j.missed = false, nil
+	if err != nil {
+		return err
+	}
+	if r.gaps != gaps {
+		return errFeedGap
+	}
+	if j.listing != nil && j.listing.Version >= listing.Version {
+		return nil
+	}
+	if err := listing.Apply(missed, r.version); err != nil {
+		return err
+	}
+	j.listing = listing
+	j.signal()
+	return nil
+}
+
+// errFeedGap says that the feed lost its place while a list was read.
+var errFeedGap = errors.New("batch: the feed lost its place, read again")
+
+// Body returns the body of an item that is not listed and whose job is open.
+func (r *Reader) Body(ctx context.Context, id, itemID string) ([]byte, error) {
+	j := r.touch(id)
+	if err := r.loadJob(ctx, id, j); err != nil {
+		return nil, err
+	}
+	if err := r.loadItems(ctx, j); err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	item, ok := j.items[itemID]
+	if !ok {
+		return nil, ErrNoItem
+	}
+	return item.Body, nil
+}
+
+func (r *Reader) loadItems(ctx context.Context, j *readJob) error {
+	j.load.Lock()
+	defer j.load.Unlock()
+	r.mu.Lock()
+	job, known := j.job, j.items != nil
+	r.mu.Unlock()
+	if known {
+		return nil
+	}
+	items, err := r.ledger.Items(ctx, job)
+	if err != nil {
+		return err
+	}
+	byID := make(map[string]Item, len(items))
+	for _, item := range items {
+		byID[item.ID] = item
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j.items = byID
+	return nil
+}
--- /dev/null
+++ b/cmd/mulberry-node/main.go
@@ -0,0 +1,57 @@
+// Command mulberry-node runs mulberryscale on the users' platform: "entry"
+// serves clients, "agent" stands beside a model engine. The platform lays the
+// settings file and names it in the environment.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"mulberryscale.example/daemon"
+	"mulberryscale.example/platform/nodefile"
+	"mulberryscale.example/service/node"
+)
+
+func main() {
+	cmd := &cli.Command{
+		Name:  "mulberry-node",
+		Usage: "run mulberryscale on the users' platform",
+		Commands: []*cli.Command{
+			roleCommand("entry", "serve clients", nodefile.RoleEntry, func(s *nodefile.Settings) (runner, error) { return node.NewEntry(s) }),
+			roleCommand("agent", "run batch items on the engine beside this process", nodefile.RoleAgent,
+				func(s *nodefile.Settings) (runner, error) { return node.NewAgent(s) }),
+		},
+	}
+	os.Exit(daemon.Main(cmd, os.Args, os.Stderr))
+}
+
+// runner is a program that runs until its context ends, and then drains.
+type runner interface {
+	Run(ctx context.Context) error
+}
+
+func roleCommand(name, usage string, role nodefile.Role, make func(*nodefile.Settings) (runner, error)) *cli.Command {
+	return &cli.Command{
+		Name: name, Usage: usage,
+		Flags: []cli.Flag{&cli.StringFlag{
+			Name: "settings", Usage: "path of the platform's settings file", Sources: cli.EnvVars(nodefile.Variable), Required: true,
+		}},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			settings, err := nodefile.Load(cmd.String("settings"), role)
+			if err != nil {
+				return &daemon.UsageError{Err: err}
+			}
+			program, err := make(settings)
+			if err != nil {
+				return err
+			}
+			ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			return program.Run(ctx)
+		},
+	}
+}
--- /dev/null
+++ b/fleet/config.go
@@ -0,0 +1,124 @@
+// Package fleet holds what a process believes of the deployment: the operators'
+// configuration, the instances that are registered, and the weight versions that
+// trainers have named. What it hands out are immutable snapshots.
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind says what may be repeated of a route's requests.
+type Kind string
+
+// Kinds of routes.
+const (
+	// KindSafe requests may run more than once.
+	KindSafe Kind = "safe"
+	// KindUnsafe requests run at most once.
+	KindUnsafe Kind = "unsafe"
+	// KindStream requests are answered by a stream of events; they run at most
+	// once unless the route is resumable.
+	KindStream Kind = "stream"
+	// KindBatch routes take batch jobs.
+	KindBatch Kind = "batch"
+)
+
+// Backend is a service that a route sends to.
+type Backend struct {
+	Service string
+	// Weight is its share among the route's backends, relative to the others.
+	Weight float64
+}
+
+// Route is one row of the configuration.
+type Route struct {
+	Name string
+	Host string
+	// Prefix begins and ends with a slash; the longest that matches wins.
+	Prefix   string
+	Kind     Kind
+	Backends []Backend
+	// Timeout is how long the operator wants a request kept waiting.
+	Timeout time.Duration
+	// Objective is the time within which an answer earns its full credit.
+	Objective time.Duration
+	// Priority is the rank among routes, 0 the highest.
+	Priority int
+	// MaxAttempts bounds the endpoints that one request may be sent to.
+	MaxAttempts int
+	// Resumable streams may go on at another endpoint after their last event.
+	Resumable bool
+	// SingleVersion wants all of an item's text from one weight version.
+	SingleVersion bool
+	// ItemTTL is how long after its submission an item may be given up.
+	ItemTTL time.Duration
+	// RunTarget is how long after its submission a batch job should be done.
+	RunTarget time.Duration
+}
+
+// Service is a group of like endpoints.
+type Service struct {
+	Name string
+	// MaxConns bounds the connections to one endpoint, of all callers together.
+	MaxConns int
+	// Models are the models that its engines serve; none for a plain service.
+	Models []string
+}
+
+// Limits bound what a client may send and how long it may take.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// Config is one version of the operators' configuration.
+type Config struct {
+	Version  uint64
+	Routes   []Route
+	Services []Service
+	Limits   Limits
+
+	byHost map[string][]*Route // the longest prefix first
+}
+
+// Index prepares the configuration for Match; it is called once, before the
+// configuration is shared.
+func (c *Config) Index() {
+	c.byHost = make(map[string][]*Route)
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		host := strings.ToLower(r.Host)
+		c.byHost[host] = append(c.byHost[host], r)
+	}
+	for _, routes := range c.byHost {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+}
+
+// Match returns the route of a host and path, or nil.
+func (c *Config) Match(host, path string) *Route {
+	for _, r := range c.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Hosts reports whether any route has the host.
+func (c *Config) Hosts(host string) bool { return len(c.byHost[strings.ToLower(host)]) > 0 }
+
+// Service returns a service by name, or nil.
+func (c *Config) Service(name string) *Service {
+	for i := range c.Services {
+		if c.Services[i].Name == name {
+			return &c.Services[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/fleet/view.go
@@ -0,0 +1,147 @@
+package fleet
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Instance is one incarnation of an endpoint, as the instance list has it.
+type Instance struct {
+	ID      string
+	Service string
+	Addr    string // ip:port
+	Zone    string
+	Slots   int
+	// Draining instances get no new work.
+	Draining bool
+	// Versions are the weight versions of its models.
+	Versions map[string]uint64
+}
+
+// Snapshot is what is believed at one moment. It is immutable.
+type Snapshot struct {
+	// Config is nil until the first configuration has been read.
+	Config *Config
+	// Instances are all registered ones, by id.
+	Instances map[string]Instance
+	// Listed says that the instance list has been read at least once.
+	Listed bool
+	// Named are the newest weight versions that trainers have named, by model.
+	Named map[string]uint64
+	// NamedAt is when this process learnt of them.
+	NamedAt map[string]time.Time
+
+	byService map[string][]Instance
+}
+
+// OfService returns a service's instances that take new work, ordered by address.
+func (s *Snapshot) OfService(service string) []Instance { return s.byService[service] }
+
+// AtAddr returns the instance at an address. Of several, the one that is not
+// draining wins.
+func (s *Snapshot) AtAddr(addr string) (Instance, bool) {
+	var found Instance
+	ok := false
+	for _, i := range s.Instances {
+		if i.Addr == addr && (!ok || found.Draining) {
+			found, ok = i, true
+		}
+	}
+	return found, ok
+}
+
+// View holds the newest snapshot. It is safe for concurrent use.
+type View struct {
+	current atomic.Pointer[Snapshot]
+
+	mu      sync.Mutex // serialises updates
+	changed chan struct{}
+}
+
+// NewView returns a view that believes nothing yet.
+func NewView() *View {
+	v := &View{changed: make(chan struct{})}
+	v.current.Store(&Snapshot{
+		Instances: map[string]Instance{}, Named: map[string]uint64{}, NamedAt: map[string]time.Time{},
+	})
+	return v
+}
+
+// Snapshot returns the newest snapshot.
+func (v *View) Snapshot() *Snapshot { return v.current.Load() }
+
+// Changed is closed at the next change.
+func (v *View) Changed() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
+
+// SetConfig puts a configuration in force, unless one as new is in force
+// already; it reports whether it did.
+func (v *View) SetConfig(c *Config) bool {
+	done := false
+	v.update(func(s *Snapshot) {
+		if s.Config != nil && s.Config.Version >= c.Version {
+			return
+		}
+		s.Config, done = c, true
+	})
+	return done
+}
+
+// UpdateInstances applies changes: instances that are new or changed, and ids that are gone.
+func (v *View) UpdateInstances(changed []Instance, gone []string) {
+	v.update(func(s *Snapshot) {
+		s.Listed = true
+		s.Instances = maps.Clone(s.Instances)
+		for _, id := range gone {
+			delete(s.Instances, id)
+		}
+		for _, i := range changed {
+			s.Instances[i.ID] = i
+		}
+		s.index()
+	})
+}
+
+// SetNamed takes a weight version that a trainer has named; an older one than
+// known is ignored. It reports whether the version was news.
+func (v *View) SetNamed(model string, version uint64) bool {
+	done := false
+	v.update(func(s *Snapshot) {
+		if s.Named[model] >= version {
+			return
+		}
+		s.Named, s.NamedAt = maps.Clone(s.Named), maps.Clone(s.NamedAt)
+		s.Named[model], s.NamedAt[model] = version, time.Now()
+		done = true
+	})
+	return done
+}
+
+func (v *View) update(change func(*Snapshot)) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	next := *v.current.Load()
+	change(&next)
+	v.current.Store(&next)
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+func (s *Snapshot) index() {
+	s.byService = make(map[string][]Instance)
+	for _, i := range s.Instances {
+		if !i.Draining {
+			s.byService[i.Service] = append(s.byService[i.Service], i)
+		}
+	}
+	for _, list := range s.byService {
+		slices.SortFunc(list, func(a, b Instance) int { return cmp.Or(cmp.Compare(a.Addr, b.Addr), cmp.Compare(a.ID, b.ID)) })
+	}
+}
--- /dev/null
+++ b/forward/call.go
@@ -0,0 +1,184 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"mulberryscale.example/fleet"
+)
+
+// maxParallel is how many endpoints may work at one request at once.
+const maxParallel = 2
+
+// call is one request on its way. Its methods are called by one goroutine.
+type call struct {
+	*Forwarder
+	request *Request
+	tried   map[string]bool // by instance id
+	results chan attempt
+	pending int
+	// sent counts the endpoints that the request may have reached.
+	sent int
+	last fleet.Instance
+	// mayHaveRun says that an endpoint may have run it.
+	mayHaveRun bool
+}
+
+// attempt is what came of one send.
+type attempt struct {
+	to     fleet.Instance
+	answer *Answer
+	err    error
+	cancel context.CancelFunc
+}
+
+// run sends the request until an answer is final.
+func (c *call) run(ctx context.Context) (*Answer, error) {
+	// Attempts that lost the race are given up once there is an answer.
+	var cancels []context.CancelFunc
+	defer func() {
+		for _, cancel := range cancels {
+			cancel()
+		}
+	}()
+	var lastErr error
+	var fallback *Answer
+	start := func() bool {
+		to, ok := c.next()
+		if ok {
+			cancels = append(cancels, c.send(ctx, to))
+		}
+		return ok
+	}
+	if !start() {
+		return nil, c.refusal(ReasonNoEndpoint, nil)
+	}
+	hedge := time.NewTimer(c.hedgeAfter())
+	defer hedge.Stop()
+	for c.pending > 0 {
+		select {
+		case <-ctx.Done():
+			return nil, c.ended(ctx)
+		case <-hedge.C:
+			if c.repeatable() && c.pending < maxParallel && start() {
+				c.Counters.Retry(c.request.Route.Name, ReasonSlow)
+			}
+		case a := <-c.results:
+			c.pending--
+			reason := c.judge(a)
+			if reason == "" {
+				cancels = without(cancels, a)
+				return a.answer, nil
+			}
+			if a.answer != nil && !a.answer.Declined {
+				fallback = a.answer
+			}
+			lastErr = a.err
+			if ctx.Err() != nil {
+				return nil, c.ended(ctx)
+			}
+			if c.again(reason) && start() {
+				c.Counters.Retry(c.request.Route.Name, reason)
+				continue
+			}
+			if c.pending == 0 {
+				if fallback != nil {
+					return fallback, nil
+				}
+				return nil, c.refusal(reason, lastErr)
+			}
+		}
+	}
+	return nil, c.refusal(ReasonNoEndpoint, lastErr)
+}
+
+// without keeps the context of a winning stream alive.
+func without(cancels []context.CancelFunc, a attempt) []context.CancelFunc {
+	if a.answer.Stream == nil {
+		return cancels
+	}
+	// Only one endpoint is asked at a time on streaming routes.
+	return nil
+}
+
+// next picks the endpoint of the next send.
+func (c *call) next() (fleet.Instance, bool) {
+	route := c.request.Route
+	if c.sent >= route.MaxAttempts {
+		return fleet.Instance{}, false
+	}
+	snap := c.View.Snapshot()
+	return c.loads.pick(snap.OfService(Backend(route, c.request.ID)), c.tried, c.Zone, c.request.ID, time.Now())
+}
+
+// send sends the request to one endpoint.
+func (c *call) send(ctx context.Context, to fleet.Instance) context.CancelFunc {
+	ctx, cancel := context.WithCancel(ctx)
+	c.tried[to.ID], c.last = true, to
+	c.sent++
+	c.pending++
+	c.loads.begin(to.ID)
+	left := c.request.Route.Timeout
+	if !c.request.Deadline.IsZero() {
+		left = time.Until(c.request.Deadline)
+	}
+	go func() {
+		answer, err := c.Sender.Send(ctx, to, c.request, left)
+		c.loads.end(to.ID, err == nil || ctx.Err() != nil)
+		c.results <- attempt{to: to, answer: answer, err: err, cancel: cancel}
+	}()
+	return cancel
+}
+
+// judge says why an attempt is not final; empty says that it is.
+func (c *call) judge(a attempt) string {
+	switch {
+	case errors.Is(a.err, ErrUnsent):
+		c.sent-- // it reached no endpoint
+		return ReasonUnsent
+	case a.err != nil:
+		c.mayHaveRun = true
+		return ReasonBroken
+	case a.answer.Declined:
+		c.sent-- // the endpoint says that it did not run it
+		return ReasonDeclined
+	}
+	c.mayHaveRun = true
+	if a.answer.Status >= http.StatusInternalServerError && c.repeatable() {
+		return ReasonFailed
+	}
+	return ""
+}
+
+// repeatable reports whether the request may run more than once.
+func (c *call) repeatable() bool { return c.request.Route.Kind == fleet.KindSafe }
+
+// again reports whether the request may be sent once more after a failure.
+func (c *call) again(reason string) bool {
+	switch reason {
+	case ReasonUnsent, ReasonDeclined:
+		return !c.mayHaveRun || c.repeatable()
+	}
+	return c.repeatable()
+}
+
+func (c *call) hedgeAfter() time.Duration {
+	return max(minHedge, time.Duration(hedgeShare*float64(c.request.Route.Objective)))
+}
+
+// refusal is the final answer of a request that no endpoint answered.
+func (c *call) refusal(reason string, cause error) *Refusal {
+	return &Refusal{
+		NotRun: !c.mayHaveRun && c.pending == 0, Reason: reason, RetryAfter: retryAfter, Cause: cause,
+	}
+}
+
+// ended is the final answer of a request whose time is up or whose client has gone.
+func (c *call) ended(ctx context.Context) *Refusal {
+	if errors.Is(context.Cause(ctx), errTimeout) {
+		return c.refusal(ReasonTimeout, nil)
+	}
+	return c.refusal(ReasonGone, nil)
+}
--- /dev/null
+++ b/forward/forward.go
@@ -0,0 +1,186 @@
+// Package forward sends clients' requests on to the endpoints of their routes:
+// it picks an endpoint, repeats what may be repeated, and says truly of each
+// failure whether the request can have run.
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"mulberryscale.example/fleet"
+	"mulberryscale.example/observe"
+)
+
+// Request is a client's request, read whole.
+type Request struct {
+	ID     string
+	Route  *fleet.Route
+	Method string
+	// Target is the path with its query as the client sent it.
+	Target string
+	Host   string
+	Header http.Header // what is to be passed on
+	Body   []byte
+	// Deadline is when the client stops waiting; zero is never.
+	Deadline time.Time
+	// LastEvent is the last event of a stream that the client has.
+	LastEvent string
+}
+
+// Answer is an endpoint's answer.
+type Answer struct {
+	Status int
+	Header http.Header // what is to be passed on
+	// Body is the whole body; it is nil for a stream.
+	Body []byte
+	// Stream is the answer of a streaming route.
+	Stream Events
+	// Declined says that the endpoint did not run the request and never will.
+	Declined bool
+}
+
+// Events are the events of a streamed answer, each as the bytes that the
+// endpoint sent, with its id. Next returns io.EOF after the last.
+type Events interface {
+	Next() (raw []byte, id string, err error)
+	Close()
+}
+
+// Errors of a Sender.
+var (
+	// ErrUnsent says that nothing was sent.
+	ErrUnsent = errors.New("forward: not sent")
+	// ErrBroken says that the request was sent and no readable answer came.
+	ErrBroken = errors.New("forward: no whole answer")
+)
+
+// Sender sends a request to one endpoint, once.
+type Sender interface {
+	// Send returns the endpoint's answer. Its error is, or wraps, ErrUnsent or
+	// ErrBroken. It reads the whole body unless the route streams.
+	Send(ctx context.Context, to fleet.Instance, r *Request, timeLeft time.Duration) (*Answer, error)
+}
+
+// Refusal is an answer of our own.
+type Refusal struct {
+	// NotRun says that the request has not run and never will.
+	NotRun bool
+	// Reason is counted and logged.
+	Reason string
+	// RetryAfter is when the client may come back.
+	RetryAfter time.Duration
+	// Cause is the last endpoint's error, if any.
+	Cause error
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	if r.Cause != nil {
+		return "forward: " + r.Reason + ": " + r.Cause.Error()
+	}
+	return "forward: " + r.Reason
+}
+
+// Unwrap gives the cause.
+func (r *Refusal) Unwrap() error { return r.Cause }
+
+// Reasons of refusals and retries.
+const (
+	ReasonNoEndpoint = "no_endpoint"
+	ReasonDeclined   = "declined"
+	ReasonUnsent     = "unsent"
+	ReasonBroken     = "broken"
+	ReasonFailed     = "failed"
+	ReasonSlow       = "slow"
+	ReasonTimeout    = "timeout"
+	ReasonGone       = "client_gone"
+)
+
+// Times of a request's attempts.
+const (
+	// retryAfter is what refused clients are told: long enough for the list of
+	// instances to change, and short against their deadlines.
+	retryAfter = 200 * time.Millisecond
+	// maxRounds is how often all endpoints may decline before the client is
+	// told to come back.
+	declinePause = 15 * time.Millisecond
+	// hedgeShare is the share of the objective after which a request that may
+	// run twice is sent to a second endpoint as well.
+	hedgeShare = 0.6
+	// minHedge keeps short objectives from doubling every request.
+	minHedge = 50 * time.Millisecond
+	// answerSlack is taken off the route's timeout to write the answer.
+	answerSlack = 20 * time.Millisecond
+)
+
+// Forwarder forwards requests. It is safe for concurrent use.
+type Forwarder struct {
+	View     *fleet.View
+	Sender   Sender
+	Zone     string
+	Log      logrus.FieldLogger
+	Counters *observe.Counters
+
+	loads *loads
+}
+
+// New returns a forwarder.
+func New(view *fleet.View, sender Sender, zone string, log logrus.FieldLogger, counters *observe.Counters) *Forwarder {
+	return &Forwarder{View: view, Sender: sender, Zone: zone, Log: log, Counters: counters, loads: newLoads()}
+}
+
+// Do forwards a request and returns an endpoint's answer or a *Refusal.
+func (f *Forwarder) Do(ctx context.Context, r *Request) (*Answer, error) {
+	began := time.Now()
+	f.loads.prune(f.View.Snapshot())
+	limit := r.Route.Timeout - answerSlack
+	if !r.Deadline.IsZero() {
+		limit = min(limit, time.Until(r.Deadline)-answerSlack)
+	}
+	bounded, cancel := context.WithTimeoutCause(ctx, limit, errTimeout)
+	c := &call{Forwarder: f, request: r, tried: map[string]bool{}, results: make(chan attempt, maxParallel)}
+	answer, err := c.run(bounded)
+	if answer != nil && answer.Stream != nil {
+		answer.Stream = &streamEnd{Events: answer.Stream, end: cancel}
+	} else {
+		cancel()
+	}
+	f.note(r, c, answer, err, time.Since(began))
+	return answer, err
+}
+
+var errTimeout = errors.New("forward: route's timeout or client's deadline reached")
+
+// streamEnd releases a stream's context when it is closed.
+type streamEnd struct {
+	Events
+	end context.CancelFunc
+}
+
+func (s *streamEnd) Close() {
+	s.Events.Close()
+	s.end()
+}
+
+// note logs and counts what became of a request.
+func (f *Forwarder) note(r *Request, c *call, answer *Answer, err error, took time.Duration) {
+	f.Counters.Observe(observe.NameForward, r.Route.Name, took)
+	log := f.Log.WithFields(logrus.Fields{
+		observe.FieldRequest: r.ID, "route": r.Route.Name, "attempts": c.sent, "took_ms": took.Milliseconds(),
+		"config": f.View.Snapshot().Config.Version, "engine": c.last.ID,
+	})
+	if err == nil {
+		log.WithField("status", answer.Status).Info("request answered")
+		return
+	}
+	var refusal *Refusal
+	if errors.As(err, &refusal) {
+		f.Counters.Add(observe.NameForwardRefusals, refusal.Reason, 1)
+		log = log.WithFields(logrus.Fields{"reason": refusal.Reason, "not_run": refusal.NotRun})
+	}
+	log.WithError(err).Warn("request not answered")
+}
--- /dev/null
+++ b/forward/pick.go
@@ -0,0 +1,131 @@
+package forward
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mulberryscale.example/fleet"
+)
+
+const (
+	// suspectTime is how long an instance that did not answer is passed over
+	// while others are left. The instance list drops a dead one after about
+	// three and a half seconds.
+	suspectTime = 2 * time.Second
+	// zonePenalty is the load, in shares of an instance's slots, that a request
+	// to another zone is worth: a millisecond against a work of tens.
+	zonePenalty = 0.25
+)
+
+// load is what this process knows of an instance's load.
+type load struct {
+	outstanding int // sent from here and not answered
+	suspect     time.Time
+}
+
+// loads holds the loads of all instances by id. It is safe for concurrent use.
+type loads struct {
+	mu   sync.Mutex
+	byID map[string]*load
+}
+
+func newLoads() *loads { return &loads{byID: map[string]*load{}} }
+
+func (l *loads) of(id string) *load {
+	found, ok := l.byID[id]
+	if !ok {
+		found = &load{}
+		l.byID[id] = found
+	}
+	return found
+}
+
+func (l *loads) begin(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.of(id).outstanding++
+}
+
+func (l *loads) end(id string, answered bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	entry := l.of(id)
+	entry.outstanding--
+	if answered {
+		entry.suspect = time.Time{}
+		return
+	}
+	entry.suspect = time.Now()
+}
+
+// prune forgets instances that are gone.
+func (l *loads) prune(s *fleet.Snapshot) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, entry := range l.byID {
+		if _, ok := s.Instances[id]; !ok && entry.outstanding == 0 {
+			delete(l.byID, id)
+		}
+	}
+}
+
+// pick chooses the instance for a request: of those that were not tried and
+// are not suspect, the least loaded, with a preference for the own zone.
+// Suspects are used when nothing else is left.
+func (l *loads) pick(candidates []fleet.Instance, tried map[string]bool, zone, request string, now time.Time) (fleet.Instance, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var fresh, suspects []fleet.Instance
+	for _, c := range candidates {
+		entry := l.of(c.ID)
+		switch {
+		case tried[c.ID]:
+		case now.Sub(entry.suspect) < suspectTime:
+			suspects = append(suspects, c)
+		default:
+			fresh = append(fresh, c)
+		}
+	}
+	if len(fresh) == 0 {
+		fresh = suspects
+	}
+	if len(fresh) == 0 {
+		return fleet.Instance{}, false
+	}
+	score := func(c fleet.Instance) float64 {
+		s := float64(l.of(c.ID).outstanding) / float64(max(1, c.Slots))
+		if c.Zone != zone {
+			s += zonePenalty
+		}
+		return s
+	}
+	return slices.MinFunc(fresh, func(a, b fleet.Instance) int {
+		return cmp.Or(cmp.Compare(score(a), score(b)), cmp.Compare(tie(request, a.ID), tie(request, b.ID)))
+	}), true
+}
+
+// tie spreads requests over instances of the same score.
+func tie(request, id string) uint64 { return xxhash.Sum64String(request + "\x00" + id) }
+
+// Backend picks a service of a route by weight; the same request always gets the same.
+func Backend(route *fleet.Route, request string) string {
+	total := 0.0
+	for _, b := range route.Backends {
+		total += b.Weight
+	}
+	at := float64(xxhash.Sum64String(request)>>11) / (1 << 53) * total
+	for _, b := range route.Backends {
+		if at < b.Weight {
+			return b.Service
+		}
+		at -= b.Weight
+	}
+	if len(route.Backends) == 0 {
+		return ""
+	}
+	return route.Backends[len(route.Backends)-1].Service
+}
--- a/internal/httponce/httponce.go
+++ b/internal/httponce/httponce.go
@@ -5,6 +5,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
@@ -20,6 +21,14 @@
 	idleTimeout        = 2 * time.Second
 	maxIdlePerHost     = 64
 	maxResponseHeaders = 64 << 10 // bytes
+	// dialTimeout bounds a dial to a peer that does not answer: a hundred
+	// times what a dial within a region takes.
+	dialTimeout = time.Second
+	// A peer that went away without a reset is noticed within
+	// keepAliveIdle + keepAliveCount * keepAliveInterval.
+	keepAliveIdle     = 2 * time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 2
 )
 
 // UnsentError wraps an error that arose before any connection carried the request.
@@ -36,11 +45,21 @@
 
 // New makes a client that follows no redirects and uses no proxy. Its calls
 // end with their contexts only.
-func New() *Client {
+func New() *Client { return NewIdle(idleTimeout) }
+
+// NewIdle is New with connections that are kept idle for up to idle.
+func NewIdle(idle time.Duration) *Client {
+	dialer := &net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+		},
+	}
 	return &Client{http: &http.Client{
 		Transport: &http.Transport{
+			DialContext:            dialer.DialContext,
 			DisableCompression:     true,
-			IdleConnTimeout:        idleTimeout,
+			IdleConnTimeout:        idle,
 			MaxIdleConnsPerHost:    maxIdlePerHost,
 			MaxResponseHeaderBytes: maxResponseHeaders,
 		},
@@ -48,6 +67,9 @@
 	}}
 }
 
+// CloseIdle closes all connections that carry no request.
+func (c *Client) CloseIdle() { c.http.CloseIdleConnections() }
+
 // Do sends a request at most once. An UnsentError proves that it was not sent;
 // any other error leaves the outcome unknown.
 func (c *Client) Do(req *http.Request) (*http.Response, error) {
--- a/observe/fields.go
+++ b/observe/fields.go
@@ -12,6 +12,8 @@
 	FieldZone    = "zone"
 	FieldVersion = "version" // of the table or of weights
 	FieldPeer    = "peer"
+	FieldJob     = "job"  // id of a batch job
+	FieldItem    = "item" // id of an item of a batch job
 )
 
 // Fields that the repeat filter and daemons add.
--- a/observe/names.go
+++ b/observe/names.go
@@ -67,3 +67,32 @@
 	// agents by state, and the unfinished runs.
 	NameEntry Name = "entry"
 )
+
+// Measures of batch jobs.
+const (
+	// NameAppend is a histogram by route: seconds from the sending of a batch
+	// of results to the store's acknowledgement.
+	NameAppend Name = "batch_append_seconds"
+	// NameAccept is a histogram by route: seconds from the arrival of a batch
+	// job to its acceptance.
+	NameAccept Name = "batch_accept_seconds"
+)
+
+// Measures of forwarded requests.
+const (
+	// NameForward is a histogram by route: seconds from a request's arrival to
+	// the end of its answer.
+	NameForward Name = "forward_seconds"
+)
+
+const (
+	// NameForwardRefusals counts forwarded requests that got an answer of our
+	// own, by reason.
+	NameForwardRefusals Name = "forward_refusals"
+)
+
+const (
+	// NameIngressRefusals counts requests that were refused before they were
+	// forwarded, by reason.
+	NameIngressRefusals Name = "ingress_refusals"
+)
--- /dev/null
+++ b/service/node/agent.go
@@ -0,0 +1,151 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"mulberryscale.example/batch"
+	"mulberryscale.example/keys"
+	"mulberryscale.example/platform/enginehttp"
+	"mulberryscale.example/platform/nodefile"
+	"mulberryscale.example/transport"
+	"mulberryscale.example/transport/quictransport"
+)
+
+// handOverTime is left of the grace period to hand items over and to append results.
+const handOverTime = 3 * time.Second
+
+// Agent runs the items of batch jobs on the engine beside it.
+type Agent struct {
+	*base
+	worker *batch.Worker
+	peers  *peers
+}
+
+// NewAgent returns the agent of a settings file.
+func NewAgent(settings *nodefile.Settings) (*Agent, error) {
+	b, err := newBase(settings, "agent")
+	if err != nil {
+		return nil, err
+	}
+	a := &Agent{base: b, peers: &peers{}}
+	a.worker = batch.NewWorker(batch.WorkerConfig{
+		Node: settings.Node, Incarnation: b.incarnation, Engine: settings.Engine, Service: settings.Service,
+		PeerPort: settings.PeerPort, View: b.view, Ledger: b.ledger, Engines: enginehttp.New(), Peers: a.peers,
+		Now: b.store.Now, Log: b.log, Counters: b.counters,
+	})
+	return a, nil
+}
+
+// Run works until ctx ends, then hands over what is left.
+func (a *Agent) Run(ctx context.Context) error {
+	a.log.WithField("engine", a.settings.Engine).Info("starting")
+	working, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var wg sync.WaitGroup
+	a.follow(working, &wg)
+	wg.Go(func() { a.worker.Run(working) })
+	wg.Go(func() { a.servePeers(working) })
+	<-ctx.Done()
+	a.log.Info("draining")
+	bounded, cancel := context.WithTimeout(working, a.settings.Grace-stopSlack)
+	defer cancel()
+	a.worker.Drain(bounded, a.settings.Grace-stopSlack-handOverTime)
+	stop()
+	a.log.Info("stopped")
+	return nil
+}
+
+// servePeers gets the keys of our processes and answers other agents.
+func (a *Agent) servePeers(ctx context.Context) {
+	source, err := a.keySource(ctx)
+	if err != nil {
+		a.log.WithError(err).Error("no keys: other agents are neither called nor answered")
+		return
+	}
+	a.peers.open(quictransport.NewDialer(source))
+	addr := net.JoinHostPort(a.settings.IP, strconv.Itoa(a.settings.PeerPort))
+	l, err := quictransport.Listen(addr, source)
+	if err != nil {
+		a.log.WithError(err).Error("other agents are not answered")
+		return
+	}
+	defer l.Close()
+	if err := l.Serve(ctx, a.answer); err != nil {
+		a.log.WithError(err).Error("other agents are no longer answered")
+	}
+}
+
+// keySource repeats until the store gives the keys.
+func (a *Agent) keySource(ctx context.Context) (keys.Source, error) {
+	for {
+		authority, err := loadAuthority(ctx, a.store)
+		if err == nil {
+			return authority.Source(a.settings.Node)
+		}
+		a.log.WithError(err).Warn("keys not read")
+		select {
+		case <-time.After(keyPause):
+		case <-ctx.Done():
+			return nil, context.Cause(ctx)
+		}
+	}
+}
+
+// keyPause is the pause before the store is asked for the keys again.
+const keyPause = 300 * time.Millisecond
+
+// answer serves one call of another agent.
+func (a *Agent) answer(_ context.Context, s transport.Stream) {
+	var req batch.PeerRequest
+	if err := s.Recv(&req); err != nil {
+		a.log.WithError(err).WithField("peer", s.Peer()).Warn("call not readable")
+		return
+	}
+	if err := s.Send(a.worker.Serve(&req)); err != nil {
+		a.log.WithError(err).WithField("peer", s.Peer()).Warn("call not answered")
+	}
+}
+
+// peers is a batch.PeerCaller.
+type peers struct {
+	mu     sync.Mutex
+	dialer transport.Dialer
+}
+
+var errNoKeys = errors.New("node: the keys of our processes are not known yet")
+
+func (p *peers) open(d transport.Dialer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dialer = d
+}
+
+// Call implements batch.PeerCaller.
+func (p *peers) Call(ctx context.Context, addr string, req *batch.PeerRequest) (*batch.PeerReply, error) {
+	p.mu.Lock()
+	dialer := p.dialer
+	p.mu.Unlock()
+	if dialer == nil {
+		return nil, errNoKeys
+	}
+	s, err := dialer.Open(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	defer s.Close()
+	defer context.AfterFunc(ctx, func() { s.Close() })()
+	if err := s.Send(req); err != nil {
+		return nil, fmt.Errorf("call to %s: %w", addr, err)
+	}
+	var reply batch.PeerReply
+	if err := s.Recv(&reply); err != nil {
+		return nil, fmt.Errorf("call to %s: %w", addr, err)
+	}
+	return &reply, nil
+}
--- /dev/null
+++ b/service/node/entry.go
@@ -0,0 +1,158 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"mulberryscale.example/batch"
+	"mulberryscale.example/forward"
+	"mulberryscale.example/platform/enginehttp"
+	"mulberryscale.example/platform/ingress"
+	"mulberryscale.example/platform/nodefile"
+)
+
+const (
+	// headerTimeout holds until a configuration names one.
+	headerTimeout = 5 * time.Second
+	// unreadyTime is how long an entry that stops serves on: the balancer asks
+	// once a second and takes it out after two misses, and clients learn from
+	// their next answer to use another connection.
+	unreadyTime = 3500 * time.Millisecond
+	// stopSlack is kept free before the platform kills the process.
+	stopSlack = 1200 * time.Millisecond
+)
+
+// Entry serves clients.
+type Entry struct {
+	*base
+	handler  *ingress.Handler
+	reader   *batch.Reader
+	stopping atomic.Bool
+	inFlight atomic.Int64
+}
+
+// NewEntry returns the entry of a settings file.
+func NewEntry(settings *nodefile.Settings) (*Entry, error) {
+	b, err := newBase(settings, "entry")
+	if err != nil {
+		return nil, err
+	}
+	e := &Entry{base: b, reader: batch.NewReader(b.ledger, b.log)}
+	e.handler = &ingress.Handler{
+		View:    b.view,
+		Forward: forward.New(b.view, enginehttp.New(), settings.Zone, b.log, b.counters),
+		Jobs:    &batch.Intake{View: b.view, Ledger: b.ledger, Now: b.store.Now, Log: b.log, Counters: b.counters},
+		Reader:  e.reader, Log: b.log, Counters: b.counters, Closing: e.stopping.Load,
+	}
+	return e, nil
+}
+
+// Run serves until ctx ends, then drains.
+func (e *Entry) Run(ctx context.Context) error {
+	e.log.WithField("clients", e.settings.Clients).Info("starting")
+	working, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var wg sync.WaitGroup
+	e.follow(working, &wg)
+	wg.Go(func() { e.reader.Run(working) })
+	ready, err := e.listenReady()
+	if err != nil {
+		return err
+	}
+	defer ready.Close()
+	e.awaitConfig(ctx)
+	clients, err := e.listenClients()
+	if err != nil {
+		return err
+	}
+	<-ctx.Done()
+	e.drain(clients)
+	stop()
+	e.log.Info("stopped")
+	return nil
+}
+
+// awaitConfig waits for the first configuration and list of instances.
+func (e *Entry) awaitConfig(ctx context.Context) {
+	for {
+		changed := e.view.Changed()
+		if e.believes() {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (e *Entry) believes() bool {
+	s := e.view.Snapshot()
+	return s.Config != nil && s.Listed
+}
+
+// listenReady answers the balancer.
+func (e *Entry) listenReady() (*http.Server, error) {
+	l, err := net.Listen("tcp", e.settings.Ready)
+	if err != nil {
+		return nil, trace.Wrap(err, "listen for the balancer on %s", e.settings.Ready)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if e.stopping.Load() || !e.believes() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}), ReadHeaderTimeout: headerTimeout}
+	go e.serve(server, l)
+	return server, nil
+}
+
+// listenClients serves clients.
+func (e *Entry) listenClients() (*http.Server, error) {
+	l, err := net.Listen("tcp", e.settings.Clients)
+	if err != nil {
+		return nil, trace.Wrap(err, "listen for clients on %s", e.settings.Clients)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(e.serveClient), ReadHeaderTimeout: headerTimeout}
+	if c := e.view.Snapshot().Config; c != nil {
+		if c.Limits.HeaderTimeout > 0 {
+			server.ReadHeaderTimeout = c.Limits.HeaderTimeout
+		}
+		server.IdleTimeout = c.Limits.IdleTimeout
+		server.MaxHeaderBytes = c.Limits.MaxHeaderBytes
+	}
+	go e.serve(server, l)
+	return server, nil
+}
+
+func (e *Entry) serveClient(w http.ResponseWriter, r *http.Request) {
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	e.handler.ServeHTTP(w, r)
+}
+
+func (e *Entry) serve(server *http.Server, l net.Listener) {
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		e.log.WithError(err).WithField("addr", l.Addr().String()).Error("listener failed")
+	}
+}
+
+// drain serves on until the balancer and the clients have noticed, then lets
+// the requests in flight end.
+func (e *Entry) drain(clients *http.Server) {
+	e.stopping.Store(true)
+	e.log.WithField("in_flight", e.inFlight.Load()).Info("draining")
+	time.Sleep(unreadyTime)
+	ctx, cancel := context.WithTimeout(context.Background(), max(time.Second, e.settings.Grace-unreadyTime-stopSlack))
+	defer cancel()
+	if err := clients.Shutdown(ctx); err != nil {
+		e.log.WithError(err).WithField("in_flight", e.inFlight.Load()).Warn("requests cut off")
+	}
+}
--- /dev/null
+++ b/service/node/node.go
@@ -0,0 +1,65 @@
+// Package node assembles the programs that run on the users' platform: the
+// entry, which serves clients, and the agent beside each model engine. All that
+// must last stands in the platform's store; a process keeps nothing.
+package node
+
+import (
+	"context"
+	"encoding/hex"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"mulberryscale.example/batch"
+	"mulberryscale.example/fleet"
+	"mulberryscale.example/observe"
+	"mulberryscale.example/platform/metastore"
+	"mulberryscale.example/platform/nodefile"
+	"mulberryscale.example/platform/operator"
+	"mulberryscale.example/store"
+)
+
+// base is what both programs have.
+type base struct {
+	settings    *nodefile.Settings
+	incarnation string
+	log         *logrus.Entry
+	counters    *observe.Counters
+	store       *metastore.Client
+	view        *fleet.View
+	ledger      *batch.Ledger
+}
+
+func newBase(settings *nodefile.Settings, role string) (*base, error) {
+	logger, err := observe.NewLogger(observe.LogOptions{Format: observe.FormatJSON, Output: os.Stdout})
+	if err != nil {
+		return nil, err
+	}
+	b := &base{
+		settings: settings, incarnation: newIncarnation(), counters: observe.NewCounters(),
+		store: metastore.New(settings.Store), view: fleet.NewView(),
+	}
+	b.log = logger.WithFields(logrus.Fields{observe.FieldProcess: settings.Node, "role": role, "incarnation": b.incarnation})
+	b.ledger = &batch.Ledger{Store: b.store, RowBytes: settings.RowBytes, ObjectBytes: settings.ObjectBytes}
+	return b, nil
+}
+
+// newIncarnation names a start of a process.
+func newIncarnation() string {
+	var id [6]byte
+	for i := range id {
+		id[i] = byte(rand.Uint32())
+	}
+	return hex.EncodeToString(id[:])
+}
+
+// follow keeps the view abreast until ctx ends.
+func (b *base) follow(ctx context.Context, wg *sync.WaitGroup) {
+	config := &configWatcher{view: b.view, log: b.log}
+	instances := &instanceWatcher{view: b.view, log: b.log, kept: map[string]time.Time{}}
+	wg.Go(func() { store.Follow(ctx, b.store, operator.TableOperator, "", config) })
+	wg.Go(func() { store.Follow(ctx, b.store, operator.TableInstances, "", instances) })
+}
