Agents that start before the store holds anything give orders too

Cause: the fencing token was the store's version at the agent's start; on an empty store that is 0, and 0 stood for 'not known yet', so such agents never ordered new weights. Ruled out: the deal of models (all engines of the Association serve its one model, and none was ordered). Change: the token is that version plus one.

--- a/batch/worker.go
+++ b/batch/worker.go
@@ -99,7 +99,7 @@
 func (w *Worker) Replace(s store.Snapshot) {
 	w.mu.Lock()
 	if w.token == 0 {
-		w.token = s.Version
+		w.token = s.Version + 1 // an empty store has version 0, which is no token
 	}
 	w.mu.Unlock()
 	w.Apply(s)
