--- a/batch/reader.go
+++ b/batch/reader.go
@@ -78,7 +78,7 @@
 		failures++
 		if errors.Is(err, store.ErrHistoryGone) || failures == maxFeedFailures {
 			store.LogLoss(r.log, TableResults, err)
-			r.unload()
+			r.lose()
 		}
 		_ = pause(ctx, writePause) // the loop ends with ctx
 	}
@@ -106,10 +106,26 @@
 	if err != nil {
 		return err
 	}
+	if version == 0 {
+		r.restart(s.Version)
+	}
 	r.apply(s)
 	return nil
 }
 
+// restart follows the feed from a version on. What was appended before it and
+// after a list was read would be missing in that list, so all are read anew,
+// also those that are being read just now.
+func (r *Reader) restart(version uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gaps++
+	r.version = version
+	for _, j := range r.jobs {
+		j.listing = nil
+	}
+}
+
 // apply hands rows of the feed to the jobs that are kept.
 func (r *Reader) apply(s store.Snapshot) {
 	r.mu.Lock()
@@ -142,15 +158,11 @@
 	j.changed = make(chan struct{})
 }
 
-// unload forgets the lists, since the feed has a gap. They are read anew.
-func (r *Reader) unload() {
+// lose lets the feed start anew. The lists are shown as they are until then.
+func (r *Reader) lose() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.version = 0
-	r.gaps++
-	for _, j := range r.jobs {
-		j.listing = nil
-	}
 }
 
 func (r *Reader) forgetUnused(ctx context.Context) {
--- a/cmd/mulberry-node/main.go
+++ b/cmd/mulberry-node/main.go
@@ -32,6 +32,15 @@
 // runner is a program that runs until its context ends, and then drains.
 type runner interface {
 	Run(ctx context.Context) error
+	// Reload reads the settings again at each hangup until ctx ends.
+	Reload(ctx context.Context, hangups <-chan os.Signal, load func() (*nodefile.Settings, error))
+}
+
+// hangups delivers SIGHUP, which would otherwise end the process.
+func hangups() <-chan os.Signal {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGHUP)
+	return c
 }
 
 func roleCommand(name, usage string, role nodefile.Role, make func(*nodefile.Settings) (runner, error)) *cli.Command {
@@ -51,6 +60,8 @@
 			}
 			ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
+			reload := func() (*nodefile.Settings, error) { return nodefile.Load(cmd.String("settings"), role) }
+			go program.Reload(ctx, hangups(), reload)
 			return program.Run(ctx)
 		},
 	}
--- /dev/null
+++ b/service/node/reload.go
@@ -0,0 +1,57 @@
+package node
+
+import (
+	"context"
+	"os"
+	"reflect"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"mulberryscale.example/platform/nodefile"
+)
+
+// rereadInterval is how often the settings file is looked at without a signal.
+const rereadInterval = 2 * time.Second
+
+// Reload reads the settings again at each hangup, and now and then without
+// one, until ctx ends. The store's address changes at once; what a running
+// process cannot change, such as its own addresses, is logged and holds from
+// the next start on. A file that is not readable changes nothing.
+func (b *base) Reload(ctx context.Context, hangups <-chan os.Signal, load func() (*nodefile.Settings, error)) {
+	current := *b.settings
+	ticker := time.NewTicker(rereadInterval)
+	defer ticker.Stop()
+	for {
+		signalled := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			signalled = true
+		case <-ticker.C:
+		}
+		next, err := load()
+		if err != nil {
+			b.log.WithError(err).Error("settings not reloaded")
+			continue
+		}
+		if reflect.DeepEqual(*next, current) {
+			if signalled {
+				b.log.Info("settings reloaded, nothing changed")
+			}
+			continue
+		}
+		b.log.WithFields(logrus.Fields{
+			"signalled": signalled, "store": next.Store, "restart_needed": needsRestart(current, *next),
+		}).Info("settings reloaded")
+		b.store.SetAddr(next.Store)
+		current = *next
+	}
+}
+
+// needsRestart reports whether settings changed that hold from the next start only.
+func needsRestart(old, next nodefile.Settings) bool {
+	next.Store = old.Store
+	return !reflect.DeepEqual(old, next)
+}
