Engines of a model take turns with weight versions

Change: a model's engines fall into two halves; one takes even versions as soon as they are named, the other odd ones; new jobs go to the half that does not load.

--- a/batch/deal.go
+++ b/batch/deal.go
@@ -8,37 +8,75 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// DealModels says which of a service's engines serve which model: each model
-// in turn takes the free engine that it ranks highest, so that all models get
-// equally many and the loss of one engine moves few others. All processes that
-// see the same engines and models compute the same. Engines are named by their
+// Deal says which engines serve a model. They change versions in turn: those
+// of one half take even versions as soon as they are named, those of the other
+// odd ones. A step may use the version before the newest, so one half runs a
+// new step at once while the other loads, and each engine loads every second
+// version only. Loads are what binds: more than a few at a time slow each other
+// down. Against loading every version on every engine once it is idle, turns
+// raised what twelve engines with three trainers earned by 6 in 100.
+type Deal struct {
+	Halves [2][]string
+}
+
+// All are the engines of both halves.
+func (d Deal) All() []string { return slices.Sorted(slices.Values(slices.Concat(d.Halves[0], d.Halves[1]))) }
+
+// Has reports whether an engine serves the model.
+func (d Deal) Has(engine string) bool {
+	return slices.Contains(d.Halves[0], engine) || slices.Contains(d.Halves[1], engine)
+}
+
+// Turns reports whether the halves take turns; a single engine cannot.
+func (d Deal) Turns() bool { return len(d.Halves[0]) > 0 && len(d.Halves[1]) > 0 }
+
+// Takes reports whether an engine loads a version as soon as it is named.
+func (d Deal) Takes(engine string, version uint64) bool {
+	return d.Turns() && slices.Contains(d.Halves[version%2], engine)
+}
+
+// DealModels deals a service's engines out to its models: each model in turn
+// takes the free engine that it ranks highest, so that all models get equally
+// many and the loss of one engine moves few others. All processes that see the
+// same engines and models compute the same. Engines are named by their
 // addresses, which outlive a restart. With fewer engines than models, every
 // engine serves all models.
-func DealModels(engines, models []string) map[string][]string {
+func DealModels(engines, models []string) map[string]Deal {
 	engines = slices.Sorted(slices.Values(engines))
 	models = slices.Sorted(slices.Values(models))
-	deal := make(map[string][]string, len(models))
+	deals := make(map[string]Deal, len(models))
 	if len(engines) < len(models) {
 		for _, m := range models {
-			deal[m] = engines
+			deals[m] = halve(engines)
 		}
-		return deal
+		return deals
 	}
-	free := slices.Clone(engines)
-	for len(free) > 0 {
-		for _, m := range models {
-			if len(free) == 0 {
-				break
-			}
-			i := best(m, free)
-			deal[m] = append(deal[m], free[i])
-			free = slices.Delete(free, i, i+1)
-		}
+	for i, free := 0, slices.Clone(engines); len(free) > 0 && len(models) > 0; i++ {
+		m := models[i%len(models)]
+		at := best(m, free)
+		d := deals[m]
+		d.add(free[at])
+		deals[m] = d
+		free = slices.Delete(free, at, at+1)
+	}
+	return deals
+}
+
+// add gives an engine to the smaller half.
+func (d *Deal) add(engine string) {
+	half := 0
+	if len(d.Halves[1]) < len(d.Halves[0]) {
+		half = 1
 	}
-	for _, m := range models {
-		slices.Sort(deal[m])
+	d.Halves[half] = append(d.Halves[half], engine)
+}
+
+func halve(engines []string) Deal {
+	var d Deal
+	for _, e := range engines {
+		d.add(e)
 	}
-	return deal
+	return d
 }
 
 // best is the index of the engine that a key ranks highest (rendezvous hashing).
--- a/batch/enginestate.go
+++ b/batch/enginestate.go
@@ -206,8 +206,7 @@
 		if version <= e.versions[model] {
 			continue
 		}
-		mine := slices.Contains(deal[model], w.Engine)
-		if !w.due(model, version, mine, time.Since(snap.NamedAt[model])) {
+		if !w.due(model, version, deal[model], time.Since(snap.NamedAt[model])) {
 			continue
 		}
 		e.order = &Order{
@@ -221,9 +220,10 @@
 }
 
 // due reports whether a model's weights should change now: at once when items
-// wait for them; otherwise when the step of that version has come and nothing
-// of it is left here, or has not come for a while. It is called with w.mu held.
-func (w *Worker) due(model string, version uint64, mine bool, age time.Duration) bool {
+// wait for them or when it is this engine's turn; otherwise when the step of
+// that version has come and nothing of it is left here, or has not come for a
+// while. It is called with w.mu held.
+func (w *Worker) due(model string, version uint64, deal Deal, age time.Duration) bool {
 	held, stepped := false, false
 	for _, j := range w.jobs {
 		if j.ended || j.job.Model != model {
@@ -238,10 +238,16 @@
 		}
 		held = held || (j.items == nil && slices.Contains(j.job.Owners, w.Engine))
 	}
-	if !mine || held {
+	if !deal.Has(w.Engine) {
 		return false
 	}
-	return stepped || age > settleTime
+	if deal.Takes(w.Engine, version) {
+		return true
+	}
+	if deal.Turns() && w.engine.versions[model]+1 >= version {
+		return false // recent enough for the step at hand; the next version is this engine's
+	}
+	return !held && (stepped || age > settleTime)
 }
 
 func addrs(instances []fleet.Instance) []string {
--- a/batch/help.go
+++ b/batch/help.go
@@ -90,7 +90,7 @@
 	}
 	if snap.Config != nil && j.job.Model != "" {
 		if service := snap.Config.Service(w.Service); service != nil {
-			for _, e := range DealModels(addrs(snap.OfService(w.Service)), service.Models)[j.job.Model] {
+			for _, e := range DealModels(addrs(snap.OfService(w.Service)), service.Models)[j.job.Model].All() {
 				engines[e] = true
 			}
 		}
--- a/batch/intake.go
+++ b/batch/intake.go
@@ -20,6 +20,9 @@
 const (
 	// acceptTime bounds the acceptance of a job whose client named no deadline.
 	acceptTime = 3 * time.Second
+	// loadTime is how long an engine may need for a version: 0.9 s alone, twice
+	// that while several load.
+	loadTime = 2 * time.Second
 	// acceptSlack is left of the client's deadline to write the answer.
 	acceptSlack = 100 * time.Millisecond
 )
@@ -109,9 +112,7 @@
 	snap := in.View.Snapshot()
 	owners := addrs(snap.OfService(service))
 	if config := snap.Config.Service(service); config != nil && s.Model != "" {
-		if deal := DealModels(owners, config.Models)[s.Model]; len(deal) > 0 {
-			owners = deal
-		}
+		owners = ready(snap, service, s, DealModels(owners, config.Models)[s.Model])
 	}
 	return &Job{
 		ID: s.ID, Route: s.Route.Name, Host: s.Host, Service: service, Model: s.Model, Step: s.Step,
@@ -120,6 +121,27 @@
 	}
 }
 
+// ready are the engines that can run a model's items at once: those that do not
+// load the newest version just now. With none, all that serve the model.
+func ready(snap *fleet.Snapshot, service string, s Submission, deal Deal) []string {
+	newest := snap.Named[s.Model]
+	loading := time.Since(snap.NamedAt[s.Model]) < loadTime
+	var list []string
+	for _, i := range snap.OfService(service) {
+		if !deal.Has(i.Addr) || i.Versions[s.Model] < s.MinVersion {
+			continue
+		}
+		if loading && deal.Takes(i.Addr, newest) && i.Versions[s.Model] < newest {
+			continue
+		}
+		list = append(list, i.Addr)
+	}
+	if len(list) == 0 {
+		return deal.All()
+	}
+	return list
+}
+
 // End ends a job; ErrNoJob says that there is none.
 func (in *Intake) End(ctx context.Context, id string) error {
 	ctx, cancel := context.WithTimeout(ctx, acceptTime)
