The text of long items is saved while they run; engines are dealt by demand

Cause: after a kill of all processes every running item began anew, and the longest (192 events, 7.4 s) then missed its time; groups that a step ended without came again in the next step and were generated from their beginning. Older jobs' short items waited behind newer jobs' long ones. Ruled out: carrying texts between lineages (each run generates its own; joining two would be a text that no engine made). Change: agents append segments of running text to the store every 0.7 s, less often with more agents (a quarter of the store's writes at most); unfinished texts of an ended job are kept 40 s for a later one; engines are dealt by the mean work of each model's last jobs; the older job goes first; owners that load weights first are counted with two seconds' work.

--- a/batch/deal.go
+++ b/batch/deal.go
@@ -20,7 +20,9 @@
 }
 
 // All are the engines of both halves.
-func (d Deal) All() []string { return slices.Sorted(slices.Values(slices.Concat(d.Halves[0], d.Halves[1]))) }
+func (d Deal) All() []string {
+	return slices.Sorted(slices.Values(slices.Concat(d.Halves[0], d.Halves[1])))
+}
 
 // Has reports whether an engine serves the model.
 func (d Deal) Has(engine string) bool {
@@ -35,13 +37,13 @@
 	return d.Turns() && slices.Contains(d.Halves[version%2], engine)
 }
 
-// DealModels deals a service's engines out to its models: each model in turn
-// takes the free engine that it ranks highest, so that all models get equally
-// many and the loss of one engine moves few others. All processes that see the
-// same engines and models compute the same. Engines are named by their
-// addresses, which outlive a restart. With fewer engines than models, every
-// engine serves all models.
-func DealModels(engines, models []string) map[string]Deal {
+// DealModels deals a service's engines out to its models, as many to each as
+// its share of the demand wants and at least one: each model in turn takes the
+// free engine that it ranks highest, so that the loss of one engine moves few
+// others. All processes that see the same engines, models and jobs compute the
+// same. Engines are named by their addresses, which outlive a restart. With
+// fewer engines than models, every engine serves all models.
+func DealModels(engines, models []string, demand *Demand) map[string]Deal {
 	engines = slices.Sorted(slices.Values(engines))
 	models = slices.Sorted(slices.Values(models))
 	deals := make(map[string]Deal, len(models))
@@ -51,8 +53,14 @@
 		}
 		return deals
 	}
-	for i, free := 0, slices.Clone(engines); len(free) > 0 && len(models) > 0; i++ {
+	quotas := quotas(len(engines), models, demand)
+	free := slices.Clone(engines)
+	for i := 0; len(free) > 0 && len(models) > 0; i++ {
 		m := models[i%len(models)]
+		if quotas[m] == 0 {
+			continue
+		}
+		quotas[m]--
 		at := best(m, free)
 		d := deals[m]
 		d.add(free[at])
@@ -62,6 +70,50 @@
 	return deals
 }
 
+// quotas says how many engines each model gets: one, and of the rest its share
+// by the demand. A model without known jobs counts as the mean of the others.
+func quotas(engines int, models []string, demand *Demand) map[string]int {
+	work, known, sum := map[string]float64{}, 0, 0.0
+	for _, m := range models {
+		if w := demand.Work(m); w > 0 {
+			work[m] = float64(w)
+			known++
+			sum += work[m]
+		}
+	}
+	mean := 1.0
+	if known > 0 {
+		mean = sum / float64(known)
+	}
+	total := 0.0
+	for _, m := range models {
+		if work[m] == 0 {
+			work[m] = mean
+		}
+		total += work[m]
+	}
+	quotas, left := map[string]int{}, engines
+	for _, m := range models {
+		quotas[m] = max(1, int(work[m]/total*float64(engines)))
+		left -= quotas[m]
+	}
+	for ; left != 0; left -= sign(left) {
+		m := slices.MaxFunc(models, func(a, b string) int {
+			lack := func(m string) float64 { return work[m]/total*float64(engines) - float64(quotas[m]) }
+			return cmp.Compare(float64(sign(left))*lack(a), float64(sign(left))*lack(b))
+		})
+		quotas[m] += sign(left)
+	}
+	return quotas
+}
+
+func sign(n int) int {
+	if n < 0 {
+		return -1
+	}
+	return 1
+}
+
 // add gives an engine to the smaller half.
 func (d *Deal) add(engine string) {
 	half := 0
@@ -96,6 +148,10 @@
 // whoever serves their model then takes them.
 const noOwner = -1
 
+// lateWork is what an owner that loads weights first is counted to have
+// already, in generated tokens: what an engine of a dozen slots makes in two seconds.
+const lateWork = 40_000
+
 // Split says which owner each item of a job goes to, by index: groups stay
 // together, since their items share a prompt, and go in order of their expected
 // tokens to the owner that has the least so far. All agents compute the same.
@@ -107,6 +163,11 @@
 	order := slices.Clone(job.Owners)
 	slices.SortFunc(order, func(a, b string) int { return cmp.Compare(rank(job.ID, a), rank(job.ID, b)) })
 	load := make([]int, len(order))
+	for i, o := range order {
+		if slices.Index(job.Owners, o) >= job.Ready {
+			load[i] = lateWork
+		}
+	}
 	owners := make([]int, len(items))
 	if len(order) == 0 {
 		for i := range owners {
--- /dev/null
+++ b/batch/demand.go
@@ -0,0 +1,92 @@
+package batch
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"mulberryscale.example/store"
+)
+
+// demandJobs is over how many of a model's last jobs its demand is averaged:
+// estimates of lengths are wrong by half for one item, by a twentieth for the
+// mean of some hundred, and the deal of engines should not follow noise.
+const demandJobs = 8
+
+// Demand is how much work the jobs of each model are. All processes read it
+// from the same rows. It is safe for concurrent use.
+type Demand struct {
+	mu   sync.Mutex
+	jobs map[string][]demandJob // by model, the newest last
+}
+
+type demandJob struct {
+	id       string
+	accepted time.Duration
+	work     int
+}
+
+// NewDemand returns a demand that knows no jobs.
+func NewDemand() *Demand { return &Demand{jobs: map[string][]demandJob{}} }
+
+// See takes a job.
+func (d *Demand) See(job *Job) {
+	if job.Model == "" || job.Work == 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	list := d.jobs[job.Model]
+	if slices.ContainsFunc(list, func(j demandJob) bool { return j.id == job.ID }) {
+		return
+	}
+	list = append(list, demandJob{id: job.ID, accepted: job.Accepted, work: job.Work})
+	slices.SortFunc(list, func(a, b demandJob) int {
+		return cmp.Or(cmp.Compare(a.accepted, b.accepted), cmp.Compare(a.id, b.id))
+	})
+	d.jobs[job.Model] = list[max(0, len(list)-demandJobs):]
+}
+
+// Work is the mean work of a model's last jobs, in generated tokens; 0 while
+// none is known.
+func (d *Demand) Work(model string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	list := d.jobs[model]
+	if len(list) == 0 {
+		return 0
+	}
+	sum := 0
+	for _, j := range list {
+		sum += j.work
+	}
+	return sum / len(list)
+}
+
+// Watcher feeds a demand from TableJobs.
+func (d *Demand) Watcher(log logrus.FieldLogger) store.Watcher { return &demandWatcher{d, log} }
+
+type demandWatcher struct {
+	demand *Demand
+	log    logrus.FieldLogger
+}
+
+func (w *demandWatcher) Replace(s store.Snapshot) { w.Apply(s) }
+func (w *demandWatcher) Lost(err error)           { store.LogLoss(w.log, TableJobs, err) }
+
+func (w *demandWatcher) Apply(s store.Snapshot) {
+	for _, row := range s.Rows {
+		if _, end := HeadOf(row.Name); end || row.Deleted {
+			continue
+		}
+		job, err := DecodeJob(row.Value)
+		if err != nil {
+			w.log.WithError(err).WithField("job", row.Name).Error("job not readable")
+			continue
+		}
+		w.demand.See(job)
+	}
+}
--- a/batch/enginestate.go
+++ b/batch/enginestate.go
@@ -200,7 +200,7 @@
 	if service == nil {
 		return nil
 	}
-	deal := DealModels(addrs(snap.OfService(w.Service)), service.Models)
+	deal := DealModels(addrs(snap.OfService(w.Service)), service.Models, w.Demand)
 	for _, model := range service.Models {
 		version := snap.Named[model]
 		if version <= e.versions[model] {
--- a/batch/help.go
+++ b/batch/help.go
@@ -90,7 +90,7 @@
 	}
 	if snap.Config != nil && j.job.Model != "" {
 		if service := snap.Config.Service(w.Service); service != nil {
-			for _, e := range DealModels(addrs(snap.OfService(w.Service)), service.Models)[j.job.Model].All() {
+			for _, e := range DealModels(addrs(snap.OfService(w.Service)), service.Models, w.Demand)[j.job.Model].All() {
 				engines[e] = true
 			}
 		}
@@ -292,6 +292,7 @@
 		}
 	}
 	slices.Sort(engines)
+	saved := w.savedTexts(j, true)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	n := 0
@@ -299,7 +300,7 @@
 		if j.done[i] || engines[best(j.items[i].ID, engines)] != w.Engine {
 			continue
 		}
-		if w.take(j, &task{index: i}) {
+		if w.take(j, &task{index: i, text: saved[i].events, versions: saved[i].versions}) {
 			n++
 			w.Log.WithFields(logrus.Fields{
 				observe.FieldItem: j.items[i].ID, observe.FieldJob: j.job.ID, "owner": j.owners[i],
--- a/batch/intake.go
+++ b/batch/intake.go
@@ -45,6 +45,7 @@
 type Intake struct {
 	View     *fleet.View
 	Ledger   *Ledger
+	Demand   *Demand
 	Now      func() (time.Duration, bool)
 	Log      logrus.FieldLogger
 	Counters *observe.Counters
@@ -74,7 +75,7 @@
 	took := time.Since(began)
 	log := in.Log.WithFields(logrus.Fields{
 		observe.FieldJob: s.ID, "route": s.Route.Name, "items": len(s.Items), "model": s.Model, "step": s.Step,
-		"min_version": s.MinVersion, "owners": len(job.Owners), "took_ms": took.Milliseconds(),
+		"min_version": s.MinVersion, "owners": len(job.Owners), "ready": job.Ready, "took_ms": took.Milliseconds(),
 	})
 	if err != nil {
 		log.WithError(err).Warn("job not accepted")
@@ -110,36 +111,39 @@
 func (in *Intake) job(s Submission, now time.Duration) *Job {
 	service := forward.Backend(s.Route, s.ID)
 	snap := in.View.Snapshot()
-	owners := addrs(snap.OfService(service))
+	engines := addrs(snap.OfService(service))
+	ready := len(engines)
 	if config := snap.Config.Service(service); config != nil && s.Model != "" {
-		owners = ready(snap, service, s, DealModels(owners, config.Models)[s.Model])
+		engines, ready = owners(snap, service, s, DealModels(engines, config.Models, in.Demand)[s.Model])
+	}
+	work := 0
+	for i := range s.Items {
+		work += s.Items[i].expected()
 	}
 	return &Job{
 		ID: s.ID, Route: s.Route.Name, Host: s.Host, Service: service, Model: s.Model, Step: s.Step,
 		MinVersion: s.MinVersion, SingleVersion: s.Route.SingleVersion, Items: len(s.Items), Wanted: s.Wanted,
-		MaxAttempts: s.Route.MaxAttempts, ItemTTL: s.Route.ItemTTL, Accepted: now, Owners: owners,
+		MaxAttempts: s.Route.MaxAttempts, ItemTTL: s.Route.ItemTTL, Accepted: now, Owners: engines, Ready: ready, Work: work,
 	}
 }
 
-// ready are the engines that can run a model's items at once: those that do not
-// load the newest version just now. With none, all that serve the model.
-func ready(snap *fleet.Snapshot, service string, s Submission, deal Deal) []string {
+// owners are the engines of a model's deal, those first that can run its items
+// at once; the others load the newest version just now, or must first.
+func owners(snap *fleet.Snapshot, service string, s Submission, deal Deal) (list []string, ready int) {
 	newest := snap.Named[s.Model]
 	loading := time.Since(snap.NamedAt[s.Model]) < loadTime
-	var list []string
+	var late []string
 	for _, i := range snap.OfService(service) {
-		if !deal.Has(i.Addr) || i.Versions[s.Model] < s.MinVersion {
-			continue
+		version := i.Versions[s.Model]
+		switch {
+		case !deal.Has(i.Addr):
+		case version < s.MinVersion, loading && version < newest && deal.Takes(i.Addr, newest):
+			late = append(late, i.Addr)
+		default:
+			list = append(list, i.Addr)
 		}
-		if loading && deal.Takes(i.Addr, newest) && i.Versions[s.Model] < newest {
-			continue
-		}
-		list = append(list, i.Addr)
-	}
-	if len(list) == 0 {
-		return deal.All()
 	}
-	return list
+	return append(list, late...), len(list)
 }
 
 // End ends a job; ErrNoJob says that there is none.
--- a/batch/job.go
+++ b/batch/job.go
@@ -46,11 +46,15 @@
 	ItemTTL time.Duration `cbor:"12,keyasint"`
 	// Accepted is the store's clock when the job was submitted.
 	Accepted time.Duration `cbor:"13,keyasint"`
-	// Owners are the addresses of the engines that the items are dealt to.
+	// Owners are the addresses of the engines that the items are dealt to. The
+	// first Ready of them can run items at once; the others load weights first.
 	Owners []string `cbor:"14,keyasint"`
+	Ready  int      `cbor:"18,keyasint,omitempty"`
 	// Chunks is the number of rows, or of objects if InObjects, that hold the items.
 	Chunks    int  `cbor:"15,keyasint"`
 	InObjects bool `cbor:"16,keyasint,omitempty"`
+	// Work is what all items are expected to be, in generated tokens.
+	Work int `cbor:"17,keyasint,omitempty"`
 }
 
 // State is how an item ended.
--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -17,6 +17,8 @@
 //	batch_items    name ID/000…: the items, CBOR, cut into rows
 //	batch_results  part ID: what was appended, one transaction a batch of results
 //
+// Saved text has tables of its own, see progress.go.
+//
 // Heads and items share one part, so that one transaction accepts a job whole.
 const (
 	TableJobs    = "batch_jobs"
@@ -235,8 +237,10 @@
 			return err
 		}
 	}
-	if err := l.removeResults(ctx, job.ID); err != nil {
-		return err
+	for _, table := range []string{TableResults, tableProgress} {
+		if err := l.removePart(ctx, table, job.ID); err != nil {
+			return err
+		}
 	}
 	_, err := l.Store.Commit(ctx, tx)
 	return err
@@ -245,9 +249,9 @@
 // maxDeletes is how many entries one transaction of the store may have.
 const maxDeletes = 100
 
-func (l *Ledger) removeResults(ctx context.Context, jobID string) error {
+func (l *Ledger) removePart(ctx context.Context, table, jobID string) error {
 	for {
-		s, err := l.Store.List(ctx, store.Range{Table: TableResults, Part: jobID})
+		s, err := l.Store.List(ctx, store.Range{Table: table, Part: jobID})
 		if err != nil || len(s.Rows) == 0 {
 			return err
 		}
--- /dev/null
+++ b/batch/progress.go
@@ -0,0 +1,243 @@
+package batch
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"mulberryscale.example/observe"
+	"mulberryscale.example/store"
+	"mulberryscale.example/transport/codec"
+)
+
+// The text of long items is saved while they run, so that an item whose agent
+// dies goes on where it was instead of at its beginning: the longest items take
+// seven seconds and decide when a step is done.
+//
+//	batch_progress   part job:   segments of text, appended
+//	batch_leftovers  part model: the text of items whose job ended before them,
+//	                 named by the item, for a later job that asks for them again
+const (
+	tableProgress  = "batch_progress"
+	tableLeftovers = "batch_leftovers"
+)
+
+const (
+	// saveInterval is the least time between two saves of one agent. A crash
+	// costs that much of each running item.
+	saveInterval = 700 * time.Millisecond
+	// saveShare is the share of the store's writes that all agents together
+	// may use to save text; with many agents each saves less often.
+	saveShare = 0.25
+	// saveAfter is the number of events below which an item is not worth saving.
+	saveAfter = 12
+	// leftoverTime is how long the text of an unfinished item is kept: a later
+	// step asks for it within two or three steps, if at all.
+	leftoverTime = 40 * time.Second
+)
+
+// segment is a part of an item's text: the events after From.
+type segment struct {
+	Index int `cbor:"1,keyasint"`
+	// Lineage names the run that the text belongs to. Text of two lineages is
+	// never joined, since each run generates its own.
+	Lineage  string   `cbor:"2,keyasint"`
+	From     int      `cbor:"3,keyasint"`
+	Events   []string `cbor:"4,keyasint"`
+	Versions []uint64 `cbor:"5,keyasint"`
+}
+
+// leftover is the text of an unfinished item of an ended job.
+type leftover struct {
+	Events   []string      `cbor:"1,keyasint"`
+	Versions []uint64      `cbor:"2,keyasint"`
+	Saved    time.Duration `cbor:"3,keyasint"` // the store's clock
+}
+
+// savedText is text that an item can go on from.
+type savedText struct {
+	events   []string
+	versions []uint64
+}
+
+// saveProgress appends segments. It is tried once: the next save repeats what
+// was not acknowledged.
+func (l *Ledger) saveProgress(ctx context.Context, jobID, name string, segments []segment) error {
+	data, err := codec.Marshal(segments)
+	if err != nil {
+		return fmt.Errorf("%w: encode progress: %v", store.ErrInvalid, err)
+	}
+	tx := store.Tx{}
+	for i, piece := range cut(data, l.rowLimit()) {
+		key := store.Key{Table: tableProgress, Part: jobID, Name: fmt.Sprintf("%s/%03d", name, i)}
+		tx.Put = append(tx.Put, store.Row{Key: key, Value: piece})
+	}
+	_, err = l.Store.Commit(ctx, tx)
+	return err
+}
+
+// progress reads the longest text that fits of each item of a job, by index.
+func (l *Ledger) progress(ctx context.Context, job *Job) (map[int]savedText, error) {
+	s, err := store.ListAll(ctx, l.Store, store.Range{Table: tableProgress, Part: job.ID})
+	if err != nil {
+		return nil, err
+	}
+	var all []segment
+	for _, data := range joinRows(s.Rows) {
+		var segments []segment
+		if err := codec.Unmarshal(data, &segments); err != nil {
+			return nil, fmt.Errorf("progress of job %s: %w", job.ID, err)
+		}
+		all = append(all, segments...)
+	}
+	return joinSegments(all), nil
+}
+
+// joinRows joins the rows of each transaction; they are named alike but for a number.
+func joinRows(rows []store.Row) [][]byte {
+	slices.SortFunc(rows, func(a, b store.Row) int {
+		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Name, b.Name))
+	})
+	var joined [][]byte
+	for i, row := range rows {
+		if i == 0 || row.Version != rows[i-1].Version {
+			joined = append(joined, nil)
+		}
+		joined[len(joined)-1] = append(joined[len(joined)-1], row.Value...)
+	}
+	return joined
+}
+
+// joinSegments joins segments within each lineage and keeps the longest text of
+// each item.
+func joinSegments(segments []segment) map[int]savedText {
+	slices.SortStableFunc(segments, func(a, b segment) int { return cmp.Compare(a.From, b.From) })
+	byLineage := map[string]savedText{}
+	longest := map[int]savedText{}
+	for _, s := range segments {
+		key := s.Lineage + "/" + strconv.Itoa(s.Index)
+		text := byLineage[key]
+		if s.From > len(text.events) || s.From+len(s.Events) <= len(text.events) {
+			continue // a gap before it, or nothing new
+		}
+		text.events = append(slices.Clip(text.events[:s.From]), s.Events...)
+		text.versions = s.Versions
+		byLineage[key] = text
+		if len(text.events) > len(longest[s.Index].events) {
+			longest[s.Index] = text
+		}
+	}
+	return longest
+}
+
+// save keeps the text of running items in the store until ctx ends.
+func (w *Worker) save(ctx context.Context) {
+	for n := 1; pause(ctx, w.saveInterval()) == nil; n++ {
+		w.mu.Lock()
+		due := w.unsaved()
+		w.mu.Unlock()
+		for j, segments := range due {
+			w.saveJob(ctx, j, segments, fmt.Sprintf("%s-%s-%06d", w.Node, w.Incarnation, n))
+		}
+	}
+}
+
+// saveInterval grows with the number of agents, so that their saves together
+// stay within their share of the store's writes.
+func (w *Worker) saveInterval() time.Duration {
+	agents := len(w.View.Snapshot().OfService(w.Service))
+	if w.StoreWrites == 0 {
+		return saveInterval
+	}
+	fair := time.Duration(float64(agents) / (saveShare * float64(w.StoreWrites)) * float64(time.Second))
+	return max(saveInterval, fair)
+}
+
+// unsaved cuts the new text of running items into segments. It is called with w.mu held.
+func (w *Worker) unsaved() map[*workJob][]segment {
+	due := map[*workJob][]segment{}
+	for t := range w.running {
+		if len(t.text) < saveAfter || len(t.text) == t.saved || t.j.ended {
+			continue
+		}
+		due[t.j] = append(due[t.j], segment{
+			Index: t.index, Lineage: t.lineage, From: t.saved, Events: slices.Clone(t.text[t.saved:]),
+			Versions: slices.Clone(t.versions),
+		})
+	}
+	return due
+}
+
+func (w *Worker) saveJob(ctx context.Context, j *workJob, segments []segment, name string) {
+	if err := w.Ledger.saveProgress(ctx, j.job.ID, name, segments); err != nil {
+		w.Log.WithError(err).WithField(observe.FieldJob, j.job.ID).Warn("text not saved")
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range segments {
+		if t := j.tasks[s.Index]; t != nil && t.lineage == s.Lineage {
+			t.saved = max(t.saved, s.From+len(s.Events))
+		}
+	}
+}
+
+// saveLeftovers keeps the text of items, by id, that their job's end cut off.
+func (w *Worker) saveLeftovers(j *workJob, texts map[string]savedText) {
+	now, ok := w.Now()
+	if !ok {
+		return
+	}
+	tx := store.Tx{}
+	for id, text := range texts {
+		data, err := codec.Marshal(leftover{Events: text.events, Versions: text.versions, Saved: now})
+		if err != nil || len(data) > w.Ledger.rowLimit() {
+			continue // begins anew if it is asked for again
+		}
+		tx.Put = append(tx.Put, store.Row{Key: w.leftoverKey(j, id), Value: data})
+	}
+	if len(tx.Put) == 0 {
+		return
+	}
+	_, err := w.Ledger.Store.Commit(w.ctx, tx)
+	w.Log.WithError(err).WithFields(logrus.Fields{observe.FieldJob: j.job.ID, "items": len(tx.Put)}).Info("unfinished text kept")
+}
+
+func (w *Worker) leftoverKey(j *workJob, item string) store.Key {
+	return store.Key{Table: tableLeftovers, Part: cmp.Or(j.job.Model, j.job.Route), Name: item}
+}
+
+// leftovers reads the text of a job's items that earlier jobs left unfinished.
+func (w *Worker) leftovers(j *workJob) map[string]savedText {
+	key := w.leftoverKey(j, "")
+	s, err := store.ListAll(w.ctx, w.Ledger.Store, store.Range{Table: key.Table, Part: key.Part})
+	if err != nil {
+		w.Log.WithError(err).WithField(observe.FieldJob, j.job.ID).Warn("unfinished text not read")
+		return nil
+	}
+	found := map[string]savedText{}
+	expired := store.Tx{}
+	for _, row := range s.Rows {
+		var l leftover
+		if err := codec.Unmarshal(row.Value, &l); err != nil {
+			w.Log.WithError(err).WithField(observe.FieldItem, row.Name).Error("unfinished text not readable")
+			continue
+		}
+		if s.Now-l.Saved > leftoverTime && len(expired.Delete) < maxDeletes {
+			expired.Delete = append(expired.Delete, row.Key)
+			continue
+		}
+		found[row.Name] = savedText{l.Events, l.Versions}
+	}
+	if len(expired.Delete) > 0 {
+		if _, err := w.Ledger.Store.Commit(w.ctx, expired); err != nil {
+			w.Log.WithError(err).Warn("old unfinished text not removed")
+		}
+	}
+	return found
+}
--- a/batch/task.go
+++ b/batch/task.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
 	"mulberryscale.example/fleet"
@@ -42,6 +43,9 @@
 	// text are the events so far, versions those that generated them.
 	text     []string
 	versions []uint64
+	// lineage names the text; saved is how many of its events are in the store.
+	lineage string
+	saved   int
 	// failures counts the engine's failures, breaks its broken answers since
 	// the last event.
 	failures int
@@ -54,13 +58,14 @@
 	stopped chan struct{}
 }
 
-// compareTasks orders tasks by when they should start: those that ran before
-// first, then the longest, since the longest decides when a job is done.
+// compareTasks orders tasks by when they should start: those of the older job
+// first, since a trainer's next step waits for it; within a job those that ran
+// before, then the longest, since the longest decides when a job is done.
 func compareTasks(a, b *task) int {
 	return cmp.Or(
+		cmp.Compare(a.j.job.Accepted, b.j.job.Accepted),
 		cmp.Compare(len(b.text), len(a.text)),
 		cmp.Compare(b.item.expected(), a.item.expected()),
-		cmp.Compare(a.j.job.Accepted, b.j.job.Accepted),
 		cmp.Compare(a.item.ID, b.item.ID),
 	)
 }
@@ -73,18 +78,24 @@
 }
 
 // fits reports whether the text may be used under the job's bounds.
-func (t *task) fits() bool {
-	if len(t.versions) == 0 {
+func (t *task) fits() bool { return t.j.job.fits(t.versions) }
+
+// fits reports whether text of some versions may be used in the job.
+func (j *Job) fits(versions []uint64) bool {
+	if len(versions) == 0 {
 		return true
 	}
-	if slices.Min(t.versions) < t.j.job.MinVersion {
+	if slices.Min(versions) < j.MinVersion {
 		return false
 	}
-	return !t.j.job.SingleVersion || len(t.versions) == 1
+	return !j.SingleVersion || len(versions) == 1
 }
 
 // restart drops the text.
-func (t *task) restart() { t.text, t.versions = nil, nil }
+func (t *task) restart() { t.text, t.versions, t.lineage, t.saved = nil, nil, newLineage(), 0 }
+
+// newLineage names a new text.
+func newLineage() string { return uuid.NewString() }
 
 // add takes an event.
 func (t *task) add(e Event) {
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -23,8 +24,12 @@
 	PeerPort int
 	View     *fleet.View
 	Ledger   *Ledger
-	Engines  Engine
-	Peers    PeerCaller
+	// Demand is fed by the worker.
+	Demand *Demand
+	// StoreWrites is the store's write calls a second for all processes; 0 is unknown.
+	StoreWrites int
+	Engines     Engine
+	Peers       PeerCaller
 	// Now is the store's clock; false before it is known.
 	Now      func() (time.Duration, bool)
 	Log      logrus.FieldLogger
@@ -84,6 +89,7 @@
 	wg.Go(func() { w.schedule(ctx) })
 	wg.Go(func() { w.watchEngine(ctx) })
 	wg.Go(func() { w.help(ctx) })
+	wg.Go(func() { w.save(ctx) })
 	wg.Wait()
 }
 
@@ -124,6 +130,7 @@
 			w.Log.WithError(err).WithField(observe.FieldJob, row.Name).Error("job not readable")
 			continue
 		}
+		w.Demand.See(job)
 		w.see(job, s.Now)
 	}
 	w.forgetOld(s.Now)
@@ -164,17 +171,42 @@
 			return
 		}
 	}
+	saved := w.savedTexts(j, old)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	self := slices.Index(j.job.Owners, w.Engine)
 	for i, owner := range j.owners {
 		if owner == self {
-			w.take(j, &task{index: i})
+			w.take(j, &task{index: i, text: saved[i].events, versions: saved[i].versions})
 		}
 	}
 	w.wake()
 }
 
+// savedTexts are the texts that a job's items can go on from: those that were
+// saved while they ran before, and those that earlier jobs left unfinished.
+func (w *Worker) savedTexts(j *workJob, old bool) map[int]savedText {
+	texts := map[int]savedText{}
+	if old {
+		saved, err := w.Ledger.progress(w.ctx, j.job)
+		if err != nil {
+			w.Log.WithError(err).WithField(observe.FieldJob, j.job.ID).Warn("saved text not read")
+		}
+		maps.Copy(texts, saved)
+	}
+	left := w.leftovers(j)
+	for i := range j.items {
+		if l, ok := left[j.items[i].ID]; ok && len(l.events) > len(texts[i].events) {
+			texts[i] = l
+		}
+	}
+	maps.DeleteFunc(texts, func(_ int, text savedText) bool { return !j.job.fits(text.versions) })
+	if len(texts) > 0 {
+		w.Log.WithFields(logrus.Fields{observe.FieldJob: j.job.ID, "items": len(texts)}).Info("saved text found")
+	}
+	return texts
+}
+
 // read reads what is not known yet of a job; it reports whether all is known.
 func (w *Worker) read(j *workJob, results bool) bool {
 	w.mu.Lock()
@@ -214,7 +246,7 @@
 	if j.ended || j.done[t.index] || j.tasks[t.index] != nil {
 		return false
 	}
-	t.j, t.item = j, &j.items[t.index]
+	t.j, t.item, t.lineage = j, &j.items[t.index], newLineage()
 	j.tasks[t.index] = t
 	at, _ := slices.BinarySearchFunc(w.waiting, t, compareTasks)
 	w.waiting = slices.Insert(w.waiting, at, t)
@@ -238,13 +270,18 @@
 		return
 	}
 	j.ended = true
-	dropped := 0
 	w.waiting = slices.DeleteFunc(w.waiting, func(t *task) bool { return t.j == j })
+	left := map[string]savedText{}
 	for _, t := range j.tasks {
-		dropped++
+		if len(t.text) >= saveAfter {
+			left[t.item.ID] = savedText{slices.Clone(t.text), slices.Clone(t.versions)}
+		}
 		t.stop(errJobEnded)
 	}
-	w.Log.WithFields(logrus.Fields{observe.FieldJob: id, "unfinished": dropped}).Info("job ended")
+	w.Log.WithFields(logrus.Fields{observe.FieldJob: id, "unfinished": len(j.tasks)}).Info("job ended")
+	if len(left) > 0 {
+		go w.saveLeftovers(j, left)
+	}
 	w.wake()
 }
 
--- a/service/node/agent.go
+++ b/service/node/agent.go
@@ -36,8 +36,9 @@
 	a := &Agent{base: b, peers: &peers{}}
 	a.worker = batch.NewWorker(batch.WorkerConfig{
 		Node: settings.Node, Incarnation: b.incarnation, Engine: settings.Engine, Service: settings.Service,
-		PeerPort: settings.PeerPort, View: b.view, Ledger: b.ledger, Engines: enginehttp.New(), Peers: a.peers,
-		Now: b.store.Now, Log: b.log, Counters: b.counters,
+		PeerPort: settings.PeerPort, View: b.view, Ledger: b.ledger, Demand: batch.NewDemand(), Engines: enginehttp.New(), Peers: a.peers,
+		StoreWrites: settings.StoreWrites,
+		Now:         b.store.Now, Log: b.log, Counters: b.counters,
 	})
 	return a, nil
 }
--- a/service/node/entry.go
+++ b/service/node/entry.go
@@ -16,6 +16,7 @@
 	"mulberryscale.example/platform/enginehttp"
 	"mulberryscale.example/platform/ingress"
 	"mulberryscale.example/platform/nodefile"
+	"mulberryscale.example/store"
 )
 
 const (
@@ -34,6 +35,7 @@
 	*base
 	handler  *ingress.Handler
 	reader   *batch.Reader
+	demand   *batch.Demand
 	stopping atomic.Bool
 	inFlight atomic.Int64
 }
@@ -44,12 +46,14 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &Entry{base: b, reader: batch.NewReader(b.ledger, b.log)}
+	e := &Entry{base: b, reader: batch.NewReader(b.ledger, b.log), demand: batch.NewDemand()}
 	e.handler = &ingress.Handler{
 		View:    b.view,
 		Forward: forward.New(b.view, enginehttp.New(), settings.Zone, b.log, b.counters),
-		Jobs:    &batch.Intake{View: b.view, Ledger: b.ledger, Now: b.store.Now, Log: b.log, Counters: b.counters},
-		Reader:  e.reader, Log: b.log, Counters: b.counters, Closing: e.stopping.Load,
+		Jobs: &batch.Intake{
+			View: b.view, Ledger: b.ledger, Demand: e.demand, Now: b.store.Now, Log: b.log, Counters: b.counters,
+		},
+		Reader: e.reader, Log: b.log, Counters: b.counters, Closing: e.stopping.Load,
 	}
 	return e, nil
 }
@@ -62,6 +66,7 @@
 	var wg sync.WaitGroup
 	e.follow(working, &wg)
 	wg.Go(func() { e.reader.Run(working) })
+	wg.Go(func() { store.Follow(working, e.store, batch.TableJobs, "", e.demand.Watcher(e.log)) })
 	ready, err := e.listenReady()
 	if err != nil {
 		return err
