--- a/batch/deal.go
+++ b/batch/deal.go
@@ -97,21 +97,16 @@
 		quotas[m] = max(1, int(work[m]/total*float64(engines)))
 		left -= quotas[m]
 	}
-	for ; left != 0; left -= sign(left) {
-		m := slices.MaxFunc(models, func(a, b string) int {
-			lack := func(m string) float64 { return work[m]/total*float64(engines) - float64(quotas[m]) }
-			return cmp.Compare(float64(sign(left))*lack(a), float64(sign(left))*lack(b))
-		})
-		quotas[m] += sign(left)
+	lack := func(m string) float64 { return work[m]/total*float64(engines) - float64(quotas[m]) }
+	byLack := func(a, b string) int { return cmp.Compare(lack(a), lack(b)) }
+	for ; left > 0; left-- {
+		quotas[slices.MaxFunc(models, byLack)]++
 	}
-	return quotas
-}
-
-func sign(n int) int {
-	if n < 0 {
-		return -1
+	for ; left < 0; left++ {
+		spare := slices.DeleteFunc(slices.Clone(models), func(m string) bool { return quotas[m] == 1 })
+		quotas[slices.MinFunc(spare, byLack)]--
 	}
-	return 1
+	return quotas
 }
 
 // add gives an engine to the smaller half.
--- /dev/null
+++ b/batch/deal_test.go
@@ -0,0 +1,139 @@
+package batch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func names(prefix string, n int) []string {
+	list := make([]string, n)
+	for i := range list {
+		list[i] = fmt.Sprintf("%s%03d", prefix, i)
+	}
+	return list
+}
+
+func demandOf(work map[string]int) *Demand {
+	d := NewDemand()
+	for model, w := range work {
+		d.See(&Job{ID: "job of " + model, Model: model, Work: w})
+	}
+	return d
+}
+
+func TestEachEngineServesOneModelAndEachModelHasOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		models := names("m", rapid.IntRange(1, 5).Draw(t, "models"))
+		engines := names("e", rapid.IntRange(len(models), 40).Draw(t, "engines"))
+		work := map[string]int{}
+		for _, m := range models {
+			work[m] = rapid.IntRange(0, 100_000).Draw(t, m)
+		}
+		deals := DealModels(engines, models, demandOf(work))
+		var dealt []string
+		for _, m := range models {
+			all := deals[m].All()
+			if len(all) == 0 {
+				t.Fatalf("model %s has no engine", m)
+			}
+			if d := len(deals[m].Halves[0]) - len(deals[m].Halves[1]); d < 0 || d > 1 {
+				t.Fatalf("halves of %d and %d", len(deals[m].Halves[0]), len(deals[m].Halves[1]))
+			}
+			dealt = append(dealt, all...)
+		}
+		if slices.Sort(dealt); !slices.Equal(dealt, engines) {
+			t.Fatalf("dealt %v of %v", dealt, engines)
+		}
+	})
+}
+
+func TestDealFollowsDemand(t *testing.T) {
+	deals := DealModels(names("e", 12), []string{"a", "b", "c"}, demandOf(map[string]int{"a": 900, "b": 1800, "c": 1800}))
+	if a, b := len(deals["a"].All()), len(deals["b"].All()); a != 2 || b != 5 {
+		t.Fatalf("a has %d, b %d", a, b)
+	}
+	equal := DealModels(names("e", 12), []string{"a", "b", "c"}, NewDemand())
+	if n := len(equal["a"].All()); n != 4 {
+		t.Fatalf("without known jobs a has %d", n)
+	}
+}
+
+func TestLossOfAnEngineMovesFewOthers(t *testing.T) {
+	engines, models := names("e", 30), names("m", 3)
+	before := DealModels(engines, models, NewDemand())
+	for i := range engines {
+		after := DealModels(slices.Delete(slices.Clone(engines), i, i+1), models, NewDemand())
+		moved := 0
+		for _, m := range models {
+			for _, e := range after[m].All() {
+				if !before[m].Has(e) {
+					moved++
+				}
+			}
+		}
+		if moved > 6 {
+			t.Errorf("without %s %d engines change their model", engines[i], moved)
+		}
+	}
+}
+
+func TestFewerEnginesThanModelsServeAll(t *testing.T) {
+	deals := DealModels(names("e", 2), names("m", 3), NewDemand())
+	for m, d := range deals {
+		if len(d.All()) != 2 {
+			t.Errorf("model %s has %v", m, d)
+		}
+	}
+	if one := DealModels(names("e", 1), names("m", 1), NewDemand())["m000"]; one.Turns() {
+		t.Error("a single engine cannot take turns")
+	}
+}
+
+func TestHalvesTakeVersionsInTurn(t *testing.T) {
+	d := DealModels(names("e", 4), []string{"m"}, NewDemand())["m"]
+	for _, e := range d.All() {
+		if d.Takes(e, 4) == d.Takes(e, 5) {
+			t.Errorf("%s takes both or neither of two versions", e)
+		}
+	}
+}
+
+func TestSplitKeepsGroupsTogetherAndBalances(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		owners := names("e", rapid.IntRange(1, 9).Draw(t, "owners"))
+		items := someItems(rapid.IntRange(1, 200).Draw(t, "items"))
+		job := &Job{ID: rapid.String().Draw(t, "id"), Owners: owners, Ready: len(owners)}
+		split := Split(job, items)
+		byGroup := map[string]int{}
+		load := make([]int, len(owners))
+		largest := 0
+		for _, g := range groupItems(items) {
+			largest = max(largest, g.tokens)
+		}
+		for i, o := range split {
+			if g, ok := byGroup[items[i].Group]; ok && g != o {
+				t.Fatalf("group %s at %d and %d", items[i].Group, g, o)
+			}
+			byGroup[items[i].Group] = o
+			load[o] += items[i].expected()
+		}
+		if slices.Max(load)-slices.Min(load) > largest {
+			t.Fatalf("loads %v, the largest group has %d", load, largest)
+		}
+	})
+}
+
+func TestSplitGivesLateOwnersLess(t *testing.T) {
+	job := &Job{ID: "j", Owners: names("e", 2), Ready: 1}
+	for _, o := range Split(job, someItems(40)) {
+		if o != 0 {
+			t.Fatal("a small job goes to the engine that is ready")
+		}
+	}
+	if got := Split(&Job{ID: "j"}, someItems(2)); got[0] != noOwner {
+		t.Fatalf("without owners: %v", got)
+	}
+}
--- /dev/null
+++ b/batch/reader_test.go
@@ -0,0 +1,166 @@
+package batch
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"mulberryscale.example/internal/standin/rowstore"
+	"mulberryscale.example/observe"
+	"mulberryscale.example/store"
+)
+
+// readerRig is a reader with its own way to the store.
+type readerRig struct {
+	t      *testing.T
+	store  *rowstore.Store
+	way    *rowstore.Client
+	ledger *Ledger
+	reader *Reader
+	n      int
+}
+
+func newReaderRig(t *testing.T, items int) *readerRig {
+	s := rowstore.New()
+	rig := &readerRig{t: t, store: s, way: s.Client(), ledger: newLedger(s)}
+	rig.reader = NewReader(newLedger(rig.way), observe.Discard())
+	must(t, rig.ledger.Submit(t.Context(), someJob("j", items), someItems(items)))
+	go rig.reader.Run(t.Context())
+	synctest.Wait()
+	return rig
+}
+
+func (r *readerRig) append(ids ...string) {
+	r.n++
+	var results []Result
+	for _, id := range ids {
+		results = append(results, Result{ID: id, State: StateDone, Output: "text of " + id})
+	}
+	must(r.t, r.ledger.Append(r.t.Context(), "j", fmt.Sprintf("w-%d", r.n), results))
+}
+
+func (r *readerRig) ids(from int, wait time.Duration) []string {
+	r.t.Helper()
+	page, err := r.reader.Read(r.t.Context(), "j", from, 1<<20, wait)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	var ids []string
+	for _, x := range page.Results {
+		ids = append(ids, x.ID)
+	}
+	return ids
+}
+
+func (r *readerRig) want(from int, want ...string) {
+	r.t.Helper()
+	if got := r.ids(from, 0); fmt.Sprint(got) != fmt.Sprint(want) {
+		r.t.Fatalf("from %d: got %v, want %v", from, got, want)
+	}
+}
+
+func TestReadWaitsForTheNextResult(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newReaderRig(t, 4)
+		began := time.Now()
+		go func() {
+			time.Sleep(300 * time.Millisecond)
+			rig.append("a")
+		}()
+		if got := rig.ids(0, time.Second); len(got) != 1 || time.Since(began) != 300*time.Millisecond {
+			t.Fatalf("got %v after %v", got, time.Since(began))
+		}
+		if got := rig.ids(1, time.Second); len(got) != 0 || time.Since(began) != 1300*time.Millisecond {
+			t.Fatalf("got %v after %v", got, time.Since(began))
+		}
+	})
+}
+
+// A list that was read while the feed was away must not miss what was appended
+// between that and the feed's new start.
+func TestListReadWhileTheFeedIsAwayHasNoGap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newReaderRig(t, 8)
+		rig.append("a")
+		rig.want(0, "a")
+		rig.store.Forget()
+		rig.way.Cut(fmt.Errorf("%w: away", store.ErrUnknown))
+		time.Sleep(3 * time.Second) // the feed is given up
+		rig.way.Cut(nil)
+		rig.want(0, "a") // read anew before the feed is back
+		rig.append("b")
+		time.Sleep(2 * time.Second) // the feed is back, at a newer version
+		rig.append("c")
+		time.Sleep(time.Second)
+		rig.want(0, "a", "b", "c")
+	})
+}
+
+func TestShownResultsStayWhileTheStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newReaderRig(t, 4)
+		rig.append("a", "b")
+		rig.want(0, "a", "b")
+		rig.way.Cut(store.ErrRefused)
+		time.Sleep(5 * time.Second)
+		rig.want(0, "a", "b")
+		rig.want(1, "b")
+	})
+}
+
+func TestHistoryForgottenLosesNoPosition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newReaderRig(t, 8)
+		rig.append("a")
+		rig.want(0, "a")
+		rig.store.Silence(true)
+		rig.append("b")
+		rig.append("c")
+		rig.store.Forget()
+		rig.store.Silence(false)
+		time.Sleep(2 * time.Second)
+		rig.append("d")
+		time.Sleep(time.Second)
+		rig.want(0, "a", "b", "c", "d")
+	})
+}
+
+// "No such job" is said only when the store has said so.
+func TestNoJobIsCertain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newReaderRig(t, 4)
+		if _, err := rig.reader.Read(t.Context(), "other", 0, 1, 0); !errors.Is(err, ErrNoJob) {
+			t.Fatalf("got %v", err)
+		}
+		rig.way.Cut(store.ErrRefused)
+		if _, err := rig.reader.Read(t.Context(), "third", 0, 1, 0); err == nil || errors.Is(err, ErrNoJob) {
+			t.Fatalf("got %v", err)
+		}
+	})
+}
+
+func TestBodyOfAnItem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newReaderRig(t, 4)
+		body, err := rig.reader.Body(t.Context(), "j", "item-002")
+		if err != nil || len(body) != 100 {
+			t.Fatalf("got %d bytes, %v", len(body), err)
+		}
+		if _, err := rig.reader.Body(t.Context(), "j", "item-9"); !errors.Is(err, ErrNoItem) {
+			t.Fatalf("got %v", err)
+		}
+	})
+}
+
+func TestPageIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newReaderRig(t, 4)
+		rig.append("a", "b", "c")
+		page, err := rig.reader.Read(t.Context(), "j", 0, 12, 0)
+		if err != nil || len(page.Results) != 1 || page.Total != 4 {
+			t.Fatalf("got %v, %v", page, err)
+		}
+	})
+}
