Results reach the store through other agents; jobs are removed when no longer owed

Also: jobs stayed in the store for ever; an engine that reports well but hangs on an item kept it; each agent asked all others four times a second. A test that failed once (refused, deadline in the same instant) was the stand-in's: it called a write unknown that was never sent.

--- /dev/null
+++ b/batch/collector_test.go
@@ -0,0 +1,41 @@
+package batch
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"mulberryscale.example/internal/standin/rowstore"
+	"mulberryscale.example/observe"
+	"mulberryscale.example/store"
+)
+
+func TestJobsAreRemovedOnceTheyAreNoLongerOwed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := rowstore.New()
+		l := newLedger(s)
+		for i := range 3 {
+			id := fmt.Sprint("j", i)
+			must(t, l.Submit(t.Context(), someJob(id, 2), someItems(2)))
+			must(t, l.Append(t.Context(), id, "w", []Result{{ID: "item-000", State: StateDone}}))
+		}
+		must(t, l.End(t.Context(), "j0"))
+		must(t, l.End(t.Context(), "j1"))
+		c := &Collector{Ledger: l, Keep: 2 * time.Minute, Now: s.Now, Log: observe.Discard()}
+		go store.Follow(t.Context(), s, TableJobs, "", NewDemand().Watcher(c, observe.Discard()))
+		go c.Run(t.Context())
+		time.Sleep(2 * time.Minute)
+		if n := len(s.Rows(TableResults)); n != 3 {
+			t.Fatalf("%d jobs left while all are owed", n)
+		}
+		time.Sleep(time.Minute)
+		if rows := s.Rows(TableResults); len(rows) != 1 || rows[0].Part != "j2" {
+			t.Fatalf("left: %v", rows)
+		}
+		time.Sleep(keepOpen)
+		if rows := s.Rows(TableJobs); len(rows) != 0 {
+			t.Fatalf("left: %v", rows)
+		}
+	})
+}
--- a/batch/demand.go
+++ b/batch/demand.go
@@ -66,18 +66,30 @@
 	return sum / len(list)
 }
 
-// Watcher feeds a demand from TableJobs.
-func (d *Demand) Watcher(log logrus.FieldLogger) store.Watcher { return &demandWatcher{d, log} }
+// Watcher feeds a demand, and a collector, from TableJobs.
+func (d *Demand) Watcher(c *Collector, log logrus.FieldLogger) store.Watcher {
+	return &demandWatcher{d, c, log}
+}
 
 type demandWatcher struct {
-	demand *Demand
-	log    logrus.FieldLogger
+	demand    *Demand
+	collector *Collector
+	log       logrus.FieldLogger
+}
+
+func (w *demandWatcher) Replace(s store.Snapshot) {
+	w.collector.Replace(s)
+	w.see(s)
 }
 
-func (w *demandWatcher) Replace(s store.Snapshot) { w.Apply(s) }
-func (w *demandWatcher) Lost(err error)           { store.LogLoss(w.log, TableJobs, err) }
+func (w *demandWatcher) Lost(err error) { store.LogLoss(w.log, TableJobs, err) }
 
 func (w *demandWatcher) Apply(s store.Snapshot) {
+	w.collector.Apply(s)
+	w.see(s)
+}
+
+func (w *demandWatcher) see(s store.Snapshot) {
 	for _, row := range s.Rows {
 		if _, end := HeadOf(row.Name); end || row.Deleted {
 			continue
--- a/batch/help.go
+++ b/batch/help.go
@@ -22,10 +22,10 @@
 	// fullRound is how many rounds there are to one that asks all agents, and
 	// askFew how many are asked in the others.
 	fullRound = 4
-	askFew    = 4
+	askFew    = 8
 	// orphanCheck is the least time between two reads of a job's results in
 	// search of items that nobody holds. It is longer than a handover takes.
-	orphanCheck = time.Second
+	orphanCheck = 600 * time.Millisecond
 	// slowRatio is how many times slower another engine must be for its running
 	// items to be worth moving: a move costs a prompt read again, 30 ms.
 	slowRatio = 1.6
@@ -56,7 +56,7 @@
 	if free == 0 && !unable && len(broken) == 0 {
 		return
 	}
-	statuses := w.ask(ctx, jobs, full || unable || len(broken) > 0)
+	statuses, all := w.ask(ctx, jobs, full || unable || len(broken) > 0)
 	if unable {
 		w.giveAll(ctx, statuses, true)
 		return
@@ -65,8 +65,7 @@
 		w.giveJob(ctx, j, tasks, roomiest(statuses))
 	}
 	w.takeFrom(ctx, jobs, statuses, free)
-	w.spreadLong(ctx, jobs, statuses)
-	if full {
+	if all {
 		w.adoptOrphans(jobs, statuses)
 	}
 }
@@ -131,8 +130,9 @@
 }
 
 // ask asks the agents that may hold items of the jobs, all or a random few;
-// those that do not answer are missing in what it returns.
-func (w *Worker) ask(ctx context.Context, jobs []*workJob, all bool) map[string]*Status {
+// those that do not answer are missing in what it returns. It says whether it
+// asked all.
+func (w *Worker) ask(ctx context.Context, jobs []*workJob, all bool) (statuses map[string]*Status, asksAll bool) {
 	var ids []string
 	engines := map[string]bool{}
 	for _, j := range jobs {
@@ -143,13 +143,14 @@
 	}
 	delete(engines, w.Engine)
 	asked := slices.Sorted(maps.Keys(engines))
-	if !all && len(asked) > askFew {
+	all = all || len(asked) <= askFew
+	if !all {
 		rand.Shuffle(len(asked), func(i, k int) { asked[i], asked[k] = asked[k], asked[i] })
 		asked = asked[:askFew]
 	}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	statuses := map[string]*Status{}
+	statuses = map[string]*Status{}
 	for _, e := range asked {
 		wg.Go(func() {
 			reply, err := w.call(ctx, e, &PeerRequest{Status: &StatusAsk{Jobs: ids}})
@@ -162,7 +163,7 @@
 		})
 	}
 	wg.Wait()
-	return statuses
+	return statuses, all
 }
 
 // takeFrom takes items from the agent that has the most to give.
@@ -190,37 +191,6 @@
 	}
 }
 
-// spreadLong takes a long item from the engine that has most, if it has at
-// least two more than this one. Engines generate the slower the more text they
-// hold: four long items side by side take half a second longer than one alone,
-// and the longest item decides when a step is done.
-func (w *Worker) spreadLong(ctx context.Context, jobs []*workJob, statuses map[string]*Status) {
-	w.mu.Lock()
-	own, free := len(w.long(nil)), w.free()
-	w.mu.Unlock()
-	if free == 0 {
-		return
-	}
-	engines := slices.SortedFunc(maps.Keys(statuses), func(a, b string) int {
-		return cmp.Or(cmp.Compare(statuses[b].Long, statuses[a].Long), cmp.Compare(a, b))
-	})
-	if len(engines) == 0 || statuses[engines[0]].Long < own+longGap {
-		return
-	}
-	for _, j := range jobs {
-		if len(statuses[engines[0]].Jobs[j.job.ID].Running) == 0 || !w.fresh(j) || !w.read(j, false) {
-			continue
-		}
-		reply, err := w.call(ctx, engines[0], &PeerRequest{Take: &TakeAsk{Job: j.job.ID, Max: 1, Long: true}})
-		if err == nil && reply.Handed != nil && w.accept(engines[0], reply.Handed) > 0 {
-			return
-		}
-	}
-}
-
-// longGap is how many more long items another engine must have.
-const longGap = 2
-
 // fresh reports whether the engine's weights serve a job now.
 func (w *Worker) fresh(j *workJob) bool {
 	w.mu.Lock()
--- a/batch/peer.go
+++ b/batch/peer.go
@@ -1,7 +1,6 @@
 package batch
 
 import (
-	"cmp"
 	"context"
 	"net"
 	"slices"
@@ -20,6 +19,8 @@
 	Status *StatusAsk   `cbor:"2,keyasint,omitempty"`
 	Take   *TakeAsk     `cbor:"3,keyasint,omitempty"`
 	Give   *HandedItems `cbor:"4,keyasint,omitempty"`
+	// Relay asks to append results that the caller cannot bring to the store.
+	Relay *Batch `cbor:"5,keyasint,omitempty"`
 }
 
 // PeerReply answers it.
@@ -28,6 +29,16 @@
 	Handed *HandedItems `cbor:"2,keyasint,omitempty"`
 	// Taken is the number of given items that were taken.
 	Taken int `cbor:"3,keyasint,omitempty"`
+	// Appended says that relayed results are in the store.
+	Appended bool `cbor:"4,keyasint,omitempty"`
+}
+
+// Batch is results of a job that are appended together. Whoever appends it, and
+// how often, it takes effect once, since its name can be used once.
+type Batch struct {
+	Job     string   `cbor:"1,keyasint"`
+	Name    string   `cbor:"2,keyasint"`
+	Results []Result `cbor:"3,keyasint"`
 }
 
 // StatusAsk asks for the state of jobs.
@@ -44,8 +55,6 @@
 	// Pace is the mean time between two events of a run there, 0 while unknown.
 	Pace time.Duration        `cbor:"3,keyasint,omitempty"`
 	Jobs map[string]JobStatus `cbor:"4,keyasint,omitempty"`
-	// Long is how many long items run there, of all jobs.
-	Long int `cbor:"5,keyasint,omitempty"`
 }
 
 // JobStatus lists items of a job by their indexes.
@@ -62,8 +71,6 @@
 	Max int    `cbor:"2,keyasint"`
 	// Running asks for items that run already as well.
 	Running bool `cbor:"3,keyasint,omitempty"`
-	// Long asks for long items that run, and for nothing else.
-	Long bool `cbor:"4,keyasint,omitempty"`
 }
 
 // HandedItems are items of a job that go from one agent to another.
@@ -97,6 +104,8 @@
 		return &PeerReply{Handed: w.handOver(req.From, req.Take)}
 	case req.Give != nil:
 		return &PeerReply{Taken: w.accept(req.From, req.Give)}
+	case req.Relay != nil:
+		return &PeerReply{Appended: w.relay(req.From, req.Relay)}
 	}
 	return &PeerReply{}
 }
@@ -106,7 +115,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := &Status{
-		Up: registered && w.engine.up && !w.stopping, Free: w.free(), Pace: w.engine.pace, Long: len(w.long(nil)),
+		Up: registered && w.engine.up && !w.stopping, Free: w.free(), Pace: w.engine.pace,
 		Jobs: make(map[string]JobStatus, len(jobs)),
 	}
 	for _, id := range jobs {
@@ -158,10 +167,6 @@
 
 // toGive picks the items to give up. It is called with w.mu held.
 func (w *Worker) toGive(j *workJob, to string, ask *TakeAsk) []*task {
-	if ask.Long {
-		long := w.long(j)
-		return long[:min(len(long), ask.Max)]
-	}
 	var give []*task
 	for _, t := range w.waiting {
 		if t.j == j && len(give) < ask.Max && !slices.Contains(t.avoid, to) {
@@ -174,25 +179,6 @@
 	return give
 }
 
-// longAfter is the number of events after which a running item counts as long:
-// twice the mean of those that we know.
-const longAfter = 40
-
-// long are the long items that run here, of a job or of all, those with the
-// least text first. It is called with w.mu held.
-func (w *Worker) long(j *workJob) []*task {
-	var list []*task
-	for t := range w.running {
-		if (j == nil || t.j == j) && len(t.text) >= longAfter {
-			list = append(list, t)
-		}
-	}
-	slices.SortFunc(list, func(a, b *task) int {
-		return cmp.Or(cmp.Compare(len(a.text), len(b.text)), cmp.Compare(a.item.ID, b.item.ID))
-	})
-	return list
-}
-
 // leastAdvanced are up to n running tasks, those with the least text first,
 // since they have the most left to do.
 func (j *workJob) leastAdvanced(n int) []*task {
@@ -278,11 +264,16 @@
 
 // call calls the agent beside an engine.
 func (w *Worker) call(ctx context.Context, engine string, req *PeerRequest) (*PeerReply, error) {
+	return w.callFor(ctx, engine, req, peerTimeout)
+}
+
+// callFor is call with another bound than the usual.
+func (w *Worker) callFor(ctx context.Context, engine string, req *PeerRequest, limit time.Duration) (*PeerReply, error) {
 	addr, err := w.peerAddr(engine)
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	req.From = w.Engine
 	reply, err := w.Peers.Call(ctx, addr, req)
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -320,7 +320,8 @@
 		w.giveWaiting(ctx)
 	}
 	for w.heldNow() > 0 && pause(ctx, drainPoll) == nil {
-		w.giveAll(ctx, w.ask(ctx, w.openJobs(), true), true)
+		statuses, _ := w.ask(ctx, w.openJobs(), true)
+		w.giveAll(ctx, statuses, true)
 	}
 	for w.unappended() && pause(ctx, drainPoll) == nil {
 	}
@@ -341,7 +342,8 @@
 	n := len(w.waiting)
 	w.mu.Unlock()
 	if n > 0 {
-		w.giveAll(ctx, w.ask(ctx, w.openJobs(), true), false)
+		statuses, _ := w.ask(ctx, w.openJobs(), true)
+		w.giveAll(ctx, statuses, false)
 	}
 }
 
--- a/batch/worker_test.go
+++ b/batch/worker_test.go
@@ -182,6 +182,7 @@
 type workerRig struct {
 	t       *testing.T
 	store   *rowstore.Store
+	ways    map[string]*rowstore.Client // of each agent, by its engine's address
 	engines *fakeEngines
 	peers   *fakePeers
 	view    *fleet.View
@@ -194,7 +195,7 @@
 func newWorkerRig(t *testing.T, n int) *workerRig {
 	s := rowstore.New()
 	rig := &workerRig{
-		t: t, store: s, view: fleet.NewView(), stops: map[string]context.CancelFunc{}, ledger: newLedger(s),
+		t: t, store: s, ways: map[string]*rowstore.Client{}, view: fleet.NewView(), stops: map[string]context.CancelFunc{}, ledger: newLedger(s),
 		engines: &fakeEngines{engines: map[string]*fakeEngine{}, lengths: map[string]int{}},
 		peers:   &fakePeers{workers: map[string]*Worker{}, cut: map[string]bool{}},
 	}
@@ -220,9 +221,10 @@
 // start starts an agent.
 func (r *workerRig) start(i int) *Worker {
 	addr := engineAddr(i)
+	r.ways[addr] = r.store.Client()
 	w := NewWorker(WorkerConfig{
 		Node: fmt.Sprint("agent-", i), Incarnation: fmt.Sprint(time.Now().UnixNano()), Engine: addr, Service: "svc",
-		PeerPort: 7000, View: r.view, Ledger: r.ledger, Demand: NewDemand(), Engines: r.engines, Peers: r.peers,
+		PeerPort: 7000, View: r.view, Ledger: newLedger(r.ways[addr]), Demand: NewDemand(), Engines: r.engines, Peers: r.peers,
 		Now: r.store.Now, Log: observe.Discard(), Counters: observe.NewCounters(),
 	})
 	host, _, _ := net.SplitHostPort(addr)
@@ -612,6 +614,21 @@
 	})
 }
 
+// An agent that loses its path to the store brings its results there through
+// the others.
+func TestResultsOfAnAgentThatIsCutOffFromTheStore(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		rig := newWorkerRig(t, 3)
+		for i := range 9 {
+			rig.engines.lengths[fmt.Sprintf("item-%03d", i)] = 50 // two seconds
+		}
+		rig.submit("j", 9, nil)
+		time.Sleep(time.Second)
+		rig.ways[engineAddr(1)].Cut(fmt.Errorf("%w: silent", store.ErrUnknown))
+		rig.whole(rig.await("j", 9, 2500*time.Millisecond))
+	})
+}
+
 func TestStoppingAgentHandsOverAndLeavesNothing(t *testing.T) {
 	bubble(t, func(t *testing.T) {
 		rig := newWorkerRig(t, 2)
--- a/internal/standin/rowstore/rowstore.go
+++ b/internal/standin/rowstore/rowstore.go
@@ -118,10 +118,18 @@
 	s.changed = make(chan struct{})
 }
 
+// wait delays a call. A call whose context has ended before it was sent is
+// refused, as a client would say.
 func (s *Store) wait(ctx context.Context) error {
+	if ctx.Err() != nil {
+		return fmt.Errorf("%w: not sent: %v", store.ErrRefused, context.Cause(ctx))
+	}
 	s.mu.Lock()
 	d := s.delay
 	s.mu.Unlock()
+	if d == 0 {
+		return nil
+	}
 	select {
 	case <-time.After(d):
 		return nil
--- a/service/node/entry.go
+++ b/service/node/entry.go
@@ -66,7 +66,9 @@
 	var wg sync.WaitGroup
 	e.follow(working, &wg)
 	wg.Go(func() { e.reader.Run(working) })
-	wg.Go(func() { store.Follow(working, e.store, batch.TableJobs, "", e.demand.Watcher(e.log)) })
+	collector := &batch.Collector{Ledger: e.ledger, Keep: e.settings.KeepResults, Now: e.store.Now, Log: e.log}
+	wg.Go(func() { store.Follow(working, e.store, batch.TableJobs, "", e.demand.Watcher(collector, e.log)) })
+	wg.Go(func() { collector.Run(working) })
 	ready, err := e.listenReady()
 	if err != nil {
 		return err
