--- a/batch/worker_test.go
+++ b/batch/worker_test.go
@@ -94,6 +94,20 @@
 	s.e.open--
 }
 
+// engine changes or reads a stand-in engine.
+func (r *workerRig) engine(i int, f func(e *fakeEngine)) {
+	r.engines.mu.Lock()
+	defer r.engines.mu.Unlock()
+	f(r.engines.engines[engineAddr(i)])
+}
+
+// runs are all runs so far.
+func (r *workerRig) runs() []fakeRun {
+	r.engines.mu.Lock()
+	defer r.engines.mu.Unlock()
+	return slices.Clone(r.engines.runs)
+}
+
 // working is the number of runs that an engine works on.
 func (r *workerRig) working(i int) int {
 	r.engines.mu.Lock()
@@ -327,7 +341,7 @@
 				t.Fatalf("versions %v", x.Versions)
 			}
 		}
-		if n := len(rig.engines.runs); n != 20 {
+		if n := len(rig.runs()); n != 20 {
 			t.Fatalf("%d runs", n)
 		}
 	})
@@ -336,7 +350,7 @@
 func TestBrokenRunGoesOnAfterItsLastEvent(t *testing.T) {
 	bubble(t, func(t *testing.T) {
 		rig := newWorkerRig(t, 1)
-		rig.engines.engines[engineAddr(0)].cutAfter["item-000"] = 4
+		rig.engine(0, func(e *fakeEngine) { e.cutAfter["item-000"] = 4 })
 		rig.submit("j", 1, nil)
 		rig.whole(rig.await("j", 1, 3*time.Second))
 		runs := rig.runsOf("item-000")
@@ -362,7 +376,7 @@
 		t.Run(name, func(t *testing.T) {
 			bubble(t, func(t *testing.T) {
 				rig := newWorkerRig(t, 1)
-				rig.engines.engines[engineAddr(0)].fail["item-000"] = c.errs
+				rig.engine(0, func(e *fakeEngine) { e.fail["item-000"] = c.errs })
 				rig.submit("j", 1, nil)
 				l := rig.await("j", 1, 3*time.Second)
 				if l.Results[0].State != c.state || len(rig.runsOf("item-000")) != c.runs {
@@ -433,7 +447,7 @@
 func TestItemsLeaveASlowEngine(t *testing.T) {
 	bubble(t, func(t *testing.T) {
 		rig := newWorkerRig(t, 2)
-		rig.engines.engines[engineAddr(0)].slow = 5
+		rig.engine(0, func(e *fakeEngine) { e.slow = 5 })
 		for i := range 4 {
 			rig.engines.lengths[fmt.Sprintf("item-%03d", i)] = 60 // 2.4 s, 12 s if slow
 		}
@@ -446,16 +460,8 @@
 	for name, fault := range map[string]func(r *workerRig){
 		"draining": func(r *workerRig) { r.list(0, true) },
 		"gone":     func(r *workerRig) { r.view.UpdateInstances(nil, []string{"engine-0"}) },
-		"down": func(r *workerRig) {
-			r.engines.mu.Lock()
-			defer r.engines.mu.Unlock()
-			r.engines.engines[engineAddr(0)].down = true
-		},
-		"silent": func(r *workerRig) {
-			r.engines.mu.Lock()
-			defer r.engines.mu.Unlock()
-			r.engines.engines[engineAddr(0)].silent = true
-		},
+		"down":     func(r *workerRig) { r.engine(0, func(e *fakeEngine) { e.down = true }) },
+		"silent":   func(r *workerRig) { r.engine(0, func(e *fakeEngine) { e.silent = true }) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			bubble(t, func(t *testing.T) {
@@ -472,7 +478,7 @@
 					t.Errorf("%d runs still there two seconds later", n)
 				}
 				rig.whole(rig.await("j", 9, 9*time.Second))
-				for _, run := range rig.engines.runs {
+				for _, run := range rig.runs() {
 					if run.engine == engineAddr(0) && run.at.Sub(at) > 2*time.Second {
 						t.Errorf("a run began there %v later", run.at.Sub(at))
 					}
@@ -495,9 +501,9 @@
 		if n := rig.working(0) + rig.working(1); n != 0 {
 			t.Errorf("engines still work on %d items", n)
 		}
-		before := len(rig.engines.runs)
+		before := len(rig.runs())
 		time.Sleep(10 * time.Second)
-		if after := len(rig.engines.runs); after != before {
+		if after := len(rig.runs()); after != before {
 			t.Fatalf("%d runs began after the end", after-before)
 		}
 	})
@@ -526,10 +532,7 @@
 		rig := newWorkerRig(t, 2)
 		rig.submit("j", 4, func(j *Job) { j.Owners, j.Ready = []string{engineAddr(0), engineAddr(1)}, 2 })
 		time.Sleep(10 * time.Millisecond)
-		for _, e := range rig.engines.engines {
-			e.hang = map[string]bool{}
-		}
-		rig.engines.engines[engineAddr(0)].hang["item-100"] = true
+		rig.engine(0, func(e *fakeEngine) { e.hang = map[string]bool{"item-100": true} })
 		rig.submit("k", 101, func(j *Job) { j.Owners, j.Ready = []string{engineAddr(0)}, 1 })
 		rig.whole(rig.await("k", 101, 20*time.Second))
 		var there bool
@@ -574,25 +577,28 @@
 		rig.start(0)
 		rig.view.SetNamed("m", 3)
 		time.Sleep(6 * time.Second)
-		e := rig.engines.engines[engineAddr(0)]
-		if len(e.orders) != 2 || e.version != 3 {
-			t.Fatalf("orders %v, version %d", e.orders, e.version)
-		}
-		if e.orders[0].Token == 0 || e.orders[1].Token < e.orders[0].Token {
-			t.Fatalf("tokens %d, %d", e.orders[0].Token, e.orders[1].Token)
-		}
+		rig.engine(0, func(e *fakeEngine) {
+			if len(e.orders) != 2 || e.version != 3 {
+				t.Fatalf("orders %v, version %d", e.orders, e.version)
+			}
+			if e.orders[0].Token == 0 || e.orders[1].Token < e.orders[0].Token {
+				t.Fatalf("tokens %d, %d", e.orders[0].Token, e.orders[1].Token)
+			}
+		})
 	})
 }
 
 func TestOrderWithoutAnswerIsGivenAgain(t *testing.T) {
 	bubble(t, func(t *testing.T) {
 		rig := newWorkerRig(t, 1)
-		rig.engines.engines[engineAddr(0)].loseOrder = true
+		rig.engine(0, func(e *fakeEngine) { e.loseOrder = true })
 		rig.view.SetNamed("m", 2)
 		time.Sleep(12 * time.Second)
-		if e := rig.engines.engines[engineAddr(0)]; e.version != 2 {
-			t.Fatalf("version %d after %d orders", e.version, len(e.orders))
-		}
+		rig.engine(0, func(e *fakeEngine) {
+			if e.version != 2 {
+				t.Fatalf("version %d after %d orders", e.version, len(e.orders))
+			}
+		})
 	})
 }
 
@@ -637,7 +643,9 @@
 		}
 		rig.submit("j", 12, nil)
 		time.Sleep(time.Second)
+		rig.peers.mu.Lock()
 		w := rig.peers.workers["10.0.0.1"]
+		rig.peers.mu.Unlock()
 		ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
 		defer cancel()
 		w.Drain(ctx, time.Second)
--- a/service/node/watch_test.go
+++ b/service/node/watch_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -147,10 +148,9 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		hangups := make(chan os.Signal, 1)
-		loads := 0
+		var loads atomic.Int32
 		go b.Reload(ctx, hangups, func() (*nodefile.Settings, error) {
-			loads++
-			if loads == 1 {
+			if loads.Add(1) == 1 {
 				return nil, fmt.Errorf("not readable")
 			}
 			next := old
@@ -159,12 +159,12 @@
 		})
 		hangups <- os.Interrupt
 		synctest.Wait()
-		if loads != 1 || b.store.Addr() != "10.0.0.1:1" {
-			t.Fatalf("%d loads, store at %s", loads, b.store.Addr())
+		if loads.Load() != 1 || b.store.Addr() != "10.0.0.1:1" {
+			t.Fatalf("%d loads, store at %s", loads.Load(), b.store.Addr())
 		}
 		time.Sleep(rereadInterval + time.Millisecond) // without a signal
-		if loads != 2 || b.store.Addr() != "10.0.0.2:1" {
-			t.Fatalf("%d loads, store at %s", loads, b.store.Addr())
+		if loads.Load() != 2 || b.store.Addr() != "10.0.0.2:1" {
+			t.Fatalf("%d loads, store at %s", loads.Load(), b.store.Addr())
 		}
 	})
 }
