--- a/batch/task.go
+++ b/batch/task.go
@@ -169,6 +169,9 @@
 		Addr: instance.Addr, Instance: instance.ID, Host: t.j.job.Host, Item: t.item, After: len(t.text),
 		Deadline: w.timeLeft(t.j.job),
 	}
+	w.Log.WithFields(t.fields()).WithFields(logrus.Fields{
+		"instance": instance.ID, "running": len(w.running), "slots": instance.Slots, "waiting": len(w.waiting),
+	}).Info("item sent")
 	go func() {
 		began := time.Now()
 		err := w.stream(ctx, t, run)
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -150,15 +150,25 @@
 	j.outbox = newOutbox(w, j)
 	w.jobs[job.ID] = j
 	owner := slices.Contains(job.Owners, w.Engine)
-	w.Log.WithFields(logrus.Fields{
+	log := w.Log.WithFields(logrus.Fields{
 		observe.FieldJob: job.ID, "model": job.Model, "items": job.Items, "owners": len(job.Owners), "owner": owner,
 		"min_version": job.MinVersion, "age_ms": (now - job.Accepted).Milliseconds(),
-	}).Info("job seen")
+	})
+	log.Log(levelOf(owner), "job seen")
 	if owner {
 		go w.begin(j, now-job.Accepted > freshAge)
 	}
 }
 
+// levelOf is the level of lines about a job: those that have nothing to do
+// with it here would only repeat what its owners say.
+func levelOf(involved bool) logrus.Level {
+	if involved {
+		return logrus.InfoLevel
+	}
+	return logrus.DebugLevel
+}
+
 // freshAge is the age above which a job may have results already: the store
 // tells of a new job within milliseconds, and the shortest items take some
 // hundred.
@@ -278,7 +288,8 @@
 		}
 		t.stop(errJobEnded)
 	}
-	w.Log.WithFields(logrus.Fields{observe.FieldJob: id, "unfinished": len(j.tasks)}).Info("job ended")
+	w.Log.WithFields(logrus.Fields{observe.FieldJob: id, "unfinished": len(j.tasks)}).
+		Log(levelOf(j.items != nil), "job ended")
 	if len(left) > 0 {
 		go w.saveLeftovers(j, left)
 	}
--- a/cmd/mulberryctl/command.go
+++ b/cmd/mulberryctl/command.go
@@ -29,6 +29,7 @@
   mulberryctl apply --base 7 --yes table.csv   for version control
   mulberryctl rollback 6
   mulberryctl status --operators 127.0.0.1:9400,127.0.0.1:9401 --wait 30s
+  mulberryctl explain 9c41d07be2a35f68 entry-*.log agent-*.log
 
 Exit status: 0 done, 1 failed or refused, 2 wrong usage or a table file with mistakes.`
 
@@ -63,6 +64,7 @@
 			statusCommand(),
 			drainCommand(),
 			keysCommand(),
+			explainCommand(),
 		},
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			if name := cmd.Args().First(); name != "" {
