--- a/batch/enginestate.go
+++ b/batch/enginestate.go
@@ -16,7 +16,8 @@
 	watchInterval = 100 * time.Millisecond
 	// quietInterval is the same while no job is open.
 	quietInterval = 500 * time.Millisecond
-	// maxLosses is how many failures in a row make an engine count as down.
+	// maxLosses is how many reports and runs without an answer, in a row, make
+	// an engine count as down.
 	maxLosses = 2
 	// settleTime is how long after a version was named an engine waits for the
 	// step that goes with it. That step may use the version before, so it runs
@@ -79,14 +80,11 @@
 	e.pace += time.Duration(paceWeight * float64(gap-e.pace))
 }
 
-func (e *engineState) notRun() {}
-
-// broke counts a broken answer; a stalled one weighs as much as two.
-func (e *engineState) broke(stalled bool) {
+// stalled counts a run that heard nothing; events of others make up for it.
+// An answer that is merely broken says nothing of the engine: some spoil two in
+// a hundred, and items that many break one after the other would empty it.
+func (e *engineState) stalled() {
 	e.losses++
-	if stalled {
-		e.losses = maxLosses
-	}
 	if e.losses >= maxLosses {
 		e.up = false
 	}
--- a/batch/task.go
+++ b/batch/task.go
@@ -274,13 +274,14 @@
 		}
 	case errors.Is(err, ErrNotRun):
 		t.notBefore = t.notBefore.Add(busyPause)
-		w.engine.notRun()
 	case errors.Is(err, errVersion):
 		t.restart()
 		t.notBefore = t.notBefore.Add(busyPause)
 	default: // broken or stalled
 		t.breaks++
-		w.engine.broke(errors.Is(err, errStalled))
+		if errors.Is(err, errStalled) {
+			w.engine.stalled()
+		}
 		t.notBefore = t.notBefore.Add(busyPause << min(t.breaks, 4))
 	}
 	if t.j.ended {
--- a/batch/worker_test.go
+++ b/batch/worker_test.go
@@ -545,6 +545,37 @@
 	})
 }
 
+// Broken answers to some items, also several at once, do not empty their engine.
+func TestBrokenAnswersLeaveOtherItemsAlone(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		rig := newWorkerRig(t, 2)
+		for i := range 3 {
+			broken := slices.Repeat([]error{fmt.Errorf("%w: spoiled", ErrBroken)}, 6)
+			rig.engine(0, func(e *fakeEngine) { e.fail[fmt.Sprintf("item-%03d", i)] = broken })
+		}
+		rig.engines.lengths["item-003"] = 50
+		rig.peers.mu.Lock()
+		w := rig.peers.workers["10.0.0.1"]
+		rig.peers.mu.Unlock()
+		go func() {
+			for pause(t.Context(), time.Millisecond) == nil {
+				w.mu.Lock()
+				up := w.engine.up
+				w.mu.Unlock()
+				if !up {
+					t.Error("the engine was taken as down")
+					return
+				}
+			}
+		}()
+		rig.submit("j", 4, func(j *Job) { j.Owners, j.Ready = []string{engineAddr(0)}, 1 })
+		rig.whole(rig.await("j", 4, 5*time.Second))
+		if runs := rig.runsOf("item-003"); len(runs) != 1 {
+			t.Errorf("runs %v", runs)
+		}
+	})
+}
+
 // Text of a version under the job's bound is not used.
 func TestTextThatIsTooOldIsGeneratedAnew(t *testing.T) {
 	bubble(t, func(t *testing.T) {
