--- /dev/null
+++ b/batch/give.go
@@ -0,0 +1,65 @@
+package batch
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+
+	"github.com/sirupsen/logrus"
+
+	"mulberryscale.example/observe"
+)
+
+// giveAll gives away the items here, those that run only if asked to.
+func (w *Worker) giveAll(ctx context.Context, statuses map[string]*Status, running bool) {
+	engines := roomiest(statuses)
+	if len(engines) == 0 {
+		return
+	}
+	w.mu.Lock()
+	byJob := map[*workJob][]*task{}
+	for _, j := range w.jobs {
+		for _, t := range j.tasks {
+			if (running && t.cancel != nil) || slices.Contains(w.waiting, t) {
+				byJob[j] = append(byJob[j], t)
+			}
+		}
+	}
+	w.mu.Unlock()
+	for j, tasks := range byJob {
+		w.giveJob(ctx, j, tasks, engines)
+	}
+}
+
+// roomiest are the engines that take work, those with the most room first.
+func roomiest(statuses map[string]*Status) []string {
+	engines := slices.SortedFunc(maps.Keys(statuses), func(a, b string) int {
+		return cmp.Or(cmp.Compare(statuses[b].Free, statuses[a].Free), cmp.Compare(a, b))
+	})
+	return slices.DeleteFunc(engines, func(e string) bool { return !statuses[e].Up })
+}
+
+// giveJob deals items of one job out to other agents in turn. What none takes
+// waits here again.
+func (w *Worker) giveJob(ctx context.Context, j *workJob, tasks []*task, engines []string) {
+	for i, e := range engines {
+		share := tasks[i*len(tasks)/len(engines) : (i+1)*len(tasks)/len(engines)]
+		if len(share) == 0 {
+			continue
+		}
+		w.mu.Lock()
+		stopped := w.detach(share)
+		w.mu.Unlock()
+		handed := w.collect(j, share, stopped, e, "engine takes no work")
+		if len(handed.Items) == 0 {
+			continue
+		}
+		reply, err := w.call(ctx, e, &PeerRequest{Give: handed})
+		if err == nil && reply.Taken == len(handed.Items) {
+			continue
+		}
+		w.Log.WithError(err).WithFields(logrus.Fields{observe.FieldJob: j.job.ID, "to": e}).Warn("items not taken")
+		w.accept(w.Engine, handed)
+	}
+}
--- a/batch/intake.go
+++ b/batch/intake.go
@@ -9,7 +9,6 @@
 	"github.com/sirupsen/logrus"
 
 	"mulberryscale.example/fleet"
-	"mulberryscale.example/forward"
 	"mulberryscale.example/observe"
 	"mulberryscale.example/store"
 )
@@ -109,7 +108,7 @@
 
 // job deals a submission out to the engines that serve its model.
 func (in *Intake) job(s Submission, now time.Duration) *Job {
-	service := forward.Backend(s.Route, s.ID)
+	service := s.Route.Backend(s.ID)
 	snap := in.View.Snapshot()
 	engines := addrs(snap.OfService(service))
 	ready := len(engines)
--- /dev/null
+++ b/batch/openjobs.go
@@ -0,0 +1,188 @@
+package batch
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"mulberryscale.example/observe"
+)
+
+// see takes a job of this worker's service.
+func (w *Worker) see(job *Job, now time.Duration) {
+	if job.Service != w.Service || now-job.Accepted > job.ItemTTL {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if _, known := w.jobs[job.ID]; known {
+		return
+	}
+	j := &workJob{job: job, tasks: map[int]*task{}, done: map[int]bool{}, checked: time.Now()}
+	j.outbox = newOutbox(w, j)
+	w.jobs[job.ID] = j
+	owner := slices.Contains(job.Owners, w.Engine)
+	log := w.Log.WithFields(logrus.Fields{
+		observe.FieldJob: job.ID, "model": job.Model, "items": job.Items, "owners": len(job.Owners), "owner": owner,
+		"min_version": job.MinVersion, "age_ms": (now - job.Accepted).Milliseconds(),
+	})
+	log.Log(levelOf(owner), "job seen")
+	if owner {
+		go w.begin(j, now-job.Accepted > freshAge)
+	}
+}
+
+// levelOf is the level of lines about a job: those that have nothing to do
+// with it here would only repeat what its owners say.
+func levelOf(involved bool) logrus.Level {
+	if involved {
+		return logrus.InfoLevel
+	}
+	return logrus.DebugLevel
+}
+
+// freshAge is the age above which a job may have results already: the store
+// tells of a new job within milliseconds, and the shortest items take some
+// hundred.
+const freshAge = 300 * time.Millisecond
+
+// begin reads a job's items and takes this worker's part of them.
+func (w *Worker) begin(j *workJob, old bool) {
+	for !w.read(j, old) {
+		if pause(w.ctx, writePause) != nil {
+			return
+		}
+	}
+	saved := w.savedTexts(j, old)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	self := slices.Index(j.job.Owners, w.Engine)
+	for i, owner := range j.owners {
+		if owner == self {
+			w.take(j, &task{index: i, text: saved[i].events, versions: saved[i].versions})
+		}
+	}
+	w.wake()
+}
+
+// savedTexts are the texts that a job's items can go on from: those that were
+// saved while they ran before, and those that earlier jobs left unfinished.
+func (w *Worker) savedTexts(j *workJob, old bool) map[int]savedText {
+	texts := map[int]savedText{}
+	if old {
+		saved, err := w.Ledger.progress(w.ctx, j.job)
+		if err != nil {
+			w.Log.WithError(err).WithField(observe.FieldJob, j.job.ID).Warn("saved text not read")
+		}
+		maps.Copy(texts, saved)
+	}
+	left := w.leftovers(j)
+	for i := range j.items {
+		if l, ok := left[j.items[i].ID]; ok && len(l.events) > len(texts[i].events) {
+			texts[i] = l
+		}
+	}
+	maps.DeleteFunc(texts, func(_ int, text savedText) bool { return !j.job.fits(text.versions) })
+	if len(texts) > 0 {
+		w.Log.WithFields(logrus.Fields{observe.FieldJob: j.job.ID, "items": len(texts)}).Info("saved text found")
+	}
+	return texts
+}
+
+// read reads what is not known yet of a job; it reports whether all is known.
+func (w *Worker) read(j *workJob, results bool) bool {
+	w.mu.Lock()
+	known := j.items != nil
+	w.mu.Unlock()
+	if !known {
+		items, err := w.Ledger.Items(w.ctx, j.job)
+		if err != nil {
+			w.Log.WithError(err).WithField(observe.FieldJob, j.job.ID).Warn("items not read")
+			return false
+		}
+		w.mu.Lock()
+		j.items, j.owners = items, Split(j.job, items)
+		w.mu.Unlock()
+	}
+	if !results {
+		return true
+	}
+	listing, err := w.Ledger.Results(w.ctx, j.job.ID)
+	if err != nil {
+		w.Log.WithError(err).WithField(observe.FieldJob, j.job.ID).Warn("results not read")
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i := range j.items {
+		if listing.Listed(j.items[i].ID) {
+			j.done[i] = true
+		}
+	}
+	return true
+}
+
+// take adds an item to those that wait here, unless it is held or done. It is
+// called with w.mu held.
+func (w *Worker) take(j *workJob, t *task) bool {
+	if j.ended || j.done[t.index] || j.tasks[t.index] != nil {
+		return false
+	}
+	t.j, t.item, t.lineage = j, &j.items[t.index], newLineage()
+	j.tasks[t.index] = t
+	at, _ := slices.BinarySearchFunc(w.waiting, t, compareTasks)
+	w.waiting = slices.Insert(w.waiting, at, t)
+	return true
+}
+
+// drop ends a job here: what waits is dropped, what runs is stopped.
+func (w *Worker) drop(id string, removed bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	j, ok := w.jobs[id]
+	if !ok {
+		// It may be seen later, out of order: remember that it ended.
+		w.jobs[id] = &workJob{job: &Job{ID: id}, ended: true, finished: true}
+		return
+	}
+	if removed {
+		delete(w.jobs, id)
+	}
+	if j.ended {
+		return
+	}
+	j.ended = true
+	w.waiting = slices.DeleteFunc(w.waiting, func(t *task) bool { return t.j == j })
+	left := map[string]savedText{}
+	for _, t := range j.tasks {
+		if len(t.text) >= saveAfter {
+			left[t.item.ID] = savedText{slices.Clone(t.text), slices.Clone(t.versions)}
+		}
+		t.stop(errJobEnded)
+	}
+	w.Log.WithFields(logrus.Fields{observe.FieldJob: id, "unfinished": len(j.tasks)}).
+		Log(levelOf(j.items != nil), "job ended")
+	if len(left) > 0 {
+		go w.saveLeftovers(j, left)
+	}
+	w.wake()
+}
+
+// forgetAfter bounds the memory of jobs beyond their items' time.
+const forgetJobAfter = 10 * time.Second
+
+// forgetOld drops jobs whose time is up.
+func (w *Worker) forgetOld(now time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, j := range w.jobs {
+		if now-j.job.Accepted <= j.job.ItemTTL+forgetJobAfter {
+			continue
+		}
+		if len(j.tasks) == 0 {
+			delete(w.jobs, id)
+		}
+	}
+}
--- /dev/null
+++ b/batch/rig_test.go
@@ -0,0 +1,330 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"mulberryscale.example/fleet"
+	"mulberryscale.example/internal/standin/rowstore"
+	"mulberryscale.example/observe"
+)
+
+// eventGap is the time between two events of the stand-in engines.
+const eventGap = 40 * time.Millisecond
+
+// fakeEngines stand in for all engines of a rig, by address.
+type fakeEngines struct {
+	mu      sync.Mutex
+	engines map[string]*fakeEngine
+	lengths map[string]int // events of an item, by id; 10 unless said otherwise
+	// runs are all runs that began, in order.
+	runs []fakeRun
+}
+
+type fakeRun struct {
+	engine, item string
+	after        int
+	at           time.Time
+}
+
+type fakeEngine struct {
+	version  uint64
+	sequence uint64
+	slow     float64 // factor
+	down     bool
+	silent   bool
+	// fail answers the next runs of an item with an error, by id.
+	fail map[string][]error
+	// cutAfter breaks the next run of an item after so many events.
+	cutAfter  map[string]int
+	orders    []Order
+	loseOrder bool
+	open      int // streams that still run
+	// hang lets runs of these items hear nothing, though reports are answered.
+	hang map[string]bool
+}
+
+func (f *fakeEngines) Start(ctx context.Context, r Run) (Stream, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.engines[r.Addr]
+	if e.down {
+		return nil, fmt.Errorf("%w: down", ErrNotRun)
+	}
+	if list := e.fail[r.Item.ID]; len(list) > 0 {
+		e.fail[r.Item.ID] = list[1:]
+		return nil, list[0]
+	}
+	f.runs = append(f.runs, fakeRun{r.Addr, r.Item.ID, r.After, time.Now()})
+	length := 10
+	if n, ok := f.lengths[r.Item.ID]; ok {
+		length = n
+	}
+	e.open++
+	s := &fakeStream{ctx: ctx, f: f, e: e, item: r.Item.ID, next: r.After + 1, length: length, cut: -1}
+	if n, ok := e.cutAfter[r.Item.ID]; ok {
+		s.cut = n
+		delete(e.cutAfter, r.Item.ID)
+	}
+	return s, nil
+}
+
+type fakeStream struct {
+	ctx          context.Context
+	f            *fakeEngines
+	e            *fakeEngine
+	item         string
+	next, length int
+	cut          int
+}
+
+func (s *fakeStream) Close() {
+	s.f.mu.Lock()
+	defer s.f.mu.Unlock()
+	s.e.open--
+}
+
+// engine changes or reads a stand-in engine.
+func (r *workerRig) engine(i int, f func(e *fakeEngine)) {
+	r.engines.mu.Lock()
+	defer r.engines.mu.Unlock()
+	f(r.engines.engines[engineAddr(i)])
+}
+
+// runs are all runs so far.
+func (r *workerRig) runs() []fakeRun {
+	r.engines.mu.Lock()
+	defer r.engines.mu.Unlock()
+	return slices.Clone(r.engines.runs)
+}
+
+// working is the number of runs that an engine works on.
+func (r *workerRig) working(i int) int {
+	r.engines.mu.Lock()
+	defer r.engines.mu.Unlock()
+	return r.engines.engines[engineAddr(i)].open
+}
+
+func (s *fakeStream) Next() (Event, error) {
+	s.f.mu.Lock()
+	gap := time.Duration(float64(eventGap) * max(1, s.e.slow))
+	silent := s.e.silent || s.e.hang[s.item]
+	s.f.mu.Unlock()
+	if silent {
+		<-s.ctx.Done()
+		return Event{}, ErrBroken
+	}
+	if s.next > s.length {
+		return Event{}, io.EOF
+	}
+	select {
+	case <-time.After(gap):
+	case <-s.ctx.Done():
+		return Event{}, ErrBroken
+	}
+	s.f.mu.Lock()
+	defer s.f.mu.Unlock()
+	if s.cut == 0 || s.e.down {
+		return Event{}, ErrBroken
+	}
+	s.cut--
+	e := Event{ID: s.next, Data: fmt.Sprintf("%s event %d", s.item, s.next), Version: s.e.version}
+	s.next++
+	return e, nil
+}
+
+func (f *fakeEngines) Report(_ context.Context, addr string) (Report, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.engines[addr]
+	if e.down || e.silent {
+		return Report{}, errors.New("no report")
+	}
+	return Report{Sequence: e.sequence, Versions: map[string]uint64{"m": e.version}}, nil
+}
+
+func (f *fakeEngines) Order(_ context.Context, o Order) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.engines[o.Addr]
+	e.orders = append(e.orders, o)
+	if e.loseOrder {
+		e.loseOrder = false
+		return errors.New("no answer")
+	}
+	if o.Sequence != e.sequence {
+		return ErrNotRun
+	}
+	e.sequence++
+	time.AfterFunc(900*time.Millisecond, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		e.version = o.Version
+	})
+	return nil
+}
+
+// fakePeers calls the workers of a rig directly.
+type fakePeers struct {
+	mu      sync.Mutex
+	workers map[string]*Worker // by host
+	cut     map[string]bool
+}
+
+func (p *fakePeers) Call(_ context.Context, addr string, req *PeerRequest) (*PeerReply, error) {
+	host, _, _ := net.SplitHostPort(addr)
+	p.mu.Lock()
+	w, cut := p.workers[host], p.cut[host]
+	p.mu.Unlock()
+	if w == nil || cut {
+		return nil, errors.New("silent")
+	}
+	return w.Serve(req), nil
+}
+
+// workerRig is a deployment of n agents with their engines.
+type workerRig struct {
+	t       *testing.T
+	store   *rowstore.Store
+	ways    map[string]*rowstore.Client // of each agent, by its engine's address
+	engines *fakeEngines
+	peers   *fakePeers
+	view    *fleet.View
+	stops   map[string]context.CancelFunc
+	ledger  *Ledger
+}
+
+func engineAddr(i int) string { return fmt.Sprintf("10.0.0.%d:80", i+1) }
+
+func newWorkerRig(t *testing.T, n int) *workerRig {
+	s := rowstore.New()
+	rig := &workerRig{
+		t: t, store: s, ways: map[string]*rowstore.Client{}, view: fleet.NewView(), stops: map[string]context.CancelFunc{}, ledger: newLedger(s),
+		engines: &fakeEngines{engines: map[string]*fakeEngine{}, lengths: map[string]int{}},
+		peers:   &fakePeers{workers: map[string]*Worker{}, cut: map[string]bool{}},
+	}
+	rig.view.SetConfig(&fleet.Config{Version: 1, Services: []fleet.Service{{Name: "svc", Models: []string{"m"}}}})
+	for i := range n {
+		rig.engines.engines[engineAddr(i)] = &fakeEngine{version: 1, fail: map[string][]error{}, cutAfter: map[string]int{}}
+		rig.list(i, false)
+	}
+	for i := range n {
+		rig.start(i)
+	}
+	time.Sleep(100 * time.Millisecond)
+	return rig
+}
+
+// list registers an engine.
+func (r *workerRig) list(i int, draining bool) {
+	r.view.UpdateInstances([]fleet.Instance{{
+		ID: fmt.Sprint("engine-", i), Service: "svc", Addr: engineAddr(i), Slots: 4, Draining: draining,
+	}}, nil)
+}
+
+// start starts an agent.
+func (r *workerRig) start(i int) *Worker {
+	addr := engineAddr(i)
+	r.ways[addr] = r.store.Client()
+	w := NewWorker(WorkerConfig{
+		Node: fmt.Sprint("agent-", i), Incarnation: fmt.Sprint(time.Now().UnixNano()), Engine: addr, Service: "svc",
+		PeerPort: 7000, View: r.view, Ledger: newLedger(r.ways[addr]), Demand: NewDemand(), Engines: r.engines, Peers: r.peers,
+		Now: r.store.Now, Log: observe.Discard(), Counters: observe.NewCounters(),
+	})
+	host, _, _ := net.SplitHostPort(addr)
+	r.peers.mu.Lock()
+	r.peers.workers[host] = w
+	r.peers.mu.Unlock()
+	ctx, cancel := context.WithCancel(r.t.Context())
+	r.stops[addr] = cancel
+	go w.Run(ctx)
+	return w
+}
+
+// kill ends an agent at once.
+func (r *workerRig) kill(i int) {
+	r.stops[engineAddr(i)]()
+	host, _, _ := net.SplitHostPort(engineAddr(i))
+	r.peers.mu.Lock()
+	defer r.peers.mu.Unlock()
+	delete(r.peers.workers, host)
+}
+
+// submit accepts a job of n items that is dealt to all engines.
+func (r *workerRig) submit(id string, n int, change func(*Job)) {
+	job := someJob(id, n)
+	job.Model, job.MinVersion = "m", 1
+	for addr := range r.engines.engines {
+		job.Owners = append(job.Owners, addr)
+	}
+	slices.Sort(job.Owners)
+	job.Ready = len(job.Owners)
+	job.Accepted, _ = r.store.Now()
+	if change != nil {
+		change(job)
+	}
+	items := someItems(n)
+	for i := range items {
+		items[i].Group = ""
+	}
+	must(r.t, r.ledger.Submit(r.t.Context(), job, items))
+}
+
+// await waits until a job has n results, at most limit.
+func (r *workerRig) await(id string, n int, limit time.Duration) *Listing {
+	r.t.Helper()
+	for began := time.Now(); ; time.Sleep(20 * time.Millisecond) {
+		l, err := r.ledger.Results(r.t.Context(), id)
+		must(r.t, err)
+		if len(l.Results) >= n {
+			return l
+		}
+		if time.Since(began) > limit {
+			r.t.Fatalf("%d of %d results after %v", len(l.Results), n, limit)
+		}
+	}
+}
+
+// whole checks that each text has every event once, in order.
+func (r *workerRig) whole(l *Listing) {
+	r.t.Helper()
+	for _, x := range l.Results {
+		length := 10
+		if n, ok := r.engines.lengths[x.ID]; ok {
+			length = n
+		}
+		var want []string
+		for i := range length {
+			want = append(want, fmt.Sprintf("%s event %d", x.ID, i+1))
+		}
+		if x.State != StateDone || x.Output != strings.Join(want, "\n") {
+			r.t.Fatalf("item %s: %s with %d lines instead of %d", x.ID, x.State, strings.Count(x.Output, "\n")+1, length)
+		}
+	}
+}
+
+func (r *workerRig) runsOf(item string) []fakeRun {
+	r.engines.mu.Lock()
+	defer r.engines.mu.Unlock()
+	var runs []fakeRun
+	for _, run := range r.engines.runs {
+		if run.item == item {
+			runs = append(runs, run)
+		}
+	}
+	return runs
+}
+
+// bubble runs a test on virtual time; the rig's goroutines end with its context.
+func bubble(t *testing.T, test func(t *testing.T)) {
+	synctest.Test(t, test)
+}
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Kind says what may be repeated of a route's requests.
@@ -59,6 +61,32 @@
 	RunTarget time.Duration
 }
 
+// Backend picks the service for a request by the backends' weights; the same
+// request always gets the same. It is empty for a route without backends.
+func (r *Route) Backend(request string) string {
+	if len(r.Backends) == 0 {
+		return ""
+	}
+	total := 0.0
+	for _, b := range r.Backends {
+		total += b.Weight
+	}
+	at := unitInterval(xxhash.Sum64String(request)) * total
+	for _, b := range r.Backends {
+		if at < b.Weight {
+			return b.Service
+		}
+		at -= b.Weight
+	}
+	return r.Backends[len(r.Backends)-1].Service
+}
+
+// unitInterval maps a hash to [0, 1), with as many bits as a float64 has.
+func unitInterval(hash uint64) float64 {
+	const bits = 53
+	return float64(hash>>(64-bits)) / (1 << bits)
+}
+
 // Service is a group of like endpoints.
 type Service struct {
 	Name string
--- a/fleet/view_test.go
+++ b/fleet/view_test.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "testing"
+import (
+	"fmt"
+	"testing"
+)
 
 func TestConfigurationNeverReverts(t *testing.T) {
 	v := NewView()
@@ -55,3 +58,19 @@
 		t.Errorf("got %v", list)
 	}
 }
+
+func TestBackendFollowsWeights(t *testing.T) {
+	route := &Route{Backends: []Backend{{Service: "x", Weight: 90}, {Service: "y", Weight: 10}}}
+	n := 0
+	for i := range 10_000 {
+		if route.Backend(fmt.Sprint(i)) == "y" {
+			n++
+		}
+	}
+	if n < 800 || n > 1200 {
+		t.Fatalf("%d of 10,000 to a tenth", n)
+	}
+	if (&Route{}).Backend("r") != "" {
+		t.Fatal("a route without backends has none")
+	}
+}
--- a/forward/call.go
+++ b/forward/call.go
@@ -110,7 +110,7 @@
 		return fleet.Instance{}, false
 	}
 	snap := c.View.Snapshot()
-	return c.loads.pick(snap.OfService(Backend(route, c.request.ID)), c.tried, c.Zone, c.request.ID, time.Now())
+	return c.loads.pick(snap.OfService(route.Backend(c.request.ID)), c.tried, c.Zone, c.request.ID, time.Now())
 }
 
 // send sends the request to one endpoint.
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -188,22 +188,6 @@
 	})
 }
 
-func TestBackendFollowsWeights(t *testing.T) {
-	route := &fleet.Route{Backends: []fleet.Backend{{Service: "x", Weight: 90}, {Service: "y", Weight: 10}}}
-	n := 0
-	for i := range 10_000 {
-		if Backend(route, fmt.Sprint(i)) == "y" {
-			n++
-		}
-	}
-	if n < 800 || n > 1200 {
-		t.Fatalf("%d of 10,000 to a tenth", n)
-	}
-	if Backend(&fleet.Route{}, "r") != "" {
-		t.Fatal("a route without backends has none")
-	}
-}
-
 func TestNoEndpointIsNotRun(t *testing.T) {
 	f, _ := rig(declines, declines)
 	f.View.UpdateInstances(nil, []string{"a", "b"})
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -110,22 +110,3 @@
 
 // tie spreads requests over instances of the same score.
 func tie(request, id string) uint64 { return xxhash.Sum64String(request + "\x00" + id) }
-
-// Backend picks a service of a route by weight; the same request always gets the same.
-func Backend(route *fleet.Route, request string) string {
-	total := 0.0
-	for _, b := range route.Backends {
-		total += b.Weight
-	}
-	at := float64(xxhash.Sum64String(request)>>11) / (1 << 53) * total
-	for _, b := range route.Backends {
-		if at < b.Weight {
-			return b.Service
-		}
-		at -= b.Weight
-	}
-	if len(route.Backends) == 0 {
-		return ""
-	}
-	return route.Backends[len(route.Backends)-1].Service
-}
