Idle time and header bounds follow the configuration in force; acceptance is tried 1.5 s

Cause: the clients' server kept the limits of its first configuration, so a longer idle time would have cut off connections that clients may still use; a job whose entry had no path to the store was held up to its client's deadline before it was refused. Ruled out: a new server at each change (open connections would keep the old limits).

--- a/batch/intake.go
+++ b/batch/intake.go
@@ -17,8 +17,10 @@
 var ErrMalformed = errors.New("batch: malformed job")
 
 const (
-	// acceptTime bounds the acceptance of a job whose client named no deadline.
-	acceptTime = 3 * time.Second
+	// acceptTime bounds how long one entry tries to accept or end a job: twice
+	// what the store takes while it is slowed down sixty times. A client that is
+	// answered then tries another entry, which may have a path to the store.
+	acceptTime = 1500 * time.Millisecond
 	// loadTime is how long an engine may need for a version: 0.9 s alone, twice
 	// that while several load.
 	loadTime = 2 * time.Second
--- a/service/node/entry.go
+++ b/service/node/entry.go
@@ -20,8 +20,13 @@
 )
 
 const (
-	// headerTimeout holds until a configuration names one.
-	headerTimeout = 5 * time.Second
+	// headerTimeout bounds how long a client may take for its headers. The
+	// operator's bound may change while the server runs and this one cannot, so
+	// it is above what operators ask for, some seconds.
+	headerTimeout = 15 * time.Second
+	// maxHeader is above what operators allow, for the same reason; the
+	// operator's own bound is checked for each request.
+	maxHeader = 1 << 20
 	// unreadyTime is how long an entry that stops serves on: the balancer asks
 	// once a second and takes it out after two misses, and clients learn from
 	// their next answer to use another connection.
@@ -75,10 +80,11 @@
 	}
 	defer ready.Close()
 	e.awaitConfig(ctx)
-	clients, err := e.listenClients()
+	clients, err := e.listenClients(working)
 	if err != nil {
 		return err
 	}
+	e.log.WithField("clients", e.settings.Clients).Info("serving")
 	<-ctx.Done()
 	e.drain(clients)
 	stop()
@@ -123,18 +129,16 @@
 }
 
 // listenClients serves clients.
-func (e *Entry) listenClients() (*http.Server, error) {
+func (e *Entry) listenClients(ctx context.Context) (*http.Server, error) {
 	l, err := net.Listen("tcp", e.settings.Clients)
 	if err != nil {
 		return nil, trace.Wrap(err, "listen for clients on %s", e.settings.Clients)
 	}
-	server := &http.Server{Handler: http.HandlerFunc(e.serveClient), ReadHeaderTimeout: headerTimeout}
-	if c := e.view.Snapshot().Config; c != nil {
-		if c.Limits.HeaderTimeout > 0 {
-			server.ReadHeaderTimeout = c.Limits.HeaderTimeout
-		}
-		server.IdleTimeout = c.Limits.IdleTimeout
-		server.MaxHeaderBytes = c.Limits.MaxHeaderBytes
+	idle := newIdleConns(e.view)
+	go idle.run(ctx)
+	server := &http.Server{
+		Handler: http.HandlerFunc(e.serveClient), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader,
+		ConnState: idle.changed,
 	}
 	go e.serve(server, l)
 	return server, nil
