Readers that waited gather results that come together

The longest items of a step have one length (192 events) and end within some 50 ms of each other; a trainer that waits for a result was answered with the first of them and came back for the rest half a second later (read at 19.376, the others appended at 19.399 and 19.416, read at 19.851), which moved every later step. Ruled out: slow appends (15 ms) and slow reads (under 1 ms when there is something), seen in reads logged at debug level. Change: a reader that has waited is given 80 ms more for the next results, unless the job is whole. What is there already is answered at once, as before.

--- a/batch/reader.go
+++ b/batch/reader.go
@@ -201,6 +201,7 @@
 func (r *Reader) Read(ctx context.Context, id string, from, maxBytes int, wait time.Duration) (Page, error) {
 	deadline := time.Now().Add(wait)
 	j := r.touch(id)
+	waited := false
 	for {
 		if err := r.loadJob(ctx, id, j); err != nil {
 			return Page{}, err
@@ -214,8 +215,9 @@
 		}
 		left := time.Until(deadline)
 		if len(page.Results) > 0 || from >= page.Total || left <= 0 {
-			return page, nil
+			return r.gather(ctx, j, page, from, maxBytes, waited)
 		}
+		waited = true
 		select {
 		case <-changed:
 		case <-time.After(left):
@@ -225,6 +227,34 @@
 	}
 }
 
+// gatherTime is how long a reader that has waited for a result waits for the
+// next ones. The longest items of a job begin together and are of one length,
+// so they end within a few tens of milliseconds of each other, and who has read
+// the first comes back for the others only half a second later.
+const gatherTime = 80 * time.Millisecond
+
+// gather gives a reader that has waited a little longer, unless it has all.
+func (r *Reader) gather(ctx context.Context, j *readJob, page Page, from, maxBytes int, waited bool) (Page, error) {
+	if !waited || len(page.Results) == 0 {
+		return page, nil
+	}
+	end := time.After(gatherTime)
+	for {
+		var changed <-chan struct{}
+		page, changed, _ = r.page(j, from, maxBytes)
+		if from+len(page.Results) >= page.Total {
+			return page, nil
+		}
+		select {
+		case <-changed:
+		case <-end:
+			return page, nil
+		case <-ctx.Done():
+			return Page{}, context.Cause(ctx)
+		}
+	}
+}
+
 // page cuts a page out of the list; stale says that the list must be read
 // from the store first.
 func (r *Reader) page(j *readJob, from, maxBytes int) (page Page, changed <-chan struct{}, stale bool) {
