An agent that has not started answers that it holds nothing; unknown jobs are not kept

Change: Serve answers empty before Run; an unknown job is forgotten at once. A test each; the first panics without the change.

--- a/batch/peer.go
+++ b/batch/peer.go
@@ -95,8 +95,13 @@
 	Call(ctx context.Context, addr string, req *PeerRequest) (*PeerReply, error)
 }
 
-// Serve answers another agent.
+// Serve answers another agent; before Run it holds and takes nothing.
 func (w *Worker) Serve(req *PeerRequest) *PeerReply {
+	select {
+	case <-w.started:
+	default:
+		return &PeerReply{}
+	}
 	switch {
 	case req.Status != nil:
 		return &PeerReply{Status: w.status(req.Status.Jobs)}
--- a/batch/reader.go
+++ b/batch/reader.go
@@ -291,11 +291,12 @@
 	if err != nil {
 		return err
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if !found {
+		delete(r.jobs, id) // whoever makes up ids fills no memory
 		return ErrNoJob
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	j.job, j.ended = job, ended
 	return nil
 }
--- a/batch/reader_test.go
+++ b/batch/reader_test.go
@@ -156,6 +156,9 @@
 		if _, err := rig.reader.Read(t.Context(), "other", 0, 1, 0); !errors.Is(err, ErrNoJob) {
 			t.Fatalf("got %v", err)
 		}
+		if n := len(rig.reader.jobs); n != 0 {
+			t.Errorf("%d jobs kept that do not exist", n)
+		}
 		rig.way.Cut(store.ErrRefused)
 		if _, err := rig.reader.Read(t.Context(), "third", 0, 1, 0); err == nil || errors.Is(err, ErrNoJob) {
 			t.Fatalf("got %v", err)
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -40,7 +40,9 @@
 	WorkerConfig
 	// changed wakes the scheduler.
 	changed chan struct{}
+	// ctx is the one that Run was called with; started is closed once it is set.
 	ctx     context.Context
+	started chan struct{}
 
 	mu       sync.Mutex
 	jobs     map[string]*workJob
@@ -74,14 +76,15 @@
 // NewWorker returns a worker; Run must run.
 func NewWorker(cfg WorkerConfig) *Worker {
 	return &Worker{
-		WorkerConfig: cfg, changed: make(chan struct{}, 1), jobs: map[string]*workJob{},
+		WorkerConfig: cfg, changed: make(chan struct{}, 1), started: make(chan struct{}), jobs: map[string]*workJob{},
 		running: map[*task]struct{}{}, engine: newEngineState(),
 	}
 }
 
-// Run works until ctx ends; what still runs then is cut off.
+// Run works until ctx ends; what still runs then is cut off. It is called once.
 func (w *Worker) Run(ctx context.Context) {
 	w.ctx = ctx
+	close(w.started)
 	var wg sync.WaitGroup
 	wg.Go(func() { store.Follow(ctx, w.Ledger.Store, TableJobs, "", w) })
 	wg.Go(func() { w.schedule(ctx) })
--- a/batch/worker_test.go
+++ b/batch/worker_test.go
@@ -370,3 +370,14 @@
 }
 
 var _ store.Watcher = (*Worker)(nil)
+
+func TestAnAgentThatHasNotStartedTakesNothing(t *testing.T) {
+	w := NewWorker(WorkerConfig{})
+	for _, req := range []*PeerRequest{
+		{Status: &StatusAsk{Jobs: []string{"j"}}}, {Take: &TakeAsk{Job: "j"}}, {Give: &HandedItems{Job: "j"}}, {Relay: &Batch{Job: "j"}},
+	} {
+		if reply := w.Serve(req); reply.Status != nil || reply.Handed != nil || reply.Taken != 0 || reply.Appended {
+			t.Errorf("got %+v", reply)
+		}
+	}
+}
