--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -10,7 +10,8 @@
 go test -race -timeout 9m ./... "$@" 2>&1 | tee "$out"
 status=${PIPESTATUS[0]}
 
-known=$(grep -vE '^\s*(#|$)' KNOWN-RED.txt 2>/dev/null | cut -d, -f1 | sort -u || true)
+# Lines that do not name a test belong to other steps of CI.
+known=$(grep -E '^Test' KNOWN-RED.txt 2>/dev/null | cut -d, -f1 | sort -u || true)
 if [ -z "$known" ]; then
   exit "$status"
 fi
