A call waits while every endpoint loads new weights, instead of being refused

With the swap policy 'at_once' all engines of a row load at the same time; an entry refused whatever call came meanwhile ("dropped by healthy", which also meant weights not whole). Ruled out: turns of a rolling swap and unread instance lists (not used with at_once); load by itself: a test in virtual time fails each time without any load. Change: the filter of whole weights is its own, 'ready'; a call waits up to 10 s for the first engine that is done, with a pause of 0.2 s at most, then is refused with Retry-After; counted as retry reason 'swap'.

--- a/retry/retry.go
+++ b/retry/retry.go
@@ -29,13 +29,14 @@
 	ReasonUnfinished  Reason = "unfinished"  // resumed after a prefix
 	ReasonReadBack    Reason = "read_back"   // a write's outcome is read back
 	ReasonUnreachable Reason = "unreachable" // the agent could not be reached
+	ReasonSwap        Reason = "swap"        // waits for engines that all change their weights
 )
 
 // Reasons lists all reasons.
 func Reasons() []Reason {
 	return []Reason{
 		ReasonRefused, ReasonBroken, ReasonEndpoint, ReasonStale, ReasonAttach, ReasonMove, ReasonPark, ReasonPreempt,
-		ReasonScorer, ReasonUnfinished, ReasonReadBack, ReasonUnreachable,
+		ReasonScorer, ReasonUnfinished, ReasonReadBack, ReasonUnreachable, ReasonSwap,
 	}
 }
 
--- a/routing/baseline.go
+++ b/routing/baseline.go
@@ -13,7 +13,7 @@
 
 // Pick implements Picker.
 func (r *RoundRobin) Pick(req *Request, snap *membership.Snapshot, _ *rand.Rand) (*membership.Agent, error) {
-	p := Profile{Filters: []Filter{Suspect{}, Excluded{}, Serving{}, Healthy{}, Leaving{}, Version{}}}
+	p := Profile{Filters: []Filter{Suspect{}, Excluded{}, Serving{}, Healthy{}, Ready{}, Leaving{}, Version{}}}
 	kept, err := p.filter(req, snap.Agents)
 	if err != nil {
 		return nil, err
--- a/routing/filters.go
+++ b/routing/filters.go
@@ -6,6 +6,7 @@
 const (
 	FilterServing  = "serving"
 	FilterHealthy  = "healthy"
+	FilterReady    = "ready"
 	FilterLeaving  = "leaving"
 	FilterSuspect  = "suspect"
 	FilterVersion  = "version"
@@ -29,17 +30,25 @@
 	return ok
 }
 
-// Healthy keeps agents whose endpoint answers and whose weights are whole.
+// Healthy keeps agents whose endpoint answers.
 type Healthy struct{}
 
 // Name implements Filter.
 func (Healthy) Name() string { return FilterHealthy }
 
 // Keep implements Filter.
-func (Healthy) Keep(req *Request, a *membership.Agent) bool {
-	if !a.Report.Healthy {
-		return false
-	}
+func (Healthy) Keep(_ *Request, a *membership.Agent) bool {
+	return a.Report.Healthy
+}
+
+// Ready keeps agents whose weights are whole: no load runs, and none failed partway.
+type Ready struct{}
+
+// Name implements Filter.
+func (Ready) Name() string { return FilterReady }
+
+// Keep implements Filter.
+func (Ready) Keep(req *Request, a *membership.Agent) bool {
 	if req.Model == "" {
 		return true
 	}
--- a/routing/profiles.go
+++ b/routing/profiles.go
@@ -20,7 +20,7 @@
 
 // hardFilters hold always; softFilters give way when they would leave nothing.
 var (
-	hardFilters = []Filter{Serving{}, Healthy{}, Leaving{}, Version{}, Accepted{}, Free{}}
+	hardFilters = []Filter{Serving{}, Healthy{}, Ready{}, Leaving{}, Version{}, Accepted{}, Free{}}
 	softFilters = []Filter{Suspect{}, Excluded{}}
 )
 
--- a/service/entry/claimed.go
+++ b/service/entry/claimed.go
@@ -49,7 +49,7 @@
 	var stands *claims.Claim // the claim to take over, nil when there is none
 	var last *api.Refusal
 	for range claimRounds {
-		agent, none := e.pick(&work.route)
+		agent, none := e.pickReady(ctx, work)
 		if none != nil {
 			return nil, cmp.Or(last, none)
 		}
--- a/service/entry/run.go
+++ b/service/entry/run.go
@@ -14,6 +14,7 @@
 	"mulberryscale.example/retry"
 	"mulberryscale.example/routing"
 	"mulberryscale.example/table"
+	"mulberryscale.example/weights"
 	"mulberryscale.example/wire"
 )
 
@@ -23,6 +24,15 @@
 	mostDelay  = 500 * time.Millisecond
 )
 
+const (
+	// maxSwapWait is how long a call waits for endpoints that all change their
+	// weights: as long as a rolling swap takes, which no load exceeds that works.
+	maxSwapWait = weights.DefaultSwapWindow
+	// mostSwapDelay is the longest pause between two looks whether one is done:
+	// a fifth of a second is within the aim of an interactive answer.
+	mostSwapDelay = 200 * time.Millisecond
+)
+
 // wholeAnswerInterval spaces the chunks of an answer that the caller gets as a
 // whole; they only serve to go on elsewhere after a failure.
 const wholeAnswerInterval = 100 * time.Millisecond
@@ -50,7 +60,7 @@
 	delays := retry.NewBackoff(firstDelay, mostDelay)
 	c.route.Exclude = map[string]bool{}
 	for {
-		agent, refusal := e.pick(&c.route)
+		agent, refusal := e.pickReady(ctx, c)
 		if refusal != nil {
 			return nil, c.ran.correct(refusal)
 		}
@@ -154,17 +164,45 @@
 	return &after
 }
 
-// pick routes a request, or refuses it.
-func (e *Entry) pick(req *routing.Request) (*membership.Agent, *api.Refusal) {
-	agent, err := e.interactive.Pick(req, e.view.Snapshot(), newRand())
-	if err == nil {
-		return agent, nil
+// pickReady routes a call. While all endpoints that could take it change their
+// weights, as with the swap policy "at_once", it waits for the first that is
+// done, for at most maxSwapWait.
+func (e *Entry) pickReady(ctx context.Context, c *call) (*membership.Agent, *api.Refusal) {
+	ctx, cancel := context.WithTimeout(ctx, maxSwapWait)
+	defer cancel()
+	delays := retry.NewBackoff(firstDelay, mostSwapDelay)
+	for waits := 0; ; waits++ {
+		agent, err := e.interactive.Pick(&c.route, e.view.Snapshot(), newRand())
+		if err == nil {
+			return agent, nil
+		}
+		refusal := e.noEndpoint(err)
+		if !swapping(err) {
+			return nil, refusal
+		}
+		if waits == 0 {
+			e.cfg.Counters.Retry(c.row.Name, string(retry.ReasonSwap))
+		}
+		if refusal = e.waitToRetry(ctx, delays.NextBackOff(), refusal); refusal != nil {
+			return nil, refusal
+		}
 	}
+}
+
+// swapping says whether an endpoint was dropped only because its weights are
+// not whole yet.
+func swapping(err error) bool {
+	var none *routing.NoEndpointError
+	return errors.As(err, &none) && none.DroppedBy(routing.FilterReady) > 0
+}
+
+// noEndpoint is the refusal of a request that no endpoint can take.
+func (e *Entry) noEndpoint(err error) *api.Refusal {
 	var none *routing.NoEndpointError
 	if errors.As(err, &none) && none.DroppedBy(routing.FilterVersion) > 0 {
-		return nil, e.refusal(api.CodeStale, err.Error(), StepRoute, noEndpointRetryAfter)
+		return e.refusal(api.CodeStale, err.Error(), StepRoute, noEndpointRetryAfter)
 	}
-	return nil, e.refusal(api.CodeNoEndpoint, err.Error(), StepRoute, noEndpointRetryAfter)
+	return e.refusal(api.CodeNoEndpoint, err.Error(), StepRoute, noEndpointRetryAfter)
 }
 
 // newRand returns a cheap source for one choice, seeded by the runtime.
