What one entry has shown, every entry shows a second later, also while its feed is silent

A reader believed its feed for up to 1.3 s after its last word, and the settling time is 1 s. Ruled out: lost rows (they stood in the store and were read elsewhere); the end of the job (its list goes on being kept). Change: the feed is asked every 0.4 s while jobs are read at an entry, and an entry that finds nothing new answers from the store itself once the feed has been silent for 0.7 s (was 1.3 s). Figures: TestSilentFeedHidesNoPosition fails before, passes after.

--- a/batch/reader.go
+++ b/batch/reader.go
@@ -24,10 +24,15 @@
 	// last asked for. Callers poll open jobs about twice a second.
 	forgetAfter = 15 * time.Second
 	forgetEvery = 2 * time.Second
+	// readFeedWait is how long the store may hold a feed call while jobs are
+	// read here. Two answers and a half a second are small against those that
+	// bring results.
+	readFeedWait = 400 * time.Millisecond
 	// feedSilence is the age of the feed's last word above which a caller that
-	// finds nothing new is answered from the store itself; it is above the time
-	// that the store may hold a feed call.
-	feedSilence = store.FeedWait + 300*time.Millisecond
+	// finds nothing new is answered from the store itself. What one entry has
+	// shown, every other must show a second later; it is above readFeedWait, so
+	// that a feed that works causes no reads.
+	feedSilence = 700 * time.Millisecond
 )
 
 // Reader serves the results of jobs from the store, with what it has read kept
@@ -94,14 +99,17 @@
 // hear takes one answer of the feed.
 func (r *Reader) hear(ctx context.Context) error {
 	r.mu.Lock()
-	version := r.version
+	version, wait := r.version, store.FeedWait
+	if len(r.jobs) > 0 {
+		wait = readFeedWait
+	}
 	r.mu.Unlock()
 	var s store.Snapshot
 	var err error
 	if version == 0 {
 		s, err = r.ledger.Store.List(ctx, store.Range{Table: TableResults, Part: anyPart})
 	} else {
-		s, err = r.ledger.Store.Feed(ctx, TableResults, version, store.FeedWait)
+		s, err = r.ledger.Store.Feed(ctx, TableResults, version, wait)
 	}
 	if err != nil {
 		return err
--- a/batch/reader_test.go
+++ b/batch/reader_test.go
@@ -132,6 +132,21 @@
 	})
 }
 
+// TestSilentFeedHidesNoPosition appends a result while the feed gives no
+// answer: what others have read for a second is found here as well.
+func TestSilentFeedHidesNoPosition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newReaderRig(t, 8)
+		rig.append("a")
+		rig.want(0, "a")
+		rig.store.HoldFeeds(true)
+		rig.append("b")
+		time.Sleep(time.Second)
+		rig.want(1, "b")
+		rig.store.HoldFeeds(false)
+	})
+}
+
 func TestHistoryForgottenLosesNoPosition(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rig := newReaderRig(t, 8)
--- a/internal/standin/rowstore/rowstore.go
+++ b/internal/standin/rowstore/rowstore.go
@@ -46,6 +46,7 @@
 	objects  map[string][]byte
 	outcomes []Outcome // of the next writes
 	silent   bool
+	held     bool
 	delay    time.Duration
 	commits  int
 	changed  chan struct{}
@@ -88,6 +89,14 @@
 	s.wake()
 }
 
+// HoldFeeds gives feeds no answer while it is on; lists are answered.
+func (s *Store) HoldFeeds(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held = on
+	s.wake()
+}
+
 // Rows returns the rows of a table, ordered by part and name.
 func (s *Store) Rows(table string) []store.Row {
 	s.mu.Lock()
@@ -190,6 +199,21 @@
 	return s.snapshot(nil), nil
 }
 
+// Put writes rows as the platform itself does: without conditions, and
+// whatever the outcomes of our writes are.
+func (s *Store) Put(rows ...store.Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, _ = s.apply(store.Tx{Put: rows}) // no condition can fail
+}
+
+// Remove deletes rows as the platform itself does.
+func (s *Store) Remove(keys ...store.Key) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, _ = s.apply(store.Tx{Delete: keys}) // no condition can fail
+}
+
 func (s *Store) snapshot(rows []store.Row) store.Snapshot {
 	return store.Snapshot{Rows: rows, Version: s.version, Now: time.Since(s.began)}
 }
@@ -219,6 +243,16 @@
 	timeout := time.After(wait)
 	for {
 		s.mu.Lock()
+		if s.held {
+			changed := s.changed
+			s.mu.Unlock()
+			select {
+			case <-changed:
+				continue
+			case <-ctx.Done():
+				return store.Snapshot{}, context.Cause(ctx)
+			}
+		}
 		if after < s.oldest {
 			s.mu.Unlock()
 			return store.Snapshot{}, store.ErrHistoryGone
