mulberryctl shows jobs, engines and the configuration from the platform's store

Cause: on the platform an operator could see neither open jobs and their progress nor which engines are behind a named version; mulberryctl knew the own interface only. Ruled out: asking the processes (they keep nothing that the store does not have, and no address of theirs is known to operators). Change: three commands that read the store through the one client, as tables or JSON; wrong addresses and unreadable rows say what and where. Not in it: the age of the configuration at each node, which only the logs tell.

--- a/cmd/mulberryctl/command.go
+++ b/cmd/mulberryctl/command.go
@@ -30,6 +30,7 @@
   mulberryctl rollback 6
   mulberryctl status --operators 127.0.0.1:9400,127.0.0.1:9401 --wait 30s
   mulberryctl explain 9c41d07be2a35f68 entry-*.log agent-*.log
+  mulberryctl jobs --store 10.200.1.7:8266     on the users' platform; also engines and config
 
 Exit status: 0 done, 1 failed or refused, 2 wrong usage or a table file with mistakes.`
 
@@ -65,6 +66,9 @@
 			drainCommand(),
 			keysCommand(),
 			explainCommand(),
+			jobsCommand(),
+			enginesCommand(),
+			configCommand(),
 		},
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			if name := cmd.Args().First(); name != "" {
