A fault soak of the platform's programs as separate processes

Change: TestSoak in e2e: three entries and four agents as processes, store, engines, clients and trainers as stand-ins that speak the published protocol, loopback proxies between them, faults drawn from a seed, promises checked from what callers and engines see. The stand-in store can be written to as the platform does. The program now listens first thing; the check is narrowed to processes that have logged their start, since before that SIGTERM simply ends them and nothing was begun. Ruled out: crashes (no stack in any log).

--- a/cmd/mulberry-node/main.go
+++ b/cmd/mulberry-node/main.go
@@ -20,12 +20,13 @@
 )
 
 func main() {
+	s := listen()
 	cmd := &cli.Command{
 		Name:  "mulberry-node",
 		Usage: "run mulberryscale on the users' platform",
 		Commands: []*cli.Command{
-			roleCommand("entry", "serve clients", nodefile.RoleEntry, func(s *nodefile.Settings, o node.Options) (runner, error) { return node.NewEntry(s, o) }),
-			roleCommand("agent", "run batch items on the engine beside this process", nodefile.RoleAgent,
+			roleCommand(s, "entry", "serve clients", nodefile.RoleEntry, func(s *nodefile.Settings, o node.Options) (runner, error) { return node.NewEntry(s, o) }),
+			roleCommand(s, "agent", "run batch items on the engine beside this process", nodefile.RoleAgent,
 				func(s *nodefile.Settings, o node.Options) (runner, error) { return node.NewAgent(s, o) }),
 		},
 	}
@@ -42,14 +43,24 @@
 	Reload(ctx context.Context, hangups <-chan os.Signal, load func() (*nodefile.Settings, error))
 }
 
-// hangups delivers SIGHUP, which would otherwise end the process.
-func hangups() <-chan os.Signal {
-	c := make(chan os.Signal, 1)
-	signal.Notify(c, syscall.SIGHUP)
-	return c
+// signals are what the platform tells a process.
+type signals struct {
+	// running ends with SIGTERM or SIGINT.
+	running context.Context
+	// hangups delivers SIGHUP.
+	hangups <-chan os.Signal
 }
 
-func roleCommand(name, usage string, role nodefile.Role, make func(*nodefile.Settings, node.Options) (runner, error)) *cli.Command {
+// listen hears signals from now on. Before it a hangup ends the process, so it
+// comes first.
+func listen() signals {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	running, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT) // until the process ends
+	return signals{running: running, hangups: hangups}
+}
+
+func roleCommand(s signals, name, usage string, role nodefile.Role, make func(*nodefile.Settings, node.Options) (runner, error)) *cli.Command {
 	return &cli.Command{
 		Name: name, Usage: usage,
 		Flags: []cli.Flag{
@@ -71,7 +82,7 @@
 			},
 			&cli.BoolFlag{Name: "print-settings", Usage: "print the checked settings as JSON and end"},
 		},
-		Action: func(ctx context.Context, cmd *cli.Command) error {
+		Action: func(_ context.Context, cmd *cli.Command) error {
 			settings, err := nodefile.Load(cmd.String("settings"), role)
 			if err != nil {
 				return &daemon.UsageError{Err: err}
@@ -85,11 +96,9 @@
 			if err != nil {
 				return err
 			}
-			ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-			defer stop()
 			reload := func() (*nodefile.Settings, error) { return nodefile.Load(cmd.String("settings"), role) }
-			go program.Reload(ctx, hangups(), reload)
-			return program.Run(ctx)
+			go program.Reload(s.running, s.hangups, reload)
+			return program.Run(s.running)
 		},
 	}
 }
--- a/e2e/main_test.go
+++ b/e2e/main_test.go
@@ -30,6 +30,7 @@
 		"mulberryscale.example/cmd/mulberry-entry",
 		"mulberryscale.example/cmd/mulberry-agent",
 		"mulberryscale.example/cmd/mulberry-standin",
+		"mulberryscale.example/cmd/mulberry-node",
 		"mulberryscale.example/cmd/mulberryctl")
 	if out, err := build.CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "e2e: building the programs: %v\n%s", err, out)
--- /dev/null
+++ b/e2e/soak_link_test.go
@@ -0,0 +1,167 @@
+package e2e
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// linkState is what a link does to the bytes that pass it. The zero value
+// passes them on.
+type linkState struct {
+	// delay is added to each piece, in either direction.
+	delay time.Duration
+	// cutUp and cutDown hold back what clients and what the server send.
+	cutUp, cutDown bool
+	// refuse resets new connections.
+	refuse bool
+}
+
+// link is a loopback proxy between clients and one server.
+type link struct {
+	listener net.Listener
+	target   string
+
+	mu      sync.Mutex
+	changed *sync.Cond
+	state   linkState
+	pipes   map[*pipe]struct{}
+}
+
+// pipe is one connection through a link.
+type pipe struct {
+	client, server net.Conn
+	// silent pipes pass nothing on until they are closed; closed ones are done.
+	silent, closed bool
+}
+
+// newLink listens at addr and passes connections on to target.
+func newLink(addr, target string) (*link, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	k := &link{listener: l, target: target, pipes: map[*pipe]struct{}{}}
+	k.changed = sync.NewCond(&k.mu)
+	go k.accept()
+	return k, nil
+}
+
+func (k *link) close() {
+	k.listener.Close()
+	k.reset()
+}
+
+// set changes the state of all connections.
+func (k *link) set(s linkState) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.state = s
+	k.changed.Broadcast()
+}
+
+// silence makes the open connections go silent for good; new ones work.
+func (k *link) silence() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for p := range k.pipes {
+		p.silent = true
+	}
+}
+
+// reset resets the open connections.
+func (k *link) reset() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for p := range k.pipes {
+		k.end(p, true)
+	}
+}
+
+// end closes a connection. It is called with k.mu held.
+func (k *link) end(p *pipe, reset bool) {
+	if p.closed {
+		return
+	}
+	p.closed = true
+	delete(k.pipes, p)
+	for _, c := range []net.Conn{p.client, p.server} {
+		if reset {
+			c.(*net.TCPConn).SetLinger(0)
+		}
+		c.Close()
+	}
+	k.changed.Broadcast()
+}
+
+func (k *link) accept() {
+	for {
+		client, err := k.listener.Accept()
+		if err != nil {
+			return
+		}
+		k.mu.Lock()
+		refuse := k.state.refuse
+		k.mu.Unlock()
+		if refuse {
+			client.(*net.TCPConn).SetLinger(0)
+			client.Close()
+			continue
+		}
+		go k.connect(client)
+	}
+}
+
+func (k *link) connect(client net.Conn) {
+	server, err := net.Dial("tcp", k.target)
+	if err != nil {
+		client.(*net.TCPConn).SetLinger(0)
+		client.Close()
+		return
+	}
+	p := &pipe{client: client, server: server}
+	k.mu.Lock()
+	k.pipes[p] = struct{}{}
+	k.mu.Unlock()
+	go k.copy(p, server, client, true)
+	go k.copy(p, client, server, false)
+}
+
+// copy passes one direction on until either side ends.
+func (k *link) copy(p *pipe, to, from net.Conn, up bool) {
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		if !k.hold(p, up) {
+			return
+		}
+		if n > 0 {
+			if _, werr := to.Write(buf[:n]); werr != nil {
+				err = werr
+			}
+		}
+		if err != nil {
+			k.mu.Lock()
+			k.end(p, !errors.Is(err, io.EOF))
+			k.mu.Unlock()
+			return
+		}
+	}
+}
+
+// hold waits until a piece may pass, and says whether the connection lives.
+func (k *link) hold(p *pipe, up bool) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if d := k.state.delay; d > 0 {
+		k.mu.Unlock()
+		time.Sleep(d)
+		k.mu.Lock()
+	}
+	for !p.closed && (p.silent || (up && k.state.cutUp) || (!up && k.state.cutDown)) {
+		k.changed.Wait()
+	}
+	return !p.closed
+}
--- /dev/null
+++ b/e2e/soak_record_test.go
@@ -0,0 +1,316 @@
+package e2e
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// request is what a client sent, or the item of a batch job.
+type request struct {
+	method, target, body, model string
+	services                    []string // that may run it
+	once                        bool     // may run once only
+}
+
+// soakResult is a result of a batch job as clients read it.
+type soakResult struct {
+	Id, State, Output string
+	Versions          []uint64
+}
+
+func (r *soakResult) equal(o *soakResult) bool {
+	return r.Id == o.Id && r.State == o.State && r.Output == o.Output && slices.Equal(r.Versions, o.Versions)
+}
+
+// soakJob is a batch job and what was read of it.
+type soakJob struct {
+	id, host   string
+	minVersion uint64
+	items      []string
+	accepted   time.Time // zero until its 202 came
+	ended      bool      // its end was sent
+	listed     []soakResult
+}
+
+// record is what callers and engines saw, and which promises broke.
+type record struct {
+	mu       sync.Mutex
+	sent     map[string]*request
+	runs     map[string]int
+	made     map[string]map[int][]uint64 // by item and event: the versions that made it
+	failed   map[string]bool
+	refused  map[string]bool // promised not to run
+	versions map[string]uint64
+	orders   map[string]orderer
+	jobs     []*soakJob
+	problems []string
+	counts   map[string]int
+}
+
+// orderer is who ordered an engine last.
+type orderer struct {
+	holder string
+	token  uint64
+}
+
+func newRecord() *record {
+	return &record{
+		sent: map[string]*request{}, runs: map[string]int{}, made: map[string]map[int][]uint64{}, failed: map[string]bool{},
+		refused: map[string]bool{}, versions: map[string]uint64{}, orders: map[string]orderer{}, counts: map[string]int{},
+	}
+}
+
+// broke notes a broken promise. It is called with r.mu held.
+func (r *record) broke(format string, args ...any) {
+	r.problems = append(r.problems, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
+}
+
+func (r *record) problem(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.broke(format, args...)
+}
+
+func (r *record) count(what string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counts[what]++
+}
+
+// send notes a request before it is sent.
+func (r *record) send(id string, q *request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sent[id] = q
+}
+
+// refuse notes a promise that a request did not run and never will.
+func (r *record) refuse(ids ...string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, id := range ids {
+		r.refused[id] = true
+	}
+}
+
+// named is the newest named version of a model; name names the next.
+func (r *record) named(model string) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(1, r.versions[model])
+}
+
+func (r *record) name(model string, version uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.versions[model] = version
+}
+
+// ordered checks who orders an engine.
+func (r *record) ordered(engine, holder string, token uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	last := r.orders[engine]
+	if token < last.token || (token == last.token && holder != last.holder) {
+		r.broke("engine %s: order of %s with token %d after one of %s with token %d", engine, holder, token, last.holder, last.token)
+	}
+	r.orders[engine] = orderer{holder, token}
+	r.counts["orders"]++
+}
+
+// began checks a run that begins at an engine.
+func (r *record) began(service, id, method, target, body, model string, last int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runs[id]++
+	q := r.sent[id]
+	switch {
+	case q == nil:
+		r.broke("request %q: run by %s, and nobody sent it", id, service)
+		return
+	case q.method != method || q.target != target || q.body != body || q.model != model:
+		r.broke("request %s: sent %s %s %q of model %q, run as %s %s %q of %q", id, q.method, q.target, q.body, q.model, method, target, body, model)
+	case !slices.Contains(q.services, service):
+		r.broke("request %s: run by service %s, allowed are %v", id, service, q.services)
+	case q.once && r.runs[id] > 1:
+		r.broke("request %s: run %d times", id, r.runs[id])
+	case r.refused[id]:
+		r.broke("request %s: run after it was refused", id)
+	}
+	if last > 0 {
+		r.counts["resumed"]++
+		if len(r.made[id][last]) == 0 {
+			r.broke("request %s: resumed after event %d, which no engine has made", id, last)
+		}
+	}
+}
+
+// made notes that an engine made an event of a request.
+func (r *record) madeEvent(id string, n int, version uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.made[id] == nil {
+		r.made[id] = map[int][]uint64{}
+	}
+	if !slices.Contains(r.made[id][n], version) {
+		r.made[id][n] = append(r.made[id][n], version)
+	}
+}
+
+// failOnce says whether an item has still to fail.
+func (r *record) failOnce(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	first := !r.failed[id]
+	r.failed[id] = true
+	return first
+}
+
+// read checks a page of results of a job against what was read before.
+func (r *record) read(j *soakJob, entry string, after, total int, page []soakResult) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if total != len(j.items) {
+		r.broke("job %s at %s: Total is %d of %d items", j.id, entry, total, len(j.items))
+	}
+	for i := range page {
+		position, result := after+i, &page[i]
+		switch {
+		case position < len(j.listed):
+			if !result.equal(&j.listed[position]) {
+				r.broke("job %s at %s: position %d was %+v and is %+v", j.id, entry, position, j.listed[position], *result)
+			}
+		case position == len(j.listed):
+			r.check(j, position, result)
+			j.listed = append(j.listed, *result)
+		}
+	}
+}
+
+// check checks a result that is read for the first time. r.mu is held.
+func (r *record) check(j *soakJob, position int, result *soakResult) {
+	at := fmt.Sprintf("job %s, position %d, item %s", j.id, position, result.Id)
+	if !slices.Contains(j.items, result.Id) {
+		r.broke("%s: of another job", at)
+	}
+	if slices.ContainsFunc(j.listed, func(o soakResult) bool { return o.Id == result.Id }) {
+		r.broke("%s: listed at two positions", at)
+	}
+	r.counts["results"]++
+	kind := kindOf(result.Id)
+	switch result.State {
+	case "crashed":
+		r.counts["crashed"]++
+		if kind != itemImpossible && kind != itemFailing && !j.ended {
+			r.broke("%s: crashed without a reason", at)
+		}
+	case "completed":
+		if result.Output != textOf(result.Id) {
+			r.broke("%s: text is %q, want %q", at, result.Output, textOf(result.Id))
+		}
+		r.checkVersions(j, at, result)
+	default:
+		r.broke("%s: state %q", at, result.State)
+	}
+}
+
+// checkVersions checks that a text can have been made by the versions that it
+// names, all of them. r.mu is held.
+func (r *record) checkVersions(j *soakJob, at string, result *soakResult) {
+	used := map[uint64]bool{}
+	for n := 1; n <= eventsOf(result.Id); n++ {
+		explained := false
+		for _, v := range r.made[result.Id][n] {
+			if slices.Contains(result.Versions, v) {
+				used[v], explained = true, true
+			}
+		}
+		if !explained {
+			r.broke("%s: versions %v, and event %d was made by %v", at, result.Versions, n, r.made[result.Id][n])
+		}
+	}
+	for _, v := range result.Versions {
+		if v < j.minVersion || !used[v] {
+			r.broke("%s: versions %v, of which %d is older than %d or made nothing", at, result.Versions, v, j.minVersion)
+		}
+	}
+}
+
+// accept notes the 202 of a job, end that its end was sent.
+func (r *record) accept(j *soakJob) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j.accepted = time.Now()
+	r.counts["jobs"]++
+}
+
+func (r *record) end(j *soakJob) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j.ended = true
+}
+
+func (r *record) addJob(j *soakJob) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.jobs = append(r.jobs, j)
+}
+
+// acceptedJobs are the jobs that are owed.
+func (r *record) acceptedJobs() []*soakJob {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []*soakJob
+	for _, j := range r.jobs {
+		if !j.accepted.IsZero() {
+			list = append(list, j)
+		}
+	}
+	return list
+}
+
+// position is how many results of a job were read, owed how many are.
+func (r *record) position(j *soakJob) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(j.listed)
+}
+
+// state says when a job was accepted and whether its end was sent.
+func (r *record) state(j *soakJob) (accepted time.Time, ended bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return j.accepted, j.ended
+}
+
+// isListed says whether an item's result was read.
+func (r *record) isListed(j *soakJob, item string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.ContainsFunc(j.listed, func(o soakResult) bool { return o.Id == item })
+}
+
+// checkRefused checks at the end that what was refused has not run.
+func (r *record) checkRefused() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id := range r.refused {
+		if r.runs[id] > 0 {
+			r.broke("request %s: refused as not run, and run %d times", id, r.runs[id])
+		}
+	}
+}
+
+func (r *record) summary() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var b strings.Builder
+	for _, k := range slices.Sorted(maps.Keys(r.counts)) {
+		fmt.Fprintf(&b, " %s %d", k, r.counts[k])
+	}
+	return b.String()
+}
--- /dev/null
+++ b/e2e/soak_store_test.go
@@ -0,0 +1,130 @@
+package e2e
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"mulberryscale.example/internal/standin/rowstore"
+	"mulberryscale.example/platform/metastore/standin"
+	"mulberryscale.example/store"
+)
+
+// storeMode is how the store answers all processes.
+type storeMode int
+
+// Modes of the store. Engines and trainers write to it in storeServes and
+// storeLimited only.
+const (
+	storeServes  storeMode = iota
+	storeLimited           // refuses every other call for its rate
+	storeRefuses           // refuses all
+	storeHangs             // gives no answer
+	storeResets            // breaks connections
+)
+
+// soakStore is the platform's store, as all processes reach it.
+type soakStore struct {
+	rows    *rowstore.Store
+	handler http.Handler
+
+	mu    sync.Mutex
+	mode  storeMode
+	calls int
+}
+
+func newSoakStore() *soakStore {
+	rows := rowstore.New()
+	return &soakStore{rows: rows, handler: standin.New(rows)}
+}
+
+func (s *soakStore) set(m storeMode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mode = m
+}
+
+// away says whether the store serves nobody.
+func (s *soakStore) away() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mode != storeServes && s.mode != storeLimited
+}
+
+// ServeHTTP implements http.Handler.
+func (s *soakStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	mode := s.mode
+	s.calls++
+	odd := s.calls%2 == 1
+	s.mu.Unlock()
+	switch {
+	case mode == storeLimited && odd:
+		w.WriteHeader(http.StatusTooManyRequests)
+	case mode == storeRefuses:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case mode == storeHangs:
+		<-r.Context().Done()
+	case mode == storeResets:
+		panic(http.ErrAbortHandler)
+	default:
+		s.handler.ServeHTTP(w, r)
+	}
+}
+
+// registry keeps the engines' entries in the store: they lapse after three
+// heartbeats of silence, at times also while the store is away.
+type registry struct {
+	store *soakStore
+	rng   *rand.Rand
+
+	mu    sync.Mutex
+	heard map[string]time.Time
+}
+
+func entryKey(id string) store.Key { return store.Key{Table: "servers", Name: id} }
+
+// beat takes in a heartbeat, unless the store is away.
+func (g *registry) beat(id string, value []byte) {
+	if g.store.away() {
+		return
+	}
+	g.mu.Lock()
+	g.heard[id] = time.Now()
+	g.mu.Unlock()
+	g.store.rows.Put(store.Row{Key: entryKey(id), Value: value})
+}
+
+// remove takes an entry out at once.
+func (g *registry) remove(id string) {
+	g.mu.Lock()
+	delete(g.heard, id)
+	g.mu.Unlock()
+	g.store.rows.Remove(entryKey(id))
+}
+
+// lapse takes out the entries of engines that were silent for too long.
+func (g *registry) lapse(stop chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(soakHeartbeat):
+		}
+		if g.store.away() && g.rng.IntN(2) == 0 {
+			continue
+		}
+		g.mu.Lock()
+		var silent []string
+		for id, at := range g.heard {
+			if time.Since(at) > 3*soakHeartbeat {
+				silent = append(silent, id)
+			}
+		}
+		g.mu.Unlock()
+		for _, id := range silent {
+			g.remove(id)
+		}
+	}
+}
