forward: an answered stream keeps its own context, all other attempts are given up

Change: cancel functions are kept by instance; the winner's is taken out. Ruled out: a change of behaviour for whole answers.

--- a/forward/call.go
+++ b/forward/call.go
@@ -31,13 +31,13 @@
 	to     fleet.Instance
 	answer *Answer
 	err    error
-	cancel context.CancelFunc
 }
 
 // run sends the request until an answer is final.
 func (c *call) run(ctx context.Context) (*Answer, error) {
-	// Attempts that lost the race are given up once there is an answer.
-	var cancels []context.CancelFunc
+	// Attempts that lost the race are given up once there is an answer. They are
+	// kept by instance, each of which is sent to once.
+	cancels := map[string]context.CancelFunc{}
 	defer func() {
 		for _, cancel := range cancels {
 			cancel()
@@ -48,7 +48,7 @@
 	start := func() bool {
 		to, ok := c.next()
 		if ok {
-			cancels = append(cancels, c.send(ctx, to))
+			cancels[to.ID] = c.send(ctx, to)
 		}
 		return ok
 	}
@@ -69,7 +69,9 @@
 			c.pending--
 			reason := c.judge(a)
 			if reason == "" {
-				cancels = without(cancels, a)
+				if a.answer.Stream != nil {
+					delete(cancels, a.to.ID) // its context ends with the stream
+				}
 				return a.answer, nil
 			}
 			if a.answer != nil && !a.answer.Declined {
@@ -94,15 +96,6 @@
 	return nil, c.refusal(ReasonNoEndpoint, lastErr)
 }
 
-// without keeps the context of a winning stream alive.
-func without(cancels []context.CancelFunc, a attempt) []context.CancelFunc {
-	if a.answer.Stream == nil {
-		return cancels
-	}
-	// Only one endpoint is asked at a time on streaming routes.
-	return nil
-}
-
 // next picks the endpoint of the next send.
 func (c *call) next() (fleet.Instance, bool) {
 	route := c.request.Route
@@ -127,7 +120,7 @@
 	go func() {
 		answer, err := c.Sender.Send(ctx, to, c.request, left)
 		c.loads.end(to.ID, err == nil || ctx.Err() != nil)
-		c.results <- attempt{to: to, answer: answer, err: err, cancel: cancel}
+		c.results <- attempt{to: to, answer: answer, err: err}
 	}()
 	return cancel
 }
