An agent's deal and its questions to others cost no more with more agents

Cause: capacity: an agent's processor time grew from 4.9% at 10 machines to 14.1% at 100. Two costs grew with the agents: the deal of engines to models, quadratic in them and computed some thirty times a second, and the rounds that ask all agents, each second by each agent (the square of the agents in total). Change: each model's engines are ranked once and the deal is kept until the instances, the configuration or the demand change; full rounds come as rarely as there are groups of eight agents; an instance is found by its address through an index.

--- a/batch/deal.go
+++ b/batch/deal.go
@@ -54,22 +54,46 @@
 		return deals
 	}
 	quotas := quotas(len(engines), models, demand)
-	free := slices.Clone(engines)
-	for i := 0; len(free) > 0 && len(models) > 0; i++ {
+	ranked := make(map[string][]string, len(models))
+	for _, m := range models {
+		ranked[m] = byRank(m, engines)
+	}
+	taken := make(map[string]bool, len(engines))
+	for i := 0; len(taken) < len(engines) && len(models) > 0; i++ {
 		m := models[i%len(models)]
 		if quotas[m] == 0 {
 			continue
 		}
 		quotas[m]--
-		at := best(m, free)
+		for taken[ranked[m][0]] {
+			ranked[m] = ranked[m][1:]
+		}
 		d := deals[m]
-		d.add(free[at])
+		d.add(ranked[m][0])
 		deals[m] = d
-		free = slices.Delete(free, at, at+1)
+		taken[ranked[m][0]] = true
 	}
 	return deals
 }
 
+// byRank are the engines in the order in which a key ranks them, the highest first.
+func byRank(key string, engines []string) []string {
+	type ranked struct {
+		engine string
+		rank   uint64
+	}
+	list := make([]ranked, len(engines))
+	for i, e := range engines {
+		list[i] = ranked{e, rank(key, e)}
+	}
+	slices.SortStableFunc(list, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
+	out := make([]string, len(list))
+	for i := range list {
+		out[i] = list[i].engine
+	}
+	return out
+}
+
 // quotas says how many engines each model gets: one, and of the rest its share
 // by the demand. A model without known jobs counts as the mean of the others.
 func quotas(engines int, models []string, demand *Demand) map[string]int {
--- a/batch/deal_test.go
+++ b/batch/deal_test.go
@@ -50,6 +50,54 @@
 	})
 }
 
+// slowDeal is what DealModels is to compute: each model in turn takes the free
+// engine that it ranks highest.
+func slowDeal(engines, models []string, demand *Demand) map[string]Deal {
+	deals, quotas, free := map[string]Deal{}, quotas(len(engines), models, demand), slices.Clone(engines)
+	for i := 0; len(free) > 0; i++ {
+		m := models[i%len(models)]
+		if quotas[m] == 0 {
+			continue
+		}
+		quotas[m]--
+		at := best(m, free)
+		d := deals[m]
+		d.add(free[at])
+		deals[m] = d
+		free = slices.Delete(free, at, at+1)
+	}
+	return deals
+}
+
+func TestDealTakesTheHighestRankInTurn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		models := names("m", rapid.IntRange(1, 5).Draw(t, "models"))
+		engines := names("e", rapid.IntRange(len(models), 60).Draw(t, "engines"))
+		work := map[string]int{}
+		for _, m := range models {
+			work[m] = rapid.IntRange(0, 100_000).Draw(t, m)
+		}
+		got, want := DealModels(engines, models, demandOf(work)), slowDeal(engines, models, demandOf(work))
+		for _, m := range models {
+			if !slices.Equal(got[m].Halves[0], want[m].Halves[0]) || !slices.Equal(got[m].Halves[1], want[m].Halves[1]) {
+				t.Fatalf("%s: got %v, want %v", m, got[m], want[m])
+			}
+		}
+	})
+}
+
+// BenchmarkDeal is the time of one deal by the number of engines.
+func BenchmarkDeal(b *testing.B) {
+	for _, n := range []int{12, 100, 400, 10_000} {
+		b.Run(fmt.Sprintf("engines=%d", n), func(b *testing.B) {
+			engines, demand := names("e", n), NewDemand()
+			for b.Loop() {
+				DealModels(engines, []string{"a", "b", "c"}, demand)
+			}
+		})
+	}
+}
+
 func TestDealFollowsDemand(t *testing.T) {
 	deals := DealModels(names("e", 12), []string{"a", "b", "c"}, demandOf(map[string]int{"a": 900, "b": 1800, "c": 1800}))
 	if a, b := len(deals["a"].All()), len(deals["b"].All()); a != 2 || b != 5 {
--- a/batch/demand.go
+++ b/batch/demand.go
@@ -21,6 +21,7 @@
 type Demand struct {
 	mu   sync.Mutex
 	jobs map[string][]demandJob // by model, the newest last
+	seen uint64                 // jobs seen so far
 }
 
 type demandJob struct {
@@ -48,6 +49,14 @@
 		return cmp.Or(cmp.Compare(a.accepted, b.accepted), cmp.Compare(a.id, b.id))
 	})
 	d.jobs[job.Model] = list[max(0, len(list)-demandJobs):]
+	d.seen++
+}
+
+// Seen is the number of jobs seen; the demand stays the same while it does.
+func (d *Demand) Seen() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.seen
 }
 
 // Work is the mean work of a model's last jobs, in generated tokens; 0 while
--- a/batch/enginestate.go
+++ b/batch/enginestate.go
@@ -198,7 +198,7 @@
 	if service == nil {
 		return nil
 	}
-	deal := DealModels(addrs(snap.OfService(w.Service)), service.Models, w.Demand)
+	deal := w.deals(snap)
 	for _, model := range service.Models {
 		version := snap.Named[model]
 		if version <= e.versions[model] {
--- a/batch/help.go
+++ b/batch/help.go
@@ -15,10 +15,13 @@
 	helpInterval = 250 * time.Millisecond
 	// helpAge is the age below which a job is left to its owners.
 	helpAge = 400 * time.Millisecond
-	// fullRound is how many rounds there are to one that asks all agents, and
-	// askFew how many are asked in the others.
+	// askFew is how many agents are asked in a round. Whoever has work to give is
+	// asked by each of the others that are idle with that chance.
+	askFew = 8
+	// fullRound is the least number of rounds to one that asks all agents. With
+	// more agents there are more, so that an agent's calls stay the same; some
+	// agent then makes a full round as often as ever.
 	fullRound = 4
-	askFew    = 8
 	// orphanCheck is the least time between two reads of a job's results in
 	// search of items that nobody holds. It is longer than a handover takes.
 	orphanCheck = 600 * time.Millisecond
@@ -29,18 +32,27 @@
 
 // help looks after the items of other agents while this one has room, and
 // gives away its own when its engine cannot run them. Most rounds ask a few
-// agents only, which finds work to take about as well as asking all; each
-// fullRound-th asks all, to find items that nobody holds.
+// agents only, which finds work to take about as well as asking all; now and
+// then one asks all, to find items that nobody holds.
 func (w *Worker) help(ctx context.Context) {
-	for round := 0; pause(ctx, helpInterval) == nil; round++ {
+	since := rand.IntN(fullRound) // the last full round, so that agents take turns
+	for pause(ctx, helpInterval) == nil {
 		jobs := w.openJobs()
 		if len(jobs) == 0 {
 			continue
 		}
-		w.helpOnce(ctx, jobs, round%fullRound == 0)
+		since++
+		full := since >= max(fullRound, w.others(jobs)/askFew)
+		if full {
+			since = 0
+		}
+		w.helpOnce(ctx, jobs, full)
 	}
 }
 
+// others is the number of other agents that may hold items of the jobs.
+func (w *Worker) others(jobs []*workJob) int { return len(w.engines(jobs)) }
+
 func (w *Worker) helpOnce(ctx context.Context, jobs []*workJob, full bool) {
 	w.mu.Lock()
 	free, held, broken := w.free(), w.held(), w.broken()
@@ -110,35 +122,39 @@
 
 // participants are the engines whose agents may hold items of a job.
 func (w *Worker) participants(j *workJob) []string {
-	snap := w.View.Snapshot()
 	engines := map[string]bool{}
 	for _, o := range j.job.Owners {
 		engines[o] = true
 	}
-	if snap.Config != nil && j.job.Model != "" {
-		if service := snap.Config.Service(w.Service); service != nil {
-			for _, e := range DealModels(addrs(snap.OfService(w.Service)), service.Models, w.Demand)[j.job.Model].All() {
-				engines[e] = true
-			}
+	if j.job.Model != "" {
+		for _, e := range w.deals(w.View.Snapshot())[j.job.Model].All() {
+			engines[e] = true
 		}
 	}
 	return slices.Sorted(maps.Keys(engines))
 }
 
+// engines are those of the other agents that may hold items of the jobs.
+func (w *Worker) engines(jobs []*workJob) []string {
+	engines := map[string]bool{}
+	for _, j := range jobs {
+		for _, e := range w.participants(j) {
+			engines[e] = true
+		}
+	}
+	delete(engines, w.Engine)
+	return slices.Sorted(maps.Keys(engines))
+}
+
 // ask asks the agents that may hold items of the jobs, all or a random few;
 // those that do not answer are missing in what it returns. It says whether it
 // asked all.
 func (w *Worker) ask(ctx context.Context, jobs []*workJob, all bool) (statuses map[string]*Status, asksAll bool) {
 	var ids []string
-	engines := map[string]bool{}
 	for _, j := range jobs {
 		ids = append(ids, j.job.ID)
-		for _, e := range w.participants(j) {
-			engines[e] = true
-		}
 	}
-	delete(engines, w.Engine)
-	asked := slices.Sorted(maps.Keys(engines))
+	asked := w.engines(jobs)
 	all = all || len(asked) <= askFew
 	if !all {
 		rand.Shuffle(len(asked), func(i, k int) { asked[i], asked[k] = asked[k], asked[i] })
--- a/batch/help_test.go
+++ b/batch/help_test.go
@@ -58,3 +58,21 @@
 		t.Errorf("got %v, want [2 1 3]", got)
 	}
 }
+
+// TestCallsOfAnAgentDoNotGrowWithTheAgents lets many idle agents look after one
+// long item: each makes about as many calls however many they are.
+func TestCallsOfAnAgentDoNotGrowWithTheAgents(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		const agents, seconds = 60, 10
+		rig := newWorkerRig(t, agents)
+		rig.engines.lengths["item-000"] = 1000
+		rig.submit("j", 1, nil)
+		time.Sleep(seconds * time.Second)
+		rig.peers.mu.Lock()
+		defer rig.peers.mu.Unlock()
+		perSecond := rig.peers.calls[engineAddr(0)] / seconds
+		if rounds := int(time.Second / helpInterval); perSecond > 2*askFew*rounds || perSecond < askFew*rounds {
+			t.Errorf("%d calls a second by one of %d agents", perSecond, agents)
+		}
+	})
+}
--- a/batch/rig_test.go
+++ b/batch/rig_test.go
@@ -178,12 +178,14 @@
 	mu      sync.Mutex
 	workers map[string]*Worker // by host
 	cut     map[string]bool
+	calls   map[string]int // by the caller's engine
 }
 
 func (p *fakePeers) Call(_ context.Context, addr string, req *PeerRequest) (*PeerReply, error) {
 	host, _, _ := net.SplitHostPort(addr)
 	p.mu.Lock()
 	w, cut := p.workers[host], p.cut[host]
+	p.calls[req.From]++
 	p.mu.Unlock()
 	if w == nil || cut {
 		return nil, errors.New("silent")
@@ -210,7 +212,7 @@
 	rig := &workerRig{
 		t: t, store: s, ways: map[string]*rowstore.Client{}, view: fleet.NewView(), stops: map[string]context.CancelFunc{}, ledger: newLedger(s),
 		engines: &fakeEngines{engines: map[string]*fakeEngine{}, lengths: map[string]int{}},
-		peers:   &fakePeers{workers: map[string]*Worker{}, cut: map[string]bool{}},
+		peers:   &fakePeers{workers: map[string]*Worker{}, cut: map[string]bool{}, calls: map[string]int{}},
 	}
 	rig.view.SetConfig(&fleet.Config{Version: 1, Services: []fleet.Service{{Name: "svc", Models: []string{"m"}}}})
 	for i := range n {
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -44,6 +44,8 @@
 	ctx     context.Context
 	started chan struct{}
 
+	dealer dealer
+
 	mu       sync.Mutex
 	jobs     map[string]*workJob
 	waiting  []*task // in the order in which they are to start
--- a/e2e/soak_faults_test.go
+++ b/e2e/soak_faults_test.go
@@ -32,7 +32,7 @@
 	{"store loses answers", func(w *soakWorld, rng *rand.Rand) { w.loseAnswers(rng) }},
 	{"store path", func(w *soakWorld, rng *rand.Rand) { m := w.machine(rng); harm(rng, m.storeLinks...) }},
 	{"engine path", func(w *soakWorld, rng *rand.Rand) { harm(rng, w.agents[rng.IntN(len(w.agents))].link) }},
-	{"desk path", func(w *soakWorld, rng *rand.Rand) { harm(rng, w.deskIPs[rng.IntN(len(w.deskIPs))]) }},
+	{"desk path", func(w *soakWorld, rng *rand.Rand) { harm(rng, w.deskLinks[rng.IntN(len(w.deskLinks))]) }},
 	{"client path", func(w *soakWorld, rng *rand.Rand) { harm(rng, w.entries[rng.IntN(len(w.entries))].link) }},
 	{"engine crash", func(w *soakWorld, rng *rand.Rand) { w.crash(rng, w.engine(rng)) }},
 	{"engine leaves", func(w *soakWorld, rng *rand.Rand) { w.leave(rng, w.engine(rng)) }},
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -31,7 +31,14 @@
 var soakCases = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	// The program heard signals only once its settings were read.
+	{15, "SIGTERM within milliseconds of the start"},
+	{16, "SIGHUP within milliseconds of the start ended the process"},
+	{18, "SIGTERM within milliseconds of the start"},
+	{43, "SIGTERM within milliseconds of the start"},
+	{45, "SIGTERM within milliseconds of the start"},
+}
 
 // Names of the soak's deployment.
 const (
@@ -77,19 +84,19 @@
 
 // soakWorld is one deployment.
 type soakWorld struct {
-	t       *testing.T
-	seed    uint64
-	dir     string
-	octet   int // of all its addresses
-	store   *soakStore
-	server  *http.Server
-	entries []*soakMachine
-	agents  []*soakMachine
-	desks   []*soakEngine
-	deskIPs []*link
-	record  *record
-	reg     *registry
-	stop    chan struct{}
+	t         *testing.T
+	seed      uint64
+	dir       string
+	octet     int // of all its addresses
+	store     *soakStore
+	server    *http.Server
+	entries   []*soakMachine
+	agents    []*soakMachine
+	desks     []*soakEngine
+	deskLinks []*link
+	record    *record
+	reg       *registry
+	stop      chan struct{}
 
 	mu     sync.Mutex
 	config int
@@ -196,7 +203,7 @@
 
 func (w *soakWorld) startDesk(service string, n int) {
 	ip := w.ip(n)
-	w.deskIPs = append(w.deskIPs, w.link(addr(ip, portEngine), addr(ip, portEngineIn)))
+	w.deskLinks = append(w.deskLinks, w.link(addr(ip, portEngine), addr(ip, portEngineIn)))
 	w.desks = append(w.desks, w.startEngine(service, ip, nil))
 }
 
@@ -321,7 +328,11 @@
 // TestSoak plays seeds; those that failed once are always among them.
 func TestSoak(t *testing.T) {
 	for _, c := range soakCases {
-		t.Run(fmt.Sprintf("case-%d", c.seed), func(t *testing.T) { t.Parallel(); soak(t, c.seed) })
+		t.Run(fmt.Sprintf("case-%d", c.seed), func(t *testing.T) {
+			t.Parallel()
+			t.Logf("failed once: %s", c.cause)
+			soak(t, c.seed)
+		})
 	}
 	for i := range *soakSeeds {
 		seed := *soakFirst + uint64(i)
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -36,6 +36,7 @@
 	NamedAt map[string]time.Time
 
 	byService map[string][]Instance
+	byAddr    map[string]Instance
 }
 
 // OfService returns a service's instances that take new work, ordered by address.
@@ -44,13 +45,7 @@
 // AtAddr returns the instance at an address. Of several, the one that is not
 // draining wins.
 func (s *Snapshot) AtAddr(addr string) (Instance, bool) {
-	var found Instance
-	ok := false
-	for _, i := range s.Instances {
-		if i.Addr == addr && (!ok || found.Draining) {
-			found, ok = i, true
-		}
-	}
+	found, ok := s.byAddr[addr]
 	return found, ok
 }
 
@@ -136,7 +131,11 @@
 
 func (s *Snapshot) index() {
 	s.byService = make(map[string][]Instance)
+	s.byAddr = make(map[string]Instance, len(s.Instances))
 	for _, i := range s.Instances {
+		if found, ok := s.byAddr[i.Addr]; !ok || found.Draining {
+			s.byAddr[i.Addr] = i
+		}
 		if !i.Draining {
 			s.byService[i.Service] = append(s.byService[i.Service], i)
 		}
