--- a/batch/demand.go
+++ b/batch/demand.go
@@ -93,6 +93,8 @@
 
 func (w *demandWatcher) Lost(err error) { store.LogLoss(w.log, TableJobs, err) }
 
+func (w *demandWatcher) Regained(after time.Duration) { store.LogReturn(w.log, TableJobs, after) }
+
 func (w *demandWatcher) Apply(s store.Snapshot) {
 	w.collector.Apply(s)
 	w.see(s)
--- a/batch/reader.go
+++ b/batch/reader.go
@@ -74,15 +74,20 @@
 func (r *Reader) Run(ctx context.Context) {
 	go r.forgetUnused(ctx)
 	failures := 0
+	var lostAt time.Time // zero while the feed is heard
 	for ctx.Err() == nil {
 		err := r.hear(ctx)
 		if err == nil {
-			failures = 0
+			if !lostAt.IsZero() {
+				store.LogReturn(r.log, TableResults, time.Since(lostAt))
+			}
+			failures, lostAt = 0, time.Time{}
 			continue
 		}
 		failures++
 		if errors.Is(err, store.ErrHistoryGone) || failures == maxFeedFailures {
 			store.LogLoss(r.log, TableResults, err)
+			lostAt = time.Now()
 			r.lose()
 		}
 		_ = pause(ctx, writePause) // the loop ends with ctx
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -117,6 +117,9 @@
 // Lost implements store.Watcher.
 func (w *Worker) Lost(err error) { store.LogLoss(w.Log, TableJobs, err) }
 
+// Regained implements store.Watcher.
+func (w *Worker) Regained(after time.Duration) { store.LogReturn(w.Log, TableJobs, after) }
+
 // Apply implements store.Watcher.
 func (w *Worker) Apply(s store.Snapshot) {
 	for _, row := range s.Rows {
--- a/service/node/watch.go
+++ b/service/node/watch.go
@@ -23,6 +23,9 @@
 
 func (c *configWatcher) Replace(s store.Snapshot) { c.Apply(s) }
 func (c *configWatcher) Lost(err error)           { store.LogLoss(c.log, operator.TableOperator, err) }
+func (c *configWatcher) Regained(after time.Duration) {
+	store.LogReturn(c.log, operator.TableOperator, after)
+}
 
 func (c *configWatcher) Apply(s store.Snapshot) {
 	for _, row := range s.Rows {
@@ -70,6 +73,9 @@
 }
 
 func (w *instanceWatcher) Lost(err error) { store.LogLoss(w.log, operator.TableInstances, err) }
+func (w *instanceWatcher) Regained(after time.Duration) {
+	store.LogReturn(w.log, operator.TableInstances, after)
+}
 
 // outage is a silence of the feed that counts as an outage of the store.
 const outage = store.FeedWait + 500*time.Millisecond
--- a/store/follow.go
+++ b/store/follow.go
@@ -27,8 +27,10 @@
 	Replace(s Snapshot)
 	// Apply takes changed rows in order of their versions; there may be none.
 	Apply(s Snapshot)
-	// Lost says that a read failed, once for each loss.
+	// Lost says that a read failed, once for each loss; Regained that one
+	// succeeded again, and how long that took.
 	Lost(err error)
+	Regained(after time.Duration)
 }
 
 // Follow keeps a watcher abreast of the rows of one table and part until ctx
@@ -47,11 +49,15 @@
 	listed      bool
 	version     uint64
 	failures    int
+	lostAt      time.Time
 }
 
 func (f *follower) step(ctx context.Context) {
 	err := f.read(ctx)
 	if err == nil {
+		if f.failures > 0 {
+			f.watcher.Regained(time.Since(f.lostAt))
+		}
 		f.failures = 0
 		return
 	}
@@ -63,6 +69,7 @@
 		return
 	}
 	if f.failures == 0 {
+		f.lostAt = time.Now()
 		f.watcher.Lost(err)
 	}
 	pause := min(retryPause<<min(f.failures, 4), maxRetryPause)
@@ -96,3 +103,8 @@
 func LogLoss(log logrus.FieldLogger, table string, err error) {
 	log.WithFields(logrus.Fields{"dependency": "store", "table": table}).WithError(err).Warn("feed lost")
 }
+
+// LogReturn is the log line of a feed that is heard again.
+func LogReturn(log logrus.FieldLogger, table string, after time.Duration) {
+	log.WithFields(logrus.Fields{"dependency": "store", "table": table, "after_ms": after.Milliseconds()}).Info("feed regained")
+}
