An address that is listed twice stands for one instance

The older deal gave such an engine to two models or twice to one, and a job that named it twice among its owners left the second share to nobody until it was found without a holder. Figures: TestDealOfAnAddressListedTwice panics before, passes after; TestOneInstanceAtAnAddress fails if the list is built from all entries.

--- a/batch/deal.go
+++ b/batch/deal.go
@@ -44,7 +44,7 @@
 // same. Engines are named by their addresses, which outlive a restart. With
 // fewer engines than models, every engine serves all models.
 func DealModels(engines, models []string, demand *Demand) map[string]Deal {
-	engines = slices.Sorted(slices.Values(engines))
+	engines = slices.Compact(slices.Sorted(slices.Values(engines))) // a restarted engine may be listed twice
 	models = slices.Sorted(slices.Values(models))
 	deals := make(map[string]Deal, len(models))
 	if len(engines) < len(models) {
--- a/batch/deal_test.go
+++ b/batch/deal_test.go
@@ -86,6 +86,19 @@
 	})
 }
 
+// TestDealOfAnAddressListedTwice has an engine that was restarted at its address
+// while its former incarnation is still listed.
+func TestDealOfAnAddressListedTwice(t *testing.T) {
+	engines, models := names("e", 5), []string{"a", "b"}
+	want := DealModels(engines, models, NewDemand())
+	got := DealModels(append(engines, engines[2], engines[4]), models, NewDemand())
+	for _, m := range models {
+		if !slices.Equal(got[m].All(), want[m].All()) {
+			t.Errorf("%s: got %v, want %v", m, got[m], want[m])
+		}
+	}
+}
+
 // BenchmarkDeal is the time of one deal by the number of engines.
 func BenchmarkDeal(b *testing.B) {
 	for _, n := range []int{12, 100, 400, 10_000} {
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -20,6 +20,9 @@
 	Draining bool
 	// Versions are the weight versions of its models.
 	Versions map[string]uint64
+	// Entry is the store's version of its entry: of two instances at an address
+	// the one with the newer entry lives, and the other was there before it.
+	Entry uint64
 }
 
 // Snapshot is what is believed at one moment. It is immutable.
@@ -43,7 +46,7 @@
 func (s *Snapshot) OfService(service string) []Instance { return s.byService[service] }
 
 // AtAddr returns the instance at an address. Of several, the one that is not
-// draining wins.
+// draining wins, then the one whose entry is newer.
 func (s *Snapshot) AtAddr(addr string) (Instance, bool) {
 	found, ok := s.byAddr[addr]
 	return found, ok
@@ -129,13 +132,23 @@
 	v.changed = make(chan struct{})
 }
 
+// follows reports whether an instance stands at its address instead of another.
+func (i *Instance) follows(other Instance) bool {
+	if i.Draining != other.Draining {
+		return other.Draining
+	}
+	return i.Entry > other.Entry
+}
+
 func (s *Snapshot) index() {
-	s.byService = make(map[string][]Instance)
 	s.byAddr = make(map[string]Instance, len(s.Instances))
 	for _, i := range s.Instances {
-		if found, ok := s.byAddr[i.Addr]; !ok || found.Draining {
+		if found, ok := s.byAddr[i.Addr]; !ok || i.follows(found) {
 			s.byAddr[i.Addr] = i
 		}
+	}
+	s.byService = make(map[string][]Instance)
+	for _, i := range s.byAddr {
 		if !i.Draining {
 			s.byService[i.Service] = append(s.byService[i.Service], i)
 		}
--- a/fleet/view_test.go
+++ b/fleet/view_test.go
@@ -28,6 +28,26 @@
 	}
 }
 
+// TestOneInstanceAtAnAddress has an engine that was restarted before the entry
+// of its former incarnation lapsed.
+func TestOneInstanceAtAnAddress(t *testing.T) {
+	v := NewView()
+	v.UpdateInstances([]Instance{
+		{ID: "second", Service: "s", Addr: "10.0.0.1:1", Entry: 9}, {ID: "first", Service: "s", Addr: "10.0.0.1:1", Entry: 7},
+		{ID: "third", Service: "t", Addr: "10.0.0.2:1", Entry: 8}, {ID: "fourth", Service: "s", Addr: "10.0.0.2:1", Entry: 5},
+	}, nil)
+	if list := v.Snapshot().OfService("s"); len(list) != 1 || list[0].ID != "second" {
+		t.Errorf("got %v", list)
+	}
+	if i, ok := v.Snapshot().AtAddr("10.0.0.2:1"); !ok || i.ID != "third" {
+		t.Errorf("at an address that another service has now: %v", i)
+	}
+	v.UpdateInstances(nil, []string{"second"})
+	if list := v.Snapshot().OfService("s"); len(list) != 1 || list[0].ID != "first" {
+		t.Errorf("once it is gone: %v", list)
+	}
+}
+
 func TestInstancesThatTakeWork(t *testing.T) {
 	v := NewView()
 	if v.Snapshot().Listed {
--- a/service/node/watch.go
+++ b/service/node/watch.go
@@ -131,6 +131,7 @@
 		w.log.WithError(err).WithField("instance", row.Name).Error("instance not readable")
 		return fleet.Instance{}, false
 	}
+	i.Entry = row.Version
 	return i, true
 }
 
