--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -370,6 +370,12 @@
 // settle checks, once all is whole again, that everything is served and that
 // every accepted job can be read to its end at every entry.
 func (w *soakWorld) settle() {
+	for _, m := range append(w.entries, w.agents...) {
+		if !m.process.running() {
+			w.record.problem("%s has ended by itself", m.name)
+			m.process.start()
+		}
+	}
 	c := w.client("settler")
 	for _, e := range w.entries {
 		eventually(w.t, e.name+" is ready again", func() error { return ready(e.ip) })
