A test of one reused connection is not ended by a pause of its process

Its connections idle out after 0.4 s, so a test process that is not scheduled for that long finds its one connection closed. Traced: the test process stopped for a second by SIGSTOP before the count fails each time (3 of 3) with that idle time and passes each time (3 of 3) with a minute. Ruled out: a second connection (the count was 0, not 2); that an idle connection is closed has a test of its own. Change: the test's idle time is a minute; what it counts is unchanged. Conclusion: the test was wrong, not the code; it is as strict on what it is about.

--- a/transport/quictransport/quictransport_test.go
+++ b/transport/quictransport/quictransport_test.go
@@ -110,9 +110,10 @@
 
 func TestOneConnectionIsReused(t *testing.T) {
 	ctx := testContext(t)
+	patient := Options{IdleTimeout: time.Minute} // a paused test process must not make it idle
 	a := newAuthority(t)
-	l := echoServer(t, "127.0.0.1:0", sourceOf(t, a, "agent-1"), quick)
-	d := newTestDialer(t, sourceOf(t, a, "entry-1"), quick)
+	l := echoServer(t, "127.0.0.1:0", sourceOf(t, a, "agent-1"), patient)
+	d := newTestDialer(t, sourceOf(t, a, "entry-1"), patient)
 	errs := make(chan error)
 	const calls = 50
 	for range calls {
