--- a/e2e/soak_faults_test.go
+++ b/e2e/soak_faults_test.go
@@ -15,13 +15,13 @@
 	name string
 	do   func(w *soakWorld, rng *rand.Rand)
 }{
-	{"kill", func(w *soakWorld, rng *rand.Rand) { w.kill(rng, w.machine(rng)) }},
-	{"terminate", func(w *soakWorld, rng *rand.Rand) { w.terminate(w.machine(rng)) }},
-	{"pause", func(w *soakWorld, rng *rand.Rand) { w.pause(rng, w.machine(rng)) }},
-	{"hang up", func(w *soakWorld, rng *rand.Rand) { w.hangUp(w.machine(rng)) }},
+	{"kill", func(w *soakWorld, rng *rand.Rand) { w.kill(rng, w.instance(rng)) }},
+	{"terminate", func(w *soakWorld, rng *rand.Rand) { w.terminate(w.instance(rng)) }},
+	{"pause", func(w *soakWorld, rng *rand.Rand) { w.pause(rng, w.instance(rng)) }},
+	{"hang up", func(w *soakWorld, rng *rand.Rand) { w.hangUp(w.instance(rng)) }},
 	{"kill all agents", func(w *soakWorld, rng *rand.Rand) { w.killAll(rng, w.agents) }},
 	{"kill all entries", func(w *soakWorld, rng *rand.Rand) { w.killAll(rng, w.entries) }},
-	{"roll", func(w *soakWorld, rng *rand.Rand) { w.terminate(w.machine(rng)); w.terminate(w.machine(rng)) }},
+	{"roll", func(w *soakWorld, rng *rand.Rand) { w.terminate(w.instance(rng)); w.terminate(w.instance(rng)) }},
 	{"store away", func(w *soakWorld, rng *rand.Rand) { w.storeAway(rng) }},
 	{"store slow", func(w *soakWorld, rng *rand.Rand) {
 		w.store.rows.Slow(time.Duration(50+rng.IntN(400)) * time.Millisecond)
@@ -30,7 +30,7 @@
 	}},
 	{"store forgets", func(w *soakWorld, _ *rand.Rand) { w.store.rows.Forget() }},
 	{"store loses answers", func(w *soakWorld, rng *rand.Rand) { w.loseAnswers(rng) }},
-	{"store path", func(w *soakWorld, rng *rand.Rand) { m := w.machine(rng); harm(rng, m.storeLinks...) }},
+	{"store path", func(w *soakWorld, rng *rand.Rand) { m := w.instance(rng); harm(rng, m.storeLinks...) }},
 	{"engine path", func(w *soakWorld, rng *rand.Rand) { harm(rng, w.agents[rng.IntN(len(w.agents))].link) }},
 	{"desk path", func(w *soakWorld, rng *rand.Rand) { harm(rng, w.deskLinks[rng.IntN(len(w.deskLinks))]) }},
 	{"client path", func(w *soakWorld, rng *rand.Rand) { harm(rng, w.entries[rng.IntN(len(w.entries))].link) }},
@@ -66,7 +66,7 @@
 	time.Sleep(time.Duration(least+rng.IntN(most-least)) * time.Millisecond)
 }
 
-func (w *soakWorld) machine(rng *rand.Rand) *soakMachine {
+func (w *soakWorld) instance(rng *rand.Rand) *soakInstance {
 	n := rng.IntN(len(w.entries) + len(w.agents))
 	if n < len(w.entries) {
 		return w.entries[n]
@@ -83,7 +83,7 @@
 }
 
 // kill kills a process and starts it again.
-func (w *soakWorld) kill(rng *rand.Rand, m *soakMachine) {
+func (w *soakWorld) kill(rng *rand.Rand, m *soakInstance) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	w.note("kill %s", m.name)
@@ -92,9 +92,9 @@
 	w.start(m)
 }
 
-func (w *soakWorld) killAll(rng *rand.Rand, machines []*soakMachine) {
+func (w *soakWorld) killAll(rng *rand.Rand, instances []*soakInstance) {
 	var all sync.WaitGroup
-	for _, m := range machines {
+	for _, m := range instances {
 		own := rand.New(rand.NewPCG(rng.Uint64(), 3))
 		all.Go(func() { w.kill(own, m) })
 	}
@@ -102,19 +102,19 @@
 }
 
 // start starts a process that has ended.
-func (w *soakWorld) start(m *soakMachine) {
+func (w *soakWorld) start(m *soakInstance) {
 	m.logged = len(m.process.log.String())
 	m.process.start()
 }
 
 // begun says whether the running process has told that it starts, after it
 // began to hear signals.
-func (m *soakMachine) begun() bool {
+func (m *soakInstance) begun() bool {
 	return strings.Contains(m.process.log.String()[m.logged:], "starting")
 }
 
 // restartIfEnded starts a process again that a hangup ended before it heard signals.
-func (w *soakWorld) restartIfEnded(m *soakMachine) {
+func (w *soakWorld) restartIfEnded(m *soakInstance) {
 	select {
 	case <-m.process.ended:
 		w.note("%s was ended by a hangup before it began", m.name)
@@ -124,7 +124,7 @@
 }
 
 // terminate stops a process as planned and starts it again.
-func (w *soakWorld) terminate(m *soakMachine) {
+func (w *soakWorld) terminate(m *soakInstance) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	w.note("terminate %s", m.name)
@@ -140,7 +140,7 @@
 }
 
 // pause stops a process for a while without its knowing.
-func (w *soakWorld) pause(rng *rand.Rand, m *soakMachine) {
+func (w *soakWorld) pause(rng *rand.Rand, m *soakInstance) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	w.note("pause %s", m.name)
@@ -155,8 +155,8 @@
 	}
 }
 
-// hangUp moves a process to its machine's other link to the store.
-func (w *soakWorld) hangUp(m *soakMachine) {
+// hangUp moves a process to its instance's other link to the store.
+func (w *soakWorld) hangUp(m *soakInstance) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	w.note("hang up %s", m.name)
--- a/e2e/soak_record_test.go
+++ b/e2e/soak_record_test.go
@@ -149,7 +149,7 @@
 	}
 }
 
-// made notes that an engine made an event of a request.
+// madeEvent notes that an engine made an event of a request.
 func (r *record) madeEvent(id string, n int, version uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -273,7 +273,7 @@
 	return list
 }
 
-// position is how many results of a job were read, owed how many are.
+// position is how many results of a job were read.
 func (r *record) position(j *soakJob) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -47,18 +47,18 @@
 	serviceDesk    = "desk"
 	serviceDesk2   = "desk-2"
 	soakEntries    = 3
-	soakMachines   = 4 // with an engine and an agent each
+	soakAgents     = 4 // with an engine and an agent each
 	soakCallers    = 6
 )
 
 var soakModels = []string{"guide", "meter"}
 
-// Ports, the same on each machine.
+// Ports, the same on each instance.
 const (
 	portFront      = 8100 // through its link
 	portFrontInner = 8101
 	portReady      = 8102
-	portStore      = 8103 // the machine's links to the store
+	portStore      = 8103 // the instance's links to the store
 	portStore2     = 8104
 	portEngine     = 8105 // through its link
 	portEngineIn   = 8106
@@ -66,8 +66,8 @@
 	portMetrics    = 8120
 )
 
-// soakMachine is a machine with one of our processes.
-type soakMachine struct {
+// soakInstance is an instance with one of our processes.
+type soakInstance struct {
 	name, ip, role string
 	process        *process
 	settings       string
@@ -90,8 +90,8 @@
 	octet     int // of all its addresses
 	store     *soakStore
 	server    *http.Server
-	entries   []*soakMachine
-	agents    []*soakMachine
+	entries   []*soakInstance
+	agents    []*soakInstance
 	desks     []*soakEngine
 	deskLinks []*link
 	record    *record
@@ -124,12 +124,12 @@
 	next int
 }
 
-func (w *soakWorld) ip(machine int) string {
+func (w *soakWorld) ip(n int) string {
 	block, err := takeBlock()
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	return fmt.Sprintf("127.%d.%d.%d", 64+(block.base-firstPort)/blockPorts, w.octet, machine)
+	return fmt.Sprintf("127.%d.%d.%d", 64+(block.base-firstPort)/blockPorts, w.octet, n)
 }
 
 func addr(ip string, port int) string { return net.JoinHostPort(ip, fmt.Sprint(port)) }
@@ -149,10 +149,10 @@
 	w.startStore()
 	w.configure()
 	for i := range soakEntries {
-		w.entries = append(w.entries, w.startMachine("entry", 10+i))
+		w.entries = append(w.entries, w.startInstance("entry", 10+i))
 	}
-	for i := range soakMachines {
-		w.agents = append(w.agents, w.startMachine("agent", 50+i))
+	for i := range soakAgents {
+		w.agents = append(w.agents, w.startInstance("agent", 50+i))
 	}
 	for i, service := range []string{serviceDesk, serviceDesk, serviceDesk2} {
 		w.startDesk(service, 100+i)
@@ -183,9 +183,9 @@
 	return k
 }
 
-func (w *soakWorld) startMachine(role string, n int) *soakMachine {
+func (w *soakWorld) startInstance(role string, n int) *soakInstance {
 	ip := w.ip(n)
-	m := &soakMachine{name: fmt.Sprintf("%s-%d", role, n), ip: ip, role: role, settings: filepath.Join(w.dir, fmt.Sprintf("%s-%d.yaml", role, n))}
+	m := &soakInstance{name: fmt.Sprintf("%s-%d", role, n), ip: ip, role: role, settings: filepath.Join(w.dir, fmt.Sprintf("%s-%d.yaml", role, n))}
 	for _, port := range []int{portStore, portStore2} {
 		m.storeLinks = append(m.storeLinks, w.link(addr(ip, port), addr(w.ip(1), portStore)))
 	}
@@ -218,11 +218,11 @@
 	return e
 }
 
-// zoneOf puts every second machine into the other zone.
+// zoneOf puts every second instance into the other zone.
 func zoneOf(ip string) string { return "zone-" + fmt.Sprint(int(ip[len(ip)-1]-'0')%2) }
 
-// writeSettings lays a machine's settings file, whole at any moment.
-func (w *soakWorld) writeSettings(m *soakMachine) {
+// writeSettings lays an instance's settings file, whole at any moment.
+func (w *soakWorld) writeSettings(m *soakInstance) {
 	text := fmt.Sprintf(`NodeName: "%s"
 Ip: "%s"
 Zone: "%s"
