Dropped errors: each is right and says why, or is logged

Cause: a review counted 66 places that drop a result or an error. All calls of the module whose error is not used were listed by type (78, of them 9 to string builders, which never fail). Ruled out as right already, with their reasons beside them: answers to callers that have gone, closes of connections, hashes, histograms within their range, stand-ins. Change: files of keys that cannot be read again are logged (they were silent until the certificates expired); the end of a step that does not reach its trainer is logged; a drained agent or entry of the in-memory deployment tells how it ended; trainers of an experiment that cannot be made end it instead of being left out; Poller.Run and Spread.Run, which never failed, return nothing; four places say why nothing is done. Figures: the test of half-written key files, extended: two failures told of two, none before.

--- a/cmd/mulberryctl/apply.go
+++ b/cmd/mulberryctl/apply.go
@@ -276,7 +276,7 @@
 		return nil
 	}
 	fmt.Fprintf(w, "%s [y/N] ", question)
-	answer, _ := bufio.NewReader(cmd.Root().Reader).ReadString('\n')
+	answer, _ := bufio.NewReader(cmd.Root().Reader).ReadString('\n') // no answer is no
 	if strings.TrimSpace(strings.ToLower(answer)) != "y" {
 		return errDeclined
 	}
--- a/daemon/process/process.go
+++ b/daemon/process/process.go
@@ -61,7 +61,9 @@
 	if err != nil {
 		return nil, err
 	}
-	source, err := keys.LoadFiles(*s.ca, *s.cert, *s.key)
+	source, err := keys.LoadFiles(*s.ca, *s.cert, *s.key, func(err error) {
+		log.WithError(err).Warn("keys not read again; those in force stay")
+	})
 	if err != nil {
 		return nil, trace.Wrap(err, "keys")
 	}
--- a/internal/deployment/http.go
+++ b/internal/deployment/http.go
@@ -23,7 +23,7 @@
 		s.byURL = make(map[string]*http.Server)
 	}
 	s.byURL[baseURL] = server
-	go server.Serve(ln)
+	go server.Serve(ln) // ends with stop
 	return func() { server.Close() }
 }
 
--- a/internal/deployment/nodes.go
+++ b/internal/deployment/nodes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"sync/atomic"
@@ -124,13 +125,13 @@
 		return
 	}
 	a.d.opts.Fabric.Kill(a.ID)
-	a.stop()
+	_ = a.stop() // a killed process tells nobody how it ended
 }
 
 // Stop drains the agent and ends it.
 func (a *Agent) Stop(ctx context.Context) error {
 	err := a.agent.Drain(ctx)
-	a.stop()
+	err = errors.Join(err, a.stop())
 	a.d.Instances.Remove(a.ID)
 	return err
 }
@@ -196,7 +197,7 @@
 	}
 	e.stopHTTP()
 	e.d.opts.Fabric.Kill(e.ID)
-	e.stop()
+	_ = e.stop() // a killed process tells nobody how it ended
 }
 
 // Stop drains the entry, lets the last answers reach their callers and ends it.
@@ -206,7 +207,7 @@
 		err = e.d.opts.Fabric.Shutdown(ctx, e.URL())
 	}
 	e.stopHTTP()
-	e.stop()
+	err = errors.Join(err, e.stop())
 	e.d.Instances.Remove(e.ID)
 	return err
 }
--- a/internal/experiment/lookups.go
+++ b/internal/experiment/lookups.go
@@ -73,9 +73,10 @@
 	}
 	defer r.close()
 	ctx, cancel := context.WithCancel(ctx)
-	var wg sync.WaitGroup
-	for i := range trainers {
-		wg.Go(func() { r.trainForever(ctx, &w.Trainers[i], seed) })
+	defer cancel()
+	trained, err := r.startTrainers(ctx, w.Trainers[:trainers], seed)
+	if err != nil {
+		return nil, err
 	}
 	if trainers > 0 {
 		time.Sleep(d / 4) // let the trainers fill the engines
@@ -85,16 +86,29 @@
 	load.run(ctx, offered*w.lookupCapacity(), d, seed)
 	fail.Stop()
 	cancel()
-	wg.Wait()
+	trained.Wait()
 	return load.result(offered, trainers, f, d), nil
 }
 
-// trainForever takes steps until ctx ends.
-func (r *rig) trainForever(ctx context.Context, t *Trainer, seed uint64) {
-	client, err := r.trainer(t.Row)
-	if err != nil {
-		return
+// startTrainers lets trainers take steps until ctx ends.
+func (r *rig) startTrainers(ctx context.Context, trainers []Trainer, seed uint64) (*sync.WaitGroup, error) {
+	clients := make([]*trainer.Client, len(trainers))
+	for i := range trainers {
+		client, err := r.trainer(trainers[i].Row)
+		if err != nil {
+			return nil, err
+		}
+		clients[i] = client
+	}
+	running := new(sync.WaitGroup)
+	for i, client := range clients {
+		running.Go(func() { r.trainForever(ctx, client, &trainers[i], seed) })
 	}
+	return running, nil
+}
+
+// trainForever takes steps until ctx ends.
+func (r *rig) trainForever(ctx context.Context, client *trainer.Client, t *Trainer, seed uint64) {
 	for n := 1; ctx.Err() == nil; n++ {
 		samples, _ := r.w.step(t, n, seed)
 		step := trainer.Step{Name: fmt.Sprint(n), Version: 1, Samples: samples}
--- a/internal/experiment/shares.go
+++ b/internal/experiment/shares.go
@@ -4,7 +4,6 @@
 	"context"
 	"math"
 	"strings"
-	"sync"
 	"time"
 )
 
@@ -27,16 +26,17 @@
 	}
 	defer r.close()
 	ctx, cancel := context.WithCancel(ctx)
-	var wg sync.WaitGroup
-	for i := range w.Trainers {
-		wg.Go(func() { r.trainForever(ctx, &w.Trainers[i], seed) })
+	defer cancel()
+	trained, err := r.startTrainers(ctx, w.Trainers, seed)
+	if err != nil {
+		return nil, err
 	}
 	time.Sleep(d / 4) // until all are at work
 	before := r.tokensByRow()
 	time.Sleep(d)
 	after := r.tokensByRow()
 	cancel()
-	wg.Wait()
+	trained.Wait()
 	return w.shares(before, after), nil
 }
 
--- a/keys/files.go
+++ b/keys/files.go
@@ -23,9 +23,10 @@
 // them again when they have changed. caFile may hold several authorities: while
 // one replaces another, put both in it. Files that cannot be read or do not
 // belong together leave the certificates in force as they are, since a file
-// may be met half written; the first reading must succeed.
-func LoadFiles(caFile, certFile, keyFile string) (Source, error) {
-	f := &files{paths: [...]string{caFile, certFile, keyFile}}
+// may be met half written; the first reading must succeed. Later failures are
+// told to failed, which must not block.
+func LoadFiles(caFile, certFile, keyFile string, failed func(error)) (Source, error) {
+	f := &files{paths: [...]string{caFile, certFile, keyFile}, failed: failed}
 	if err := f.reread(time.Now()); err != nil {
 		return nil, err
 	}
@@ -34,7 +35,8 @@
 
 // files is a provider over three PEM files: authorities, certificate and key.
 type files struct {
-	paths [3]string
+	paths  [3]string
+	failed func(error)
 
 	mu       sync.Mutex
 	checked  time.Time
@@ -47,9 +49,9 @@
 	defer f.mu.Unlock()
 	now := time.Now()
 	if now.Sub(f.checked) >= RereadInterval {
-		// The error is of no use to the handshake: the certificates in
-		// force stay, and their expiry shows the fault.
-		_ = f.reread(now)
+		if err := f.reread(now); err != nil {
+			f.failed(err) // the certificates in force stay
+		}
 	}
 	return f.inForce, nil
 }
--- a/keys/keys_test.go
+++ b/keys/keys_test.go
@@ -189,9 +189,10 @@
 	check(t, WritePair(d.cert, d.key, pair))
 }
 
-func (d dir) load(t *testing.T) Source {
+// load loads the files; failures of later readings are handed to failed.
+func (d dir) load(t *testing.T, failed func(error)) Source {
 	t.Helper()
-	s, err := LoadFiles(d.ca, d.cert, d.key)
+	s, err := LoadFiles(d.ca, d.cert, d.key, failed)
 	check(t, err)
 	return s
 }
@@ -205,7 +206,7 @@
 		oldPeer, newPeer := sourceOf(t, before, "entry-1"), sourceOf(t, after, "entry-1")
 		newPair := issue(t, after, "agent-1")
 		d.write(t, issue(t, before, "agent-1"), before)
-		s := d.load(t)
+		s := d.load(t, func(err error) { t.Error(err) })
 		accepts := func(step string, client Source, want bool) {
 			t.Helper()
 			if _, _, err := handshake(s, client); (err == nil) != want {
@@ -232,7 +233,8 @@
 		a := newAuthorityT(t)
 		peer := sourceOf(t, a, "entry-1")
 		d.write(t, issue(t, a, "agent-1"), a)
-		s := d.load(t)
+		var failures []error
+		s := d.load(t, func(err error) { failures = append(failures, err) })
 		other := issue(t, a, "agent-1")
 		check(t, os.WriteFile(d.cert, other.CertPEM, 0o644)) // does not fit the key
 		time.Sleep(RereadInterval)
@@ -242,8 +244,11 @@
 		time.Sleep(RereadInterval)
 		_, _, err = handshake(s, peer)
 		check(t, err)
+		if len(failures) != 2 || !strings.Contains(failures[1].Error(), d.ca) {
+			t.Errorf("told of %v, want one failure for each reading", failures)
+		}
 	})
-	if _, err := LoadFiles(d.ca, d.cert, d.key); err == nil || !strings.Contains(err.Error(), d.ca) {
+	if _, err := LoadFiles(d.ca, d.cert, d.key, nil); err == nil || !strings.Contains(err.Error(), d.ca) {
 		t.Fatalf("the first reading of a missing file: got %v", err)
 	}
 }
--- a/service/entry/steps.go
+++ b/service/entry/steps.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/kataras/iris/v12"
+	"github.com/sirupsen/logrus"
 	"github.com/tmaxmax/go-sse"
 
 	"mulberryscale.example/api"
@@ -117,11 +118,19 @@
 	if err != nil {
 		refusal := e.stepRefusal(err)
 		e.countRefusal(row.Name, refusal)
-		sink.event(api.EventRefusal, refusal)
+		e.tellEnd(row, req, sink.event(api.EventRefusal, refusal))
 		return
 	}
 	e.cfg.Counters.Add(observe.NameSamples, row.Name, int64(end.Delivered))
-	sink.event(api.EventEnd, end)
+	e.tellEnd(row, req, sink.event(api.EventEnd, end))
+}
+
+// tellEnd logs that the end of a step did not reach its trainer, which then
+// asks for the step again.
+func (e *Entry) tellEnd(row *table.Row, req *api.StepRequest, err error) {
+	if err != nil {
+		e.cfg.Log.WithError(err).WithFields(logrus.Fields{"row": row.Name, "session": req.Session}).Info("step's end not sent")
+	}
 }
 
 // stepRefusal closes a step that did not come to its end: some of its samples
--- a/tablesync/notice.go
+++ b/tablesync/notice.go
@@ -86,7 +86,7 @@
 			return nil
 		})
 	}
-	_ = group.Wait()
+	_ = group.Wait() // no notice returns an error
 }
 
 // notice asks a peer for anything newer than the version in force here. The
--- a/tablesync/poller.go
+++ b/tablesync/poller.go
@@ -113,7 +113,7 @@
 }
 
 // Run polls until ctx ends.
-func (p *Poller) Run(ctx context.Context) error {
+func (p *Poller) Run(ctx context.Context) {
 	failures := 0
 	for {
 		if err := p.Poll(ctx); err == nil {
@@ -126,7 +126,7 @@
 		wait = p.jitter(Backoff(wait, failures, c.MaxBackoff))
 		select {
 		case <-ctx.Done():
-			return nil
+			return
 		case <-time.After(wait):
 		}
 	}
--- a/tablesync/poller_test.go
+++ b/tablesync/poller_test.go
@@ -79,7 +79,7 @@
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		var running sync.WaitGroup
-		running.Go(func() { _ = p.Run(ctx) })
+		running.Go(func() { p.Run(ctx) })
 
 		apply(t, store, 1)
 		time.Sleep(2 * time.Second)
@@ -136,7 +136,7 @@
 		var running sync.WaitGroup
 		for i := range entries {
 			p := newPoller(store, entries, uint64(i))
-			running.Go(func() { _ = p.Run(ctx) })
+			running.Go(func() { p.Run(ctx) })
 		}
 		time.Sleep(time.Minute)
 		before := service.Counts().Reads
--- a/tablesync/spread.go
+++ b/tablesync/spread.go
@@ -102,12 +102,11 @@
 }
 
 // Run pulls and sends notices until ctx ends.
-func (s *Spread) Run(ctx context.Context) error {
+func (s *Spread) Run(ctx context.Context) {
 	var both sync.WaitGroup
 	both.Go(func() { s.runPulls(ctx) })
 	both.Go(func() { s.runNotices(ctx) })
 	both.Wait()
-	return nil
 }
 
 // Observe takes note of a peer's header, of any message. It is cheap and never
@@ -283,7 +282,7 @@
 			return nil
 		})
 	}
-	_ = group.Wait()
+	_ = group.Wait() // the errors are in errs
 	if s.config.Holder.Version() > 0 {
 		return nil
 	}
--- a/tablesync/spread_test.go
+++ b/tablesync/spread_test.go
@@ -51,7 +51,7 @@
 	}
 	for _, n := range f.all() {
 		f.running.Go(n.serve)
-		f.running.Go(func() { _ = n.spread.Run(ctx) })
+		f.running.Go(func() { n.spread.Run(ctx) })
 	}
 	return f
 }
