The platform's names stand in platform/ alone, also those of the soak's stand-ins

Ruled out: a second set of shapes for stand-ins (each name would stand twice). Change: beside each decoder stands its encoder, over the same shapes: rows of the operator, trainers and engines (operator), settings files (nodefile), an engine's side of its calls (enginehttp.Handler with a StandIn), a client's attempts, jobs, pages and streams (ingress). The soak decides only, in files of one job each: client, lookups, trainer, reader, engine, texts, world, config, cases. Its check of an item's body was a note only and is a broken promise now; a stream that ends in order within an event is one too. In the adapter, numbers in headers and length hints that are not readable are logged and taken as absent (one that was too large became the largest number there is), and routes of unknown kinds are named in the log. A set-up that stood four times in the worker's tests stands once. Outside platform/ no header, path or field of the platform is left in Go files.

--- a/batch/rig_test.go
+++ b/batch/rig_test.go
@@ -261,6 +261,14 @@
 	delete(r.peers.workers, host)
 }
 
+// submitLong submits a job with one item of four seconds, and returns when half
+// of it is done and all the others are.
+func (r *workerRig) submitLong(id string, n int, long string) {
+	r.engines.lengths[long] = 100
+	r.submit(id, n, nil)
+	time.Sleep(2 * time.Second)
+}
+
 // submit accepts a job of n items that is dealt to all engines.
 func (r *workerRig) submit(id string, n int, change func(*Job)) {
 	job := someJob(id, n)
--- a/batch/worker_test.go
+++ b/batch/worker_test.go
@@ -73,9 +73,7 @@
 func TestItemsOfADeadAgentGoOnFromTheirSavedText(t *testing.T) {
 	bubble(t, func(t *testing.T) {
 		rig := newWorkerRig(t, 3)
-		rig.engines.lengths["item-005"] = 100 // four seconds
-		rig.submit("j", 6, nil)
-		time.Sleep(2 * time.Second)
+		rig.submitLong("j", 6, "item-005")
 		owner := rig.runsOf("item-005")[0].engine
 		for i := range 3 {
 			if engineAddr(i) == owner {
@@ -94,9 +92,7 @@
 func TestAllAgentsDieAndGoOn(t *testing.T) {
 	bubble(t, func(t *testing.T) {
 		rig := newWorkerRig(t, 2)
-		rig.engines.lengths["item-001"] = 100
-		rig.submit("j", 2, nil)
-		time.Sleep(2 * time.Second)
+		rig.submitLong("j", 2, "item-001")
 		rig.kill(0)
 		rig.kill(1)
 		time.Sleep(time.Second)
@@ -194,9 +190,7 @@
 func TestUnfinishedTextServesALaterJob(t *testing.T) {
 	bubble(t, func(t *testing.T) {
 		rig := newWorkerRig(t, 1)
-		rig.engines.lengths["item-000"] = 100
-		rig.submit("first", 1, nil)
-		time.Sleep(2 * time.Second)
+		rig.submitLong("first", 1, "item-000")
 		must(t, rig.ledger.End(t.Context(), "first"))
 		time.Sleep(time.Second)
 		rig.submit("second", 1, nil)
@@ -261,9 +255,7 @@
 func TestTextThatIsTooOldIsGeneratedAnew(t *testing.T) {
 	bubble(t, func(t *testing.T) {
 		rig := newWorkerRig(t, 1)
-		rig.engines.lengths["item-000"] = 100
-		rig.submit("first", 1, nil)
-		time.Sleep(2 * time.Second)
+		rig.submitLong("first", 1, "item-000")
 		must(t, rig.ledger.End(t.Context(), "first"))
 		rig.view.SetNamed("m", 2)
 		time.Sleep(time.Second)
@@ -351,7 +343,7 @@
 	bubble(t, func(t *testing.T) {
 		rig := newWorkerRig(t, 2)
 		for i := range 12 {
-			rig.engines.lengths[fmt.Sprintf("item-%03d", i)] = 100 // four seconds
+			rig.engines.lengths[fmt.Sprintf("item-%03d", i)] = 100
 		}
 		rig.submit("j", 12, nil)
 		time.Sleep(time.Second)
--- a/cmd/mulberryctl/platform_test.go
+++ b/cmd/mulberryctl/platform_test.go
@@ -8,26 +8,33 @@
 	"time"
 
 	"mulberryscale.example/batch"
+	"mulberryscale.example/fleet"
 	"mulberryscale.example/internal/standin/rowstore"
 	"mulberryscale.example/platform/metastore/standin"
+	"mulberryscale.example/platform/operator"
 	"mulberryscale.example/store"
 )
 
-const (
-	configText = `{"Version":7,"Routes":[{"Name":"look","Host":"a.example","Prefix":"/look/","Kind":"safe","Service":"desk","TimeoutMs":2500}],"Services":[],"Limits":{}}`
-	engineText = `{"Service":"engines","Address":"10.1.0.9:80","Zone":"patan","Slots":8,"State":"ready","Models":[{"Name":"guide","Version":2},{"Name":"meter","Version":3}]}`
-)
-
 // platformStore serves a store with a configuration, an engine and two jobs.
 func platformStore(t *testing.T) (rows *rowstore.Store, addr string) {
 	t.Helper()
 	rows = rowstore.New()
-	for name, text := range map[string]string{
-		"config": configText, "version/guide": `{"Model":"guide","Version":3}`, "version/meter": `{"Model":"meter","Version":3}`,
-	} {
-		rows.Put(store.Row{Key: store.Key{Table: "op", Name: name}, Value: []byte(text)})
+	put := func(row store.Row, err error) {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+		rows.Put(row)
 	}
-	rows.Put(store.Row{Key: store.Key{Table: "servers", Name: "i-1"}, Value: []byte(engineText)})
+	put(operator.ConfigRow(&fleet.Config{Version: 7, Routes: []fleet.Route{{
+		Name: "look", Host: "a.example", Prefix: "/look/", Kind: fleet.KindSafe, Timeout: 2500 * time.Millisecond,
+		Backends: []fleet.Backend{{Service: "desk", Weight: 1}},
+	}}}))
+	put(operator.NamedRow("guide", 3))
+	put(operator.NamedRow("meter", 3))
+	put(operator.InstanceRow(fleet.Instance{
+		ID: "i-1", Service: "engines", Addr: "10.1.0.9:80", Zone: "patan", Slots: 8, Versions: map[string]uint64{"guide": 2, "meter": 3},
+	}, 1))
 	ledger := &batch.Ledger{Store: rows, RowBytes: 65536, ObjectBytes: 1 << 20}
 	for _, id := range []string{"job-ended", "job-open"} {
 		job := &batch.Job{ID: id, Route: "train", Model: "guide", Step: 4, MinVersion: 3, Items: 2, ItemTTL: time.Minute, Owners: []string{"10.1.0.9:80"}}
@@ -72,8 +79,13 @@
 func TestStoreViewsSayWhatIsWrong(t *testing.T) {
 	rows, addr := platformStore(t)
 	run(t, "", "jobs", "--store", "here").want(t, 2, `--store or MULBERRY_STORE: want ip:port, got "here"`)
-	rows.Put(store.Row{Key: store.Key{Table: "batch_jobs", Name: "job-odd"}, Value: []byte("not a job")})
+	rows.Put(store.Row{Key: store.Key{Table: batch.TableJobs, Name: "job-odd"}, Value: []byte("not a job")})
 	run(t, "", "jobs", "--store", addr).want(t, 1, "job job-odd")
-	rows.Put(store.Row{Key: store.Key{Table: "op", Name: "config"}, Value: []byte("{")})
+	broken, err := operator.ConfigRow(&fleet.Config{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	broken.Value = []byte("{")
+	rows.Put(broken)
 	run(t, "", "config", "--store", addr).want(t, 1, "decode the configuration")
 }
--- /dev/null
+++ b/e2e/soak_config_test.go
@@ -0,0 +1,69 @@
+package e2e
+
+import (
+	"cmp"
+	"os"
+	"time"
+
+	fleetview "mulberryscale.example/fleet"
+	"mulberryscale.example/platform/nodefile"
+	"mulberryscale.example/platform/operator"
+)
+
+// writeSettings lays an instance's settings file, whole at any moment.
+func (w *soakWorld) writeSettings(m *soakInstance) {
+	text, err := nodefile.Encode(&nodefile.Settings{
+		Node: m.name, IP: m.ip, Zone: zoneOf(m.ip), PeerPort: portPeers, MetricsPort: portMetrics,
+		Clients: addr(m.ip, portFrontInner), Ready: addr(m.ip, portReady), Engine: addr(m.ip, portEngine), Service: serviceEngines,
+		Store: addr(m.ip, portStore+m.usesLink), RowBytes: 64 << 10, ObjectBytes: 8 << 20, StoreWrites: 800,
+		Grace: 8 * time.Second, KeepResults: 2 * time.Minute,
+	})
+	if err != nil {
+		w.t.Error(err)
+	}
+	next := m.settings + ".next"
+	if err := os.WriteFile(next, text, 0o600); err != nil {
+		w.t.Error(err)
+	}
+	if err := os.Rename(next, m.settings); err != nil {
+		w.t.Error(err)
+	}
+}
+
+// configure writes the next configuration, which moves the route of lookups.
+func (w *soakWorld) configure() {
+	w.mu.Lock()
+	w.config++
+	version := w.config
+	w.mu.Unlock()
+	desk := []string{serviceDesk2, serviceDesk}[version%2]
+	row, err := operator.ConfigRow(soakConfig(uint64(version), desk))
+	w.write(w.t.Context(), row, err)
+}
+
+// soakConfig is a configuration that sends lookups to one of the desks.
+func soakConfig(version uint64, desk string) *fleetview.Config {
+	c := &fleetview.Config{
+		Version: version,
+		Services: []fleetview.Service{
+			{Name: serviceEngines, MaxConns: 200, Models: soakModels}, {Name: serviceDesk, MaxConns: 100}, {Name: serviceDesk2, MaxConns: 100},
+		},
+		Limits: fleetview.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 4 << 20, HeaderTimeout: 5 * time.Second, IdleTimeout: 10 * time.Second},
+	}
+	add := func(r fleetview.Route, service string) {
+		r.Host, r.MaxAttempts = soakHost, cmp.Or(r.MaxAttempts, 3)
+		r.Backends = []fleetview.Backend{{Service: service, Weight: 1}}
+		c.Routes = append(c.Routes, r)
+	}
+	const short, long, aim = 2500 * time.Millisecond, 6 * time.Second, 300 * time.Millisecond
+	add(fleetview.Route{Name: "look", Prefix: prefixLook, Kind: fleetview.KindSafe, Timeout: short, Objective: aim}, desk)
+	add(fleetview.Route{Name: "book", Prefix: prefixBook, Kind: fleetview.KindUnsafe, MaxAttempts: 2, Timeout: short, Objective: aim}, serviceDesk)
+	add(fleetview.Route{Name: "tell", Prefix: prefixTell, Kind: fleetview.KindStream, Timeout: long, Objective: aim, Resumable: true}, serviceEngines)
+	add(fleetview.Route{Name: "say", Prefix: prefixSay, Kind: fleetview.KindStream, Timeout: long, Objective: aim}, serviceEngines)
+	for _, m := range soakModels {
+		add(fleetview.Route{
+			Name: m, Prefix: "/" + m + "/", Kind: fleetview.KindBatch, Objective: time.Second, ItemTTL: time.Minute, RunTarget: 5 * time.Second,
+		}, serviceEngines)
+	}
+	return c
+}
--- a/e2e/soak_engine_test.go
+++ b/e2e/soak_engine_test.go
@@ -2,16 +2,17 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"hash/fnv"
-	"io"
+	"maps"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"mulberryscale.example/batch"
+	fleetview "mulberryscale.example/fleet"
+	"mulberryscale.example/platform/enginehttp"
 )
 
 // Sizes and times of the soak's engines.
@@ -23,8 +24,8 @@
 	soakDrain     = 2 * time.Second // how long a draining engine serves on
 )
 
-// soakEngine is an engine of the soak: it speaks the platform's protocol and
-// records what it was asked to do.
+// soakEngine is an engine of the soak: an enginehttp.StandIn that records what
+// it was asked to do.
 type soakEngine struct {
 	service, zone string
 	listen, addr  string // where it listens, and what it tells the store
@@ -44,7 +45,7 @@
 	sequence uint64
 	running  int
 	stop     chan struct{}
-	beats    int
+	beats    uint64
 }
 
 // start starts an incarnation.
@@ -66,11 +67,7 @@
 			e.versions[m] = 1
 		}
 	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /report", e.report)
-	mux.HandleFunc("POST /order", e.order)
-	mux.HandleFunc("/", e.request)
-	e.server = &http.Server{Handler: mux}
+	e.server = &http.Server{Handler: enginehttp.Handler(e)}
 	e.stop = make(chan struct{})
 	go e.server.Serve(l) // ends with the server
 	go e.beat(e.id, e.stop)
@@ -122,66 +119,40 @@
 		return
 	}
 	e.beats++
-	state := "ready"
-	if e.draining {
-		state = "draining"
+	i := fleetview.Instance{
+		ID: id, Service: e.service, Addr: e.addr, Zone: e.zone, Slots: soakSlots, Draining: e.draining, Versions: maps.Clone(e.versions),
 	}
-	value := marshal(map[string]any{
-		"Service": e.service, "Address": e.addr, "Zone": e.zone, "Version": "1", "Slots": soakSlots,
-		"State": state, "ColdLeftMs": 0, "Sequence": e.beats, "Models": e.modelList(),
-	})
+	beats := e.beats
 	e.mu.Unlock()
-	e.registry.beat(id, value)
-}
-
-// modelList is called with e.mu held.
-func (e *soakEngine) modelList() []map[string]any {
-	list := []map[string]any{}
-	for _, m := range e.models {
-		list = append(list, map[string]any{"Name": m, "Version": e.versions[m], "Adapters": []string{}})
-	}
-	return list
+	e.registry.beat(i, beats)
 }
 
-func (e *soakEngine) report(w http.ResponseWriter, _ *http.Request) {
+// Report implements enginehttp.StandIn.
+func (e *soakEngine) Report() batch.Report {
 	e.mu.Lock()
-	answer := map[string]any{
-		"Stage": "both", "Models": e.modelList(), "Busy": e.busy, "Sequence": e.sequence,
-		"NumWaiting": 0, "NumRunning": e.running, "KvUsed": 0, "KvTotal": 1 << 20, "Handles": 0,
-	}
-	e.mu.Unlock()
-	w.Header().Set("Content-Type", "application/json")
-	w.Write(marshal(answer))
+	defer e.mu.Unlock()
+	return batch.Report{Busy: e.busy, Sequence: e.sequence, Running: e.running, Versions: maps.Clone(e.versions)}
 }
 
-// order changes the weights of a model.
-func (e *soakEngine) order(w http.ResponseWriter, r *http.Request) {
-	var o struct {
-		Model, Mode, Holder   string
-		Version, FencingToken uint64
-		Expected              *uint64
-	}
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || o.Holder == "" || o.FencingToken == 0 {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
+// Order implements enginehttp.StandIn: it changes the weights of a model.
+func (e *soakEngine) Order(o batch.Order) enginehttp.OrderAnswer {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.record.ordered(e.listen, o.Holder, o.FencingToken)
+	e.record.ordered(e.listen, o.Holder, o.Token)
 	switch {
-	case r.Header.Get("X-Expect-Instance") != e.id:
-		w.WriteHeader(http.StatusMisdirectedRequest)
+	case o.Instance != e.id:
+		return enginehttp.OrderMisdirected
 	case e.versions[o.Model] == o.Version:
+		return enginehttp.OrderHolds
 	case e.versions[o.Model] == 0 || e.record.named(o.Model) < o.Version:
-		w.WriteHeader(http.StatusBadRequest)
-	case e.busy || (o.Expected != nil && *o.Expected != e.sequence):
-		w.WriteHeader(http.StatusConflict)
-	default:
-		e.busy, e.loading[o.Model] = true, true
-		e.sequence++
-		go e.load(e.id, o.Model, o.Version)
-		w.WriteHeader(http.StatusAccepted)
+		return enginehttp.OrderImpossible
+	case e.busy || o.Sequence != e.sequence:
+		return enginehttp.OrderConflicts
 	}
+	e.busy, e.loading[o.Model] = true, true
+	e.sequence++
+	go e.load(e.id, o.Model, o.Version)
+	return enginehttp.OrderTaken
 }
 
 func (e *soakEngine) load(id, model string, version uint64) {
@@ -193,20 +164,29 @@
 	}
 }
 
-// admit takes a request in, or says which refusal it gets.
-func (e *soakEngine) admit(r *http.Request) (id string, status int) {
+// admit takes a request in, or declines it.
+func (e *soakEngine) admit(a enginehttp.Arrival, w *enginehttp.AnswerWriter) (id string, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	model := r.Header.Get("X-Model")
-	expected := r.Header.Get("X-Expect-Instance")
 	switch {
-	case e.id == "" || (expected != "" && expected != e.id):
-		return "", http.StatusMisdirectedRequest
-	case e.running >= soakSlots || e.loading[model]:
-		return "", http.StatusServiceUnavailable
+	case e.id == "" || (a.Instance != "" && a.Instance != e.id):
+		w.Decline(true)
+		return "", false
+	case e.running >= soakSlots || e.loading[a.Model]:
+		w.Decline(false)
+		return "", false
 	}
 	e.running++
-	return e.id, 0
+	return e.id, true
+}
+
+// release gives the slot of a run back, if its incarnation still runs.
+func (e *soakEngine) release(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.id == id {
+		e.running--
+	}
 }
 
 // version is the weights that make the next event; ok is false once the
@@ -217,82 +197,53 @@
 	return e.versions[model], e.id == id
 }
 
-// request runs any request but reports and orders.
-func (e *soakEngine) request(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
+// Run implements enginehttp.StandIn.
+func (e *soakEngine) Run(ctx context.Context, a enginehttp.Arrival, w *enginehttp.AnswerWriter) {
+	id, ok := e.admit(a, w)
+	if !ok {
 		return
 	}
-	id, status := e.admit(r)
-	if status != 0 {
-		w.Header().Set("X-Not-Run", "1")
-		w.WriteHeader(status)
-		return
-	}
-	defer func() {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		if e.id == id {
-			e.running--
-		}
-	}()
-	request := r.Header.Get("X-Request-Id")
-	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // absent is 0
-	e.record.began(e.service, request, r.Method, r.RequestURI, string(body), r.Header.Get("X-Model"), last)
-	w.Header().Set("X-Request-Id", request)
-	w.Header().Set("X-Server-Stamp", stampOf(id, request))
-	switch status := e.failure(request); {
-	case status != 0:
-		w.WriteHeader(status)
-	case strings.Contains(r.URL.Path, "/look/") || strings.Contains(r.URL.Path, "/book/"):
-		sleep(r.Context(), workOf(request))
-		if losesAnswer(request) {
-			panic(http.ErrAbortHandler)
-		}
-		w.Write([]byte(answerOf(request, string(body))))
+	defer e.release(id)
+	e.record.began(e.service, a)
+	w.Accept(stampOf(id, a.ID))
+	kind := kindOf(a.ID)
+	switch {
+	case kind == itemImpossible:
+		w.Fail(true)
+	case kind == itemFailing, kind == itemFailsOnce && e.record.failOnce(a.ID):
+		w.Fail(false)
+	case strings.HasPrefix(a.Target, prefixLook) || strings.HasPrefix(a.Target, prefixBook):
+		e.answer(ctx, a, w)
 	default:
-		e.stream(r.Context(), w, id, request, r.Header.Get("X-Model"), last)
+		e.stream(ctx, id, a, w)
 	}
 }
 
-// failure is the status with which an item fails, 0 if it succeeds now.
-func (e *soakEngine) failure(request string) int {
-	switch kindOf(request) {
-	case itemImpossible:
-		return http.StatusUnprocessableEntity
-	case itemFailing:
-		return http.StatusInternalServerError
-	case itemFailsOnce:
-		if e.record.failOnce(request) {
-			return http.StatusInternalServerError
-		}
+// answer answers as a whole, or breaks off once it has run the request.
+func (e *soakEngine) answer(ctx context.Context, a enginehttp.Arrival, w *enginehttp.AnswerWriter) {
+	if !sleep(ctx, workOf(a.ID)) || losesAnswer(a.ID) {
+		w.Break()
+	}
+	if err := w.Whole(answerOf(a.ID, a.Body)); err != nil {
+		e.record.count("answers that nobody took")
 	}
-	return 0
 }
 
 // stream makes the events of a text after the last that is known.
-func (e *soakEngine) stream(ctx context.Context, w http.ResponseWriter, id, request, model string, last int) {
-	told := uint64(0)
-	flush := http.NewResponseController(w)
-	for n := last + 1; n <= eventsOf(request); n++ {
+func (e *soakEngine) stream(ctx context.Context, id string, a enginehttp.Arrival, w *enginehttp.AnswerWriter) {
+	for n := a.After + 1; n <= eventsOf(a.ID); n++ {
 		if !sleep(ctx, soakEventTime) {
-			return
+			w.Break()
 		}
-		version, ok := e.version(id, model)
+		version, ok := e.version(id, a.Model)
 		if !ok {
-			panic(http.ErrAbortHandler)
+			w.Break()
 		}
-		e.record.madeEvent(request, n, version)
-		text := fmt.Sprintf("id: %d\ndata: %s\n\n", n, eventOf(request, n))
-		switch {
-		case told == 0:
-			w.Header().Set("X-Weight-Versions", strconv.FormatUint(version, 10))
-		case told != version:
-			text = fmt.Sprintf("x-weight-versions: %d\n%s", version, text)
+		e.record.madeEvent(a.ID, n, version)
+		if err := w.Event(n, version, eventOf(a.ID, n)); err != nil {
+			e.record.count("events that nobody took")
+			w.Break()
 		}
-		told = version
-		io.WriteString(w, text)
-		flush.Flush()
 	}
 }
 
@@ -304,67 +255,3 @@
 		return true
 	}
 }
-
-// Kinds of items, by a hash of their ids.
-const (
-	itemWhole = iota
-	itemImpossible
-	itemFailing
-	itemFailsOnce
-)
-
-func hashOf(id string) uint64 {
-	h := fnv.New64a()
-	io.WriteString(h, id)
-	return h.Sum64()
-}
-
-func kindOf(id string) int {
-	if !strings.HasPrefix(id, "item-") {
-		return itemWhole
-	}
-	switch hashOf(id) % 30 {
-	case 0:
-		return itemImpossible
-	case 1:
-		return itemFailing
-	case 2, 3:
-		return itemFailsOnce
-	}
-	return itemWhole
-}
-
-// workOf is how long a request that is no stream takes.
-func workOf(id string) time.Duration { return time.Duration(5+hashOf(id)%200) * time.Millisecond }
-
-// losesAnswer says whether the engine breaks off once it has run a request.
-func losesAnswer(id string) bool { return hashOf(id)%40 == 7 }
-
-// eventsOf is how many events a text has, eventOf one of them.
-func eventsOf(id string) int { return 8 + int(hashOf(id)%25) }
-func eventOf(id string, n int) string {
-	return fmt.Sprintf("%s.%d.%x", id, n, hashOf(id+strconv.Itoa(n))%0xffff)
-}
-
-// textOf is a whole text as a result holds it.
-func textOf(id string) string {
-	var events []string
-	for n := 1; n <= eventsOf(id); n++ {
-		events = append(events, eventOf(id, n))
-	}
-	return strings.Join(events, "\n")
-}
-
-func answerOf(request, body string) string { return "answer to " + request + " about " + body }
-func stampOf(instance, request string) string {
-	return fmt.Sprintf("%s/%x", instance, hashOf(instance+request))
-}
-
-// marshal encodes what always can be encoded.
-func marshal(v any) []byte {
-	data, err := json.Marshal(v)
-	if err != nil {
-		panic(err)
-	}
-	return data
-}
--- a/e2e/soak_record_test.go
+++ b/e2e/soak_record_test.go
@@ -7,6 +7,9 @@
 	"strings"
 	"sync"
 	"time"
+
+	"mulberryscale.example/batch"
+	"mulberryscale.example/platform/enginehttp"
 )
 
 // request is what a client sent, or the item of a batch job.
@@ -16,24 +19,19 @@
 	once                        bool     // may run once only
 }
 
-// soakResult is a result of a batch job as clients read it.
-type soakResult struct {
-	Id, State, Output string
-	Versions          []uint64
-}
-
-func (r *soakResult) equal(o *soakResult) bool {
-	return r.Id == o.Id && r.State == o.State && r.Output == o.Output && slices.Equal(r.Versions, o.Versions)
+// sameResult says whether two results are one.
+func sameResult(a, b *batch.Result) bool {
+	return a.ID == b.ID && a.State == b.State && a.Output == b.Output && slices.Equal(a.Versions, b.Versions)
 }
 
 // soakJob is a batch job and what was read of it.
 type soakJob struct {
-	id, host   string
+	id         string
 	minVersion uint64
 	items      []string
 	accepted   time.Time // zero until its 202 came
 	ended      bool      // its end was sent
-	listed     []soakResult
+	listed     []batch.Result
 }
 
 // record is what callers and engines saw, and which promises broke.
@@ -122,30 +120,31 @@
 	r.counts["orders"]++
 }
 
-// began checks a run that begins at an engine.
-func (r *record) began(service, id, method, target, body, model string, last int) {
+// began checks a run that begins at an engine of a service.
+func (r *record) began(service string, a enginehttp.Arrival) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.runs[id]++
-	q := r.sent[id]
+	r.runs[a.ID]++
+	q := r.sent[a.ID]
 	switch {
 	case q == nil:
-		r.broke("request %q: run by %s, and nobody sent it", id, service)
+		r.broke("request %q: run by %s, and nobody sent it", a.ID, service)
 		return
-	case q.method != method || q.target != target || q.body != body || q.model != model:
-		r.broke("request %s: sent %s %s %q of model %q, run as %s %s %q of %q", id, q.method, q.target, q.body, q.model, method, target, body, model)
+	case q.method != a.Method || q.target != a.Target || q.body != a.Body || q.model != a.Model:
+		r.broke("request %s: sent as %+v, run as %+v", a.ID, *q, a)
 	case !slices.Contains(q.services, service):
-		r.broke("request %s: run by service %s, allowed are %v", id, service, q.services)
-	case q.once && r.runs[id] > 1:
-		r.broke("request %s: run %d times", id, r.runs[id])
-	case r.refused[id]:
-		r.broke("request %s: run after it was refused", id)
+		r.broke("request %s: run by service %s, allowed are %v", a.ID, service, q.services)
+	case q.once && r.runs[a.ID] > 1:
+		r.broke("request %s: run %d times", a.ID, r.runs[a.ID])
+	case r.refused[a.ID]:
+		r.broke("request %s: run after it was refused", a.ID)
 	}
-	if last > 0 {
-		r.counts["resumed"]++
-		if len(r.made[id][last]) == 0 {
-			r.broke("request %s: resumed after event %d, which no engine has made", id, last)
-		}
+	if a.After == 0 {
+		return
+	}
+	r.counts["resumed"]++
+	if len(r.made[a.ID][a.After]) == 0 {
+		r.broke("request %s: resumed after event %d, which no engine has made", a.ID, a.After)
 	}
 }
 
@@ -161,6 +160,15 @@
 	}
 }
 
+// unfinished says that no engine has finished an item or can have failed it, so
+// that its body is owed.
+func (r *record) unfinished(item string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	kind := kindOf(item)
+	return kind != itemImpossible && kind != itemFailing && len(r.made[item][eventsOf(item)]) == 0
+}
+
 // failOnce says whether an item has still to fail.
 func (r *record) failOnce(id string) bool {
 	r.mu.Lock()
@@ -171,7 +179,7 @@
 }
 
 // read checks a page of results of a job against what was read before.
-func (r *record) read(j *soakJob, entry string, after, total int, page []soakResult) {
+func (r *record) read(j *soakJob, entry string, after, total int, page []batch.Result) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if total != len(j.items) {
@@ -181,7 +189,7 @@
 		position, result := after+i, &page[i]
 		switch {
 		case position < len(j.listed):
-			if !result.equal(&j.listed[position]) {
+			if !sameResult(result, &j.listed[position]) {
 				r.broke("job %s at %s: position %d was %+v and is %+v", j.id, entry, position, j.listed[position], *result)
 			}
 		case position == len(j.listed):
@@ -192,25 +200,25 @@
 }
 
 // check checks a result that is read for the first time. r.mu is held.
-func (r *record) check(j *soakJob, position int, result *soakResult) {
-	at := fmt.Sprintf("job %s, position %d, item %s", j.id, position, result.Id)
-	if !slices.Contains(j.items, result.Id) {
+func (r *record) check(j *soakJob, position int, result *batch.Result) {
+	at := fmt.Sprintf("job %s, position %d, item %s", j.id, position, result.ID)
+	if !slices.Contains(j.items, result.ID) {
 		r.broke("%s: of another job", at)
 	}
-	if slices.ContainsFunc(j.listed, func(o soakResult) bool { return o.Id == result.Id }) {
+	if slices.ContainsFunc(j.listed, func(o batch.Result) bool { return o.ID == result.ID }) {
 		r.broke("%s: listed at two positions", at)
 	}
 	r.counts["results"]++
-	kind := kindOf(result.Id)
+	kind := kindOf(result.ID)
 	switch result.State {
-	case "crashed":
-		r.counts["crashed"]++
+	case batch.StateFailed:
+		r.counts["given up"]++
 		if kind != itemImpossible && kind != itemFailing && !j.ended {
-			r.broke("%s: crashed without a reason", at)
+			r.broke("%s: given up without a reason", at)
 		}
-	case "completed":
-		if result.Output != textOf(result.Id) {
-			r.broke("%s: text is %q, want %q", at, result.Output, textOf(result.Id))
+	case batch.StateDone:
+		if result.Output != textOf(result.ID) {
+			r.broke("%s: text is %q, want %q", at, result.Output, textOf(result.ID))
 		}
 		r.checkVersions(j, at, result)
 	default:
@@ -220,17 +228,17 @@
 
 // checkVersions checks that a text can have been made by the versions that it
 // names, all of them. r.mu is held.
-func (r *record) checkVersions(j *soakJob, at string, result *soakResult) {
+func (r *record) checkVersions(j *soakJob, at string, result *batch.Result) {
 	used := map[uint64]bool{}
-	for n := 1; n <= eventsOf(result.Id); n++ {
+	for n := 1; n <= eventsOf(result.ID); n++ {
 		explained := false
-		for _, v := range r.made[result.Id][n] {
+		for _, v := range r.made[result.ID][n] {
 			if slices.Contains(result.Versions, v) {
 				used[v], explained = true, true
 			}
 		}
 		if !explained {
-			r.broke("%s: versions %v, and event %d was made by %v", at, result.Versions, n, r.made[result.Id][n])
+			r.broke("%s: versions %v, and event %d was made by %v", at, result.Versions, n, r.made[result.ID][n])
 		}
 	}
 	for _, v := range result.Versions {
@@ -291,7 +299,7 @@
 func (r *record) isListed(j *soakJob, item string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.ContainsFunc(j.listed, func(o soakResult) bool { return o.Id == item })
+	return slices.ContainsFunc(j.listed, func(o batch.Result) bool { return o.ID == item })
 }
 
 // checkRefused checks at the end that what was refused has not run.
--- a/e2e/soak_store_test.go
+++ b/e2e/soak_store_test.go
@@ -6,8 +6,10 @@
 	"sync"
 	"time"
 
+	fleetview "mulberryscale.example/fleet"
 	"mulberryscale.example/internal/standin/rowstore"
 	"mulberryscale.example/platform/metastore/standin"
+	"mulberryscale.example/platform/operator"
 	"mulberryscale.example/store"
 )
 
@@ -52,6 +54,15 @@
 	return s.mode != storeServes && s.mode != storeLimited
 }
 
+// put writes a row as the platform does, with the error of its encoding, which
+// never fails for what the soak writes.
+func (s *soakStore) put(row store.Row, err error) {
+	if err != nil {
+		panic(err)
+	}
+	s.rows.Put(row)
+}
+
 // ServeHTTP implements http.Handler.
 func (s *soakStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
@@ -83,17 +94,15 @@
 	heard map[string]time.Time
 }
 
-func entryKey(id string) store.Key { return store.Key{Table: "servers", Name: id} }
-
-// beat takes in a heartbeat, unless the store is away.
-func (g *registry) beat(id string, value []byte) {
+// beat takes in an instance's heartbeat, unless the store is away.
+func (g *registry) beat(i fleetview.Instance, beats uint64) {
 	if g.store.away() {
 		return
 	}
 	g.mu.Lock()
-	g.heard[id] = time.Now()
+	g.heard[i.ID] = time.Now()
 	g.mu.Unlock()
-	g.store.rows.Put(store.Row{Key: entryKey(id), Value: value})
+	g.store.put(operator.InstanceRow(i, beats))
 }
 
 // remove takes an entry out at once.
@@ -101,7 +110,7 @@
 	g.mu.Lock()
 	delete(g.heard, id)
 	g.mu.Unlock()
-	g.store.rows.Remove(entryKey(id))
+	g.store.rows.Remove(operator.InstanceKey(id))
 }
 
 // lapse takes out the entries of engines that were silent for too long.
--- /dev/null
+++ b/e2e/soak_world_test.go
@@ -0,0 +1,252 @@
+package e2e
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Names of the soak's deployment.
+const (
+	soakHost       = "soak.example"
+	serviceEngines = "engines"
+	serviceDesk    = "desk"
+	serviceDesk2   = "desk-2"
+	soakEntries    = 3
+	soakAgents     = 4 // with an engine and an agent each
+	soakCallers    = 6
+)
+
+// Prefixes of the routes that are forwarded.
+const (
+	prefixLook = "/look/" // may be repeated; the operator moves it between two services
+	prefixBook = "/book/" // runs once
+	prefixTell = "/tell/" // a stream that may be resumed
+	prefixSay  = "/say/"  // a stream that runs once
+)
+
+var soakModels = []string{"guide", "meter"}
+
+// Ports, the same on each instance.
+const (
+	portFront      = 8100 // through its link
+	portFrontInner = 8101
+	portReady      = 8102
+	portStore      = 8103 // the instance's links to the store
+	portStore2     = 8104
+	portEngine     = 8105 // through its link
+	portEngineIn   = 8106
+	portPeers      = 8110
+	portMetrics    = 8120
+)
+
+// soakInstance is an instance with one of our processes.
+type soakInstance struct {
+	name, ip, role string
+	process        *process
+	settings       string
+	storeLinks     []*link
+	usesLink       int
+	// front is the address for clients, link the way to the entry or the engine.
+	front  string
+	link   *link
+	engine *soakEngine
+
+	mu     sync.Mutex // held by the one fault that stops or starts the process
+	logged int        // the length of the log at the last start
+}
+
+// soakWorld is one deployment.
+type soakWorld struct {
+	t         *testing.T
+	seed      uint64
+	dir       string
+	octet     int // of all its addresses
+	store     *soakStore
+	server    *http.Server
+	entries   []*soakInstance
+	agents    []*soakInstance
+	desks     []*soakEngine
+	deskLinks []*link
+	record    *record
+	reg       *registry
+	stop      chan struct{}
+
+	mu     sync.Mutex
+	config int
+	notes  strings.Builder
+	began  time.Time
+}
+
+func (w *soakWorld) note(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	fmt.Fprintf(&w.notes, "%s %s\n", time.Now().Format("15:04:05.000"), fmt.Sprintf(format, args...))
+}
+
+// allowed are the services that may run a request.
+func (w *soakWorld) allowed(target string) []string {
+	if strings.HasPrefix(target, prefixLook) {
+		return []string{serviceDesk, serviceDesk2}
+	}
+	return []string{serviceDesk}
+}
+
+// soakWorlds numbers the deployments of this run, for their addresses.
+var soakWorlds struct {
+	sync.Mutex
+	next int
+}
+
+func (w *soakWorld) ip(n int) string {
+	block, err := takeBlock()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return fmt.Sprintf("127.%d.%d.%d", 64+(block.base-firstPort)/blockPorts, w.octet, n)
+}
+
+func addr(ip string, port int) string { return net.JoinHostPort(ip, fmt.Sprint(port)) }
+
+// startSoak starts a deployment and waits until its entries are ready.
+func startSoak(t *testing.T, seed uint64) *soakWorld {
+	soakWorlds.Lock()
+	soakWorlds.next++
+	octet := soakWorlds.next % 250
+	soakWorlds.Unlock()
+	w := &soakWorld{
+		t: t, seed: seed, dir: t.TempDir(), octet: octet, store: newSoakStore(), record: newRecord(), stop: make(chan struct{}),
+	}
+	w.reg = &registry{store: w.store, rng: rand.New(rand.NewPCG(seed, 1)), heard: map[string]time.Time{}}
+	go w.reg.lapse(w.stop)
+	t.Cleanup(w.close)
+	w.startStore()
+	w.configure()
+	for i := range soakEntries {
+		w.entries = append(w.entries, w.startInstance("entry", 10+i))
+	}
+	for i := range soakAgents {
+		w.agents = append(w.agents, w.startInstance("agent", 50+i))
+	}
+	for i, service := range []string{serviceDesk, serviceDesk, serviceDesk2} {
+		w.startDesk(service, 100+i)
+	}
+	for _, e := range w.entries {
+		eventually(t, e.name+" is ready", func() error { return ready(e.ip) })
+	}
+	w.began = time.Now()
+	return w
+}
+
+func (w *soakWorld) startStore() {
+	l, err := net.Listen("tcp", addr(w.ip(1), portStore))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.server = &http.Server{Handler: w.store}
+	go w.server.Serve(l) // ends with close
+}
+
+// link opens a link that is closed with the deployment.
+func (w *soakWorld) link(from, to string) *link {
+	k, err := newLink(from, to)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(k.close)
+	return k
+}
+
+func (w *soakWorld) startInstance(role string, n int) *soakInstance {
+	ip := w.ip(n)
+	m := &soakInstance{name: fmt.Sprintf("%s-%d", role, n), ip: ip, role: role, settings: filepath.Join(w.dir, fmt.Sprintf("%s-%d.yaml", role, n))}
+	for _, port := range []int{portStore, portStore2} {
+		m.storeLinks = append(m.storeLinks, w.link(addr(ip, port), addr(w.ip(1), portStore)))
+	}
+	if role == "entry" {
+		m.front = addr(ip, portFront)
+		m.link = w.link(m.front, addr(ip, portFrontInner))
+	} else {
+		m.link = w.link(addr(ip, portEngine), addr(ip, portEngineIn))
+		m.engine = w.startEngine(serviceEngines, ip, soakModels)
+	}
+	w.writeSettings(m)
+	m.process = startProcess(w.t, m.name, "mulberry-node", role, "--settings", m.settings, "--log-level", "debug")
+	return m
+}
+
+func (w *soakWorld) startDesk(service string, n int) {
+	ip := w.ip(n)
+	w.deskLinks = append(w.deskLinks, w.link(addr(ip, portEngine), addr(ip, portEngineIn)))
+	w.desks = append(w.desks, w.startEngine(service, ip, nil))
+}
+
+func (w *soakWorld) startEngine(service, ip string, models []string) *soakEngine {
+	e := &soakEngine{
+		service: service, zone: zoneOf(ip), listen: addr(ip, portEngineIn), addr: addr(ip, portEngine), models: models,
+		registry: w.reg, record: w.record,
+	}
+	if err := e.start(); err != nil {
+		w.t.Fatal(err)
+	}
+	return e
+}
+
+// zoneOf puts every second instance into the other zone.
+func zoneOf(ip string) string { return "zone-" + fmt.Sprint(int(ip[len(ip)-1]-'0')%2) }
+
+// ready is nil when an entry calls itself ready.
+func ready(ip string) error {
+	resp, err := direct.Get("http://" + addr(ip, portReady) + "/readyz")
+	if err != nil {
+		return err
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s", resp.Status)
+	}
+	return nil
+}
+
+func (w *soakWorld) close() {
+	close(w.stop)
+	for _, m := range w.agents {
+		m.engine.crash()
+	}
+	for _, d := range w.desks {
+		d.crash()
+	}
+	w.server.Close()
+	if w.t.Failed() {
+		w.keepLogs()
+	}
+}
+
+// keepLogs writes what the processes and the callers said.
+func (w *soakWorld) keepLogs() {
+	if *soakLogs == "" {
+		return
+	}
+	dir := filepath.Join(*soakLogs, fmt.Sprintf("seed-%d", w.seed))
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		w.t.Error(err)
+		return
+	}
+	for _, m := range append(w.entries, w.agents...) {
+		if err := os.WriteFile(filepath.Join(dir, m.name+".log"), []byte(m.process.log.String()), 0o600); err != nil {
+			w.t.Error(err)
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := os.WriteFile(filepath.Join(dir, "callers.log"), []byte(w.notes.String()), 0o600); err != nil {
+		w.t.Error(err)
+	}
+}
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -110,6 +110,9 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// UnknownKinds names the routes whose kind is not known here; they are taken
+	// as unsafe.
+	UnknownKinds []string
 
 	byHost map[string][]*Route // the longest prefix first
 }
--- a/service/node/watch.go
+++ b/service/node/watch.go
@@ -54,6 +54,9 @@
 		return
 	}
 	if c.view.SetConfig(config) {
+		if len(config.UnknownKinds) > 0 {
+			c.log.WithFields(logrus.Fields{"config": config.Version, "routes": config.UnknownKinds}).Warn("routes of unknown kinds, taken as unsafe")
+		}
 		c.log.WithFields(logrus.Fields{
 			"config": config.Version, "routes": len(config.Routes), "store_version": row.Version,
 		}).Info("configuration in force")
