Reader and mulberryctl's views of the store: one job a file

Cause: read as a newcomer: batch/reader.go (380 lines) followed the feed and cut pages; cmd/mulberryctl/platform.go (321) held three commands.

--- /dev/null
+++ b/cmd/mulberryctl/jobs.go
@@ -0,0 +1,120 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/urfave/cli/v3"
+
+	"mulberryscale.example/batch"
+	"mulberryscale.example/daemon"
+	"mulberryscale.example/store"
+)
+
+// jobLine is the JSON of a job.
+type jobLine struct {
+	ID         string  `json:"id"`
+	Route      string  `json:"route"`
+	Model      string  `json:"model"`
+	Step       int     `json:"step"`
+	MinVersion uint64  `json:"min_version"`
+	AgeSeconds float64 `json:"age_seconds"`
+	Items      int     `json:"items"`
+	Listed     int     `json:"listed"`
+	Failed     int     `json:"failed"`
+	State      string  `json:"state"`
+	Owners     int     `json:"owners"`
+}
+
+// States of a job, in the order in which they are shown.
+const (
+	jobOpen     = "open"
+	jobFinished = "finished"
+	jobEnded    = "ended"
+)
+
+var jobOrder = []string{jobOpen, jobFinished, jobEnded}
+
+func showJobs(ctx context.Context, cmd *cli.Command) error {
+	client, err := openMetastore(cmd)
+	if err != nil {
+		return err
+	}
+	jobs, err := readJobs(ctx, client, cmd.Bool(flagAll))
+	if err != nil {
+		return err
+	}
+	out := daemon.Table{Header: []string{"ID", "ROUTE", "MODEL", "STEP", "MIN VERSION", "AGE", "LISTED", "FAILED", "STATE", "OWNERS"}}
+	for _, j := range jobs {
+		out.Rows = append(out.Rows, []string{
+			j.ID, j.Route, j.Model, fmt.Sprint(j.Step), fmt.Sprint(j.MinVersion), fmt.Sprintf("%.1fs", j.AgeSeconds),
+			fmt.Sprintf("%d/%d", j.Listed, j.Items), fmt.Sprint(j.Failed), j.State, fmt.Sprint(j.Owners),
+		})
+	}
+	return write(cmd, out, jobs)
+}
+
+// readJobs reads the jobs and counts their results, ended ones only if asked to.
+func readJobs(ctx context.Context, rows store.Store, all bool) ([]jobLine, error) {
+	ledger := &batch.Ledger{Store: rows}
+	s, err := rows.List(ctx, store.Range{Table: batch.TableJobs})
+	if err != nil {
+		return nil, trace.Wrap(err, "read the jobs")
+	}
+	ended := map[string]bool{}
+	for _, row := range s.Rows {
+		if id, end := batch.HeadOf(row.Name); end {
+			ended[id] = true
+		}
+	}
+	jobs := []jobLine{}
+	for _, row := range s.Rows {
+		if _, end := batch.HeadOf(row.Name); end {
+			continue
+		}
+		job, err := batch.DecodeJob(row.Value)
+		if err != nil {
+			return nil, trace.Wrap(err, "job %s", row.Name)
+		}
+		if ended[job.ID] && !all {
+			continue
+		}
+		line, err := readJob(ctx, ledger, job, s.Now, ended[job.ID])
+		if err != nil {
+			return nil, err
+		}
+		jobs = append(jobs, line)
+	}
+	slices.SortFunc(jobs, func(a, b jobLine) int {
+		return cmp.Or(cmp.Compare(slices.Index(jobOrder, a.State), slices.Index(jobOrder, b.State)), cmp.Compare(a.AgeSeconds, b.AgeSeconds))
+	})
+	return jobs, nil
+}
+
+func readJob(ctx context.Context, ledger *batch.Ledger, job *batch.Job, now time.Duration, ended bool) (jobLine, error) {
+	listing, err := ledger.Results(ctx, job.ID)
+	if err != nil {
+		return jobLine{}, trace.Wrap(err, "read the results of job %s", job.ID)
+	}
+	line := jobLine{
+		ID: job.ID, Route: job.Route, Model: job.Model, Step: job.Step, MinVersion: job.MinVersion,
+		AgeSeconds: (now - job.Accepted).Seconds(), Items: job.Items, Listed: len(listing.Results), Owners: len(job.Owners),
+		State: jobOpen,
+	}
+	for i := range listing.Results {
+		if listing.Results[i].State == batch.StateFailed {
+			line.Failed++
+		}
+	}
+	switch {
+	case ended:
+		line.State = jobEnded
+	case line.Listed == line.Items:
+		line.State = jobFinished
+	}
+	return line, nil
+}
