Items are scored by their reward calls before their results are appended

Ruled out: sending the call through a round of attempts of the forwarder. A round that ends in one failure can hide time-outs, and counting it as a failure gave up items that could not yet be given up. So one call runs at one endpoint and each answer of 500 is counted by itself.

Change: a whole text is a stage of an item's life (batch/reward.go): saved, handed over and adopted as whole, scored by package reward through the route in force, and given up after MaxAttempts answers of 500 over all holders. What runs out of time is listed as failed (batch/expiry.go); it was left before. Submissions check the call and name item and field, also in the answer.

--- a/batch/enginestate.go
+++ b/batch/enginestate.go
@@ -229,6 +229,9 @@
 		}
 		stepped = stepped || j.job.MinVersion+1 >= version
 		for _, t := range j.tasks {
+			if t.whole {
+				continue // needs the engine no more
+			}
 			if t.cancel == nil && j.job.MinVersion > w.engine.versions[model] {
 				return true
 			}
--- a/batch/give.go
+++ b/batch/give.go
@@ -11,7 +11,8 @@
 	"mulberryscale.example/observe"
 )
 
-// giveAll gives away the items here, those that run only if asked to.
+// giveAll gives away the items here, those that run only if asked to. Whole
+// texts need no engine: they stay until this process stops.
 func (w *Worker) giveAll(ctx context.Context, statuses map[string]*Status, running bool) {
 	engines := roomiest(statuses)
 	if len(engines) == 0 {
@@ -21,7 +22,8 @@
 	byJob := map[*workJob][]*task{}
 	for _, j := range w.jobs {
 		for _, t := range j.tasks {
-			if (running && t.cancel != nil) || slices.Contains(w.waiting, t) {
+			goes := running && t.cancel != nil && (w.stopping || !t.whole)
+			if goes || slices.Contains(w.waiting, t) {
 				byJob[j] = append(byJob[j], t)
 			}
 		}
--- a/batch/help.go
+++ b/batch/help.go
@@ -91,7 +91,7 @@
 }
 
 // held is the number of items here. It is called with w.mu held.
-func (w *Worker) held() int { return len(w.waiting) + len(w.running) }
+func (w *Worker) held() int { return len(w.waiting) + len(w.running) + len(w.scoring) }
 
 // unable reports whether the engine takes no work.
 func (w *Worker) unable() bool {
--- a/batch/intake.go
+++ b/batch/intake.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -104,10 +105,43 @@
 			return fmt.Errorf("%w: two items have the id %q", ErrMalformed, item.ID)
 		}
 		seen[item.ID] = true
+		if err := item.Reward.check(); err != nil {
+			return fmt.Errorf("%w: item %q: reward call: %v", ErrMalformed, item.ID, err)
+		}
 	}
 	return nil
 }
 
+// Bounds of a reward call. Its body counts towards the operator's bound on the
+// whole submission.
+const (
+	maxRewardID   = 200      // bytes
+	maxRewardHost = 255      // bytes, the longest name of a host
+	maxRewardPath = 16 << 10 // bytes, what operators allow for all headers
+)
+
+// check names the field that keeps a call from being sent as it stands.
+func (c *RewardCall) check() error {
+	if c == nil {
+		return nil
+	}
+	for _, field := range []struct {
+		name, value string
+		limit       int
+	}{{"id", c.ID, maxRewardID}, {"host", c.Host, maxRewardHost}, {"path", c.Path, maxRewardPath}} {
+		if field.value == "" || len(field.value) > field.limit || strings.ContainsFunc(field.value, unsendable) {
+			return fmt.Errorf("%s is %.60q: want 1 to %d bytes of printable text without spaces", field.name, field.value, field.limit)
+		}
+	}
+	if c.Path[0] != '/' {
+		return fmt.Errorf("path is %.60q: want a slash at its beginning", c.Path)
+	}
+	return nil
+}
+
+// unsendable are characters that would end a header's line or a request's target.
+func unsendable(r rune) bool { return r <= ' ' || r == 0x7f }
+
 // job deals a submission out to the engines that serve its model.
 func (in *Intake) job(s Submission, now time.Duration) *Job {
 	service := s.Route.Backend(s.ID)
--- a/batch/job.go
+++ b/batch/job.go
@@ -23,6 +23,17 @@
 	Group string `cbor:"6,keyasint,omitempty"`
 	// ExpectedTokens is the caller's estimate of the tokens generated; 0 is none.
 	ExpectedTokens int `cbor:"7,keyasint,omitempty"`
+	// Reward is the call whose answer scores the item's text; nil if it needs no score.
+	Reward *RewardCall `cbor:"8,keyasint,omitempty"`
+}
+
+// RewardCall is the request that scores an item's whole text. It may be
+// repeated; its service is found by Host and Path in the configuration in force.
+type RewardCall struct {
+	ID   string `cbor:"1,keyasint"`
+	Host string `cbor:"2,keyasint"`
+	Path string `cbor:"3,keyasint"` // with its query
+	Body []byte `cbor:"4,keyasint,omitempty"`
 }
 
 // Job is an accepted job without the contents of its items.
@@ -74,4 +85,6 @@
 	Output string `cbor:"3,keyasint,omitempty"`
 	// Versions are the weight versions that generated the text.
 	Versions []uint64 `cbor:"4,keyasint,omitempty"`
+	// Score is the signature of the answer to the item's reward call.
+	Score string `cbor:"5,keyasint,omitempty"`
 }
--- a/batch/openjobs.go
+++ b/batch/openjobs.go
@@ -1,7 +1,6 @@
 package batch
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -12,7 +11,7 @@
 
 // see takes a job of this worker's service.
 func (w *Worker) see(job *Job, now time.Duration) {
-	if job.Service != w.Service || now-job.Accepted > job.ItemTTL {
+	if job.Service != w.Service || now-job.Accepted > job.ItemTTL+forgetJobAfter {
 		return
 	}
 	w.mu.Lock()
@@ -61,7 +60,7 @@
 	self := slices.Index(j.job.Owners, w.Engine)
 	for i, owner := range j.owners {
 		if owner == self {
-			w.take(j, &task{index: i, text: saved[i].events, versions: saved[i].versions})
+			w.take(j, saved[i].task(i))
 		}
 	}
 	w.wake()
@@ -76,15 +75,20 @@
 		if err != nil {
 			w.Log.WithError(err).WithField(observe.FieldJob, j.job.ID).Warn("saved text not read")
 		}
-		maps.Copy(texts, saved)
+		for i, text := range saved {
+			if !j.job.fits(text.versions) {
+				text = savedText{rewardFailures: text.rewardFailures}
+			}
+			texts[i] = text
+		}
 	}
 	left := w.leftovers(j)
 	for i := range j.items {
-		if l, ok := left[j.items[i].ID]; ok && len(l.events) > len(texts[i].events) {
+		if l, ok := left[j.items[i].ID]; ok && j.job.fits(l.versions) && l.better(texts[i]) {
+			l.rewardFailures = texts[i].rewardFailures
 			texts[i] = l
 		}
 	}
-	maps.DeleteFunc(texts, func(_ int, text savedText) bool { return !j.job.fits(text.versions) })
 	if len(texts) > 0 {
 		w.Log.WithFields(logrus.Fields{observe.FieldJob: j.job.ID, "items": len(texts)}).Info("saved text found")
 	}
@@ -124,14 +128,20 @@
 	return true
 }
 
-// take adds an item to those that wait here, unless it is held or done. It is
-// called with w.mu held.
+// take adds an item to those that wait here, or that are scored if its text is
+// whole, unless it is held or done. It is called with w.mu held.
 func (w *Worker) take(j *workJob, t *task) bool {
 	if j.ended || j.done[t.index] || j.tasks[t.index] != nil {
 		return false
 	}
-	t.j, t.item, t.lineage = j, &j.items[t.index], newLineage()
+	t.j, t.item = j, &j.items[t.index]
+	t.beginLineage()
 	j.tasks[t.index] = t
+	if t.whole && t.fits() {
+		w.textWhole(t)
+		return true
+	}
+	t.whole = false
 	at, _ := slices.BinarySearchFunc(w.waiting, t, compareTasks)
 	w.waiting = slices.Insert(w.waiting, at, t)
 	return true
@@ -157,8 +167,8 @@
 	w.waiting = slices.DeleteFunc(w.waiting, func(t *task) bool { return t.j == j })
 	left := map[string]savedText{}
 	for _, t := range j.tasks {
-		if len(t.text) >= saveAfter {
-			left[t.item.ID] = savedText{slices.Clone(t.text), slices.Clone(t.versions)}
+		if len(t.text) >= saveAfter || (t.whole && !t.finished) {
+			left[t.item.ID] = savedText{events: slices.Clone(t.text), versions: slices.Clone(t.versions), whole: t.whole}
 		}
 		t.stop(errJobEnded)
 	}
--- a/batch/orphans.go
+++ b/batch/orphans.go
@@ -45,7 +45,7 @@
 	w.mu.Unlock()
 	for _, s := range append(slices.Collect(maps.Values(statuses)), &Status{Jobs: map[string]JobStatus{j.job.ID: own}}) {
 		js := s.Jobs[j.job.ID]
-		for _, list := range [][]int{js.Waiting, js.Running} {
+		for _, list := range [][]int{js.Waiting, js.Running, js.Whole} {
 			for _, i := range list {
 				held[i] = true
 			}
@@ -80,7 +80,7 @@
 		if j.done[i] || engines[best(j.items[i].ID, engines)] != w.Engine {
 			continue
 		}
-		if w.take(j, &task{index: i, text: saved[i].events, versions: saved[i].versions}) {
+		if w.take(j, saved[i].task(i)) {
 			n++
 			w.Log.WithFields(logrus.Fields{
 				observe.FieldItem: j.items[i].ID, observe.FieldJob: j.job.ID, "owner": j.owners[i],
--- a/batch/peer.go
+++ b/batch/peer.go
@@ -62,6 +62,8 @@
 type JobStatus struct {
 	Waiting []int `cbor:"1,keyasint,omitempty"`
 	Running []int `cbor:"2,keyasint,omitempty"`
+	// Whole have their last event and wait for their score.
+	Whole []int `cbor:"4,keyasint,omitempty"`
 	// Done are in the store or on their way there.
 	Done []int `cbor:"3,keyasint,omitempty"`
 }
@@ -86,6 +88,10 @@
 	Text     []string `cbor:"2,keyasint,omitempty"`
 	Versions []uint64 `cbor:"3,keyasint,omitempty"`
 	Failures int      `cbor:"4,keyasint,omitempty"`
+	// Whole says that the text has its last event; RewardFailures counts the
+	// failures that its reward call was answered with.
+	Whole          bool `cbor:"6,keyasint,omitempty"`
+	RewardFailures int  `cbor:"7,keyasint,omitempty"`
 	// Avoid are engines where it broke off again and again.
 	Avoid []string `cbor:"5,keyasint,omitempty"`
 }
@@ -145,6 +151,8 @@
 	var s JobStatus
 	for i, t := range j.tasks {
 		switch {
+		case t.whole:
+			s.Whole = append(s.Whole, i)
 		case t.cancel != nil:
 			s.Running = append(s.Running, i)
 		default:
@@ -190,7 +198,7 @@
 func (j *workJob) longestRunning(n int) []*task {
 	var list []*task
 	for _, t := range j.tasks {
-		if t.cancel != nil {
+		if t.cancel != nil && !t.whole {
 			list = append(list, t)
 		}
 	}
@@ -232,6 +240,7 @@
 		}
 		handed.Items = append(handed.Items, Handed{
 			Index: t.index, Text: t.text, Versions: t.versions, Failures: t.failures, Avoid: t.avoid,
+			Whole: t.whole, RewardFailures: t.rewardFailures,
 		})
 		w.Log.WithFields(t.fields()).WithFields(logrus.Fields{"to": to, "why": why}).Info("item handed over")
 	}
@@ -254,7 +263,10 @@
 		if h.Index < 0 || h.Index >= len(j.items) {
 			continue
 		}
-		t := &task{index: h.Index, text: h.Text, versions: h.Versions, failures: h.Failures, avoid: h.Avoid}
+		t := &task{
+			index: h.Index, text: h.Text, versions: h.Versions, failures: h.Failures, avoid: h.Avoid,
+			whole: h.Whole, rewardFailures: h.RewardFailures,
+		}
 		if w.take(j, t) {
 			w.Log.WithFields(t.fields()).WithField("from", from).Info("item taken over")
 		}
--- a/batch/progress.go
+++ b/batch/progress.go
@@ -50,6 +50,11 @@
 	From     int      `cbor:"3,keyasint"`
 	Events   []string `cbor:"4,keyasint"`
 	Versions []uint64 `cbor:"5,keyasint"`
+	// Whole says that the text ends with Events.
+	Whole bool `cbor:"6,keyasint,omitempty"`
+	// RewardFailures is how many failures the item's reward call had been
+	// answered with when the segment was written.
+	RewardFailures int `cbor:"7,keyasint,omitempty"`
 }
 
 // leftover is the text of an unfinished item of an ended job.
@@ -57,12 +62,21 @@
 	Events   []string      `cbor:"1,keyasint"`
 	Versions []uint64      `cbor:"2,keyasint"`
 	Saved    time.Duration `cbor:"3,keyasint"` // the store's clock
+	Whole    bool          `cbor:"4,keyasint,omitempty"`
 }
 
 // savedText is text that an item can go on from.
 type savedText struct {
 	events   []string
 	versions []uint64
+	whole    bool
+	// rewardFailures are those of the reward call in the same job.
+	rewardFailures int
+}
+
+// task is a task that goes on from the text.
+func (s savedText) task(index int) *task {
+	return &task{index: index, text: s.events, versions: s.versions, whole: s.whole, rewardFailures: s.rewardFailures}
 }
 
 // saveProgress appends segments. It is tried once: the next save repeats what
@@ -113,26 +127,55 @@
 	return joined
 }
 
-// joinSegments joins segments within each lineage and keeps the longest text of
-// each item.
+// joinSegments joins segments within each lineage and keeps the best text of
+// each item: a whole one, or else the longest. Failures of the reward call are
+// counted by each holder on top of those it was told of, so the largest count
+// is one that was reached.
 func joinSegments(segments []segment) map[int]savedText {
 	slices.SortStableFunc(segments, func(a, b segment) int { return cmp.Compare(a.From, b.From) })
 	byLineage := map[string]savedText{}
-	longest := map[int]savedText{}
+	best := map[int]savedText{}
+	failures := map[int]int{}
 	for _, s := range segments {
+		failures[s.Index] = max(failures[s.Index], s.RewardFailures)
 		key := s.Lineage + "/" + strconv.Itoa(s.Index)
-		text := byLineage[key]
-		if s.From > len(text.events) || s.From+len(s.Events) <= len(text.events) {
-			continue // a gap before it, or nothing new
+		text, extended := byLineage[key].extend(s)
+		if !extended {
+			continue
 		}
-		text.events = append(slices.Clip(text.events[:s.From]), s.Events...)
-		text.versions = s.Versions
 		byLineage[key] = text
-		if len(text.events) > len(longest[s.Index].events) {
-			longest[s.Index] = text
+		if text.better(best[s.Index]) {
+			best[s.Index] = text
 		}
 	}
-	return longest
+	for index, n := range failures {
+		text := best[index]
+		text.rewardFailures = n
+		best[index] = text
+	}
+	return best
+}
+
+// extend returns the text with a segment; false if there is a gap before it or
+// it says nothing new.
+func (s savedText) extend(next segment) (savedText, bool) {
+	end := next.From + len(next.Events)
+	longer := end > len(s.events)
+	ends := next.Whole && !s.whole && end == len(s.events)
+	if next.From > len(s.events) || (!longer && !ends) {
+		return s, false
+	}
+	s.events = append(slices.Clip(s.events[:next.From]), next.Events...)
+	s.versions, s.whole = next.Versions, next.Whole
+	return s, true
+}
+
+// better reports whether an item should go on from the text instead of another.
+func (s savedText) better(than savedText) bool {
+	if s.whole != than.whole {
+		return s.whole
+	}
+	return len(s.events) > len(than.events)
 }
 
 // save keeps the text of running items in the store until ctx ends.
@@ -158,21 +201,31 @@
 	return max(saveInterval, fair)
 }
 
-// unsaved cuts the new text of running items into segments. It is called with w.mu held.
+// unsaved cuts the new text of running items, and of whole ones that wait for
+// their score, into segments. It is called with w.mu held.
 func (w *Worker) unsaved() map[*workJob][]segment {
 	due := map[*workJob][]segment{}
 	for t := range w.running {
-		if len(t.text) < saveAfter || len(t.text) == t.saved || t.j.ended {
-			continue
+		if len(t.text) >= saveAfter && len(t.text) > t.saved && !t.j.ended {
+			due[t.j] = append(due[t.j], t.segment())
+		}
+	}
+	for t := range w.scoring {
+		if (!t.savedWhole || t.rewardFailures > t.savedFailures) && !t.j.ended {
+			due[t.j] = append(due[t.j], t.segment())
 		}
-		due[t.j] = append(due[t.j], segment{
-			Index: t.index, Lineage: t.lineage, From: t.saved, Events: slices.Clone(t.text[t.saved:]),
-			Versions: slices.Clone(t.versions),
-		})
 	}
 	return due
 }
 
+// segment is what the store does not know yet of the task.
+func (t *task) segment() segment {
+	return segment{
+		Index: t.index, Lineage: t.lineage, From: t.saved, Events: slices.Clone(t.text[t.saved:]),
+		Versions: slices.Clone(t.versions), Whole: t.whole, RewardFailures: t.rewardFailures,
+	}
+}
+
 func (w *Worker) saveJob(ctx context.Context, j *workJob, segments []segment, name string) {
 	if err := w.Ledger.saveProgress(ctx, j.job.ID, name, segments); err != nil {
 		w.Log.WithError(err).WithField(observe.FieldJob, j.job.ID).Warn("text not saved")
@@ -183,6 +236,8 @@
 	for _, s := range segments {
 		if t := j.tasks[s.Index]; t != nil && t.lineage == s.Lineage {
 			t.saved = max(t.saved, s.From+len(s.Events))
+			t.savedWhole = t.savedWhole || s.Whole
+			t.savedFailures = max(t.savedFailures, s.RewardFailures)
 		}
 	}
 }
@@ -195,7 +250,7 @@
 	}
 	tx := store.Tx{}
 	for id, text := range texts {
-		data, err := codec.Marshal(leftover{Events: text.events, Versions: text.versions, Saved: now})
+		data, err := codec.Marshal(leftover{Events: text.events, Versions: text.versions, Saved: now, Whole: text.whole})
 		if err != nil || len(data) > w.Ledger.rowLimit() {
 			continue // begins anew if it is asked for again
 		}
@@ -232,7 +287,7 @@
 			expired.Delete = append(expired.Delete, row.Key)
 			continue
 		}
-		found[row.Name] = savedText{l.Events, l.Versions}
+		found[row.Name] = savedText{events: l.Events, versions: l.Versions, whole: l.Whole}
 	}
 	if len(expired.Delete) > 0 {
 		if _, err := w.Ledger.Store.Commit(w.ctx, expired); err != nil {
--- /dev/null
+++ b/batch/reward_test.go
@@ -0,0 +1,278 @@
+package batch
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+// scoredRig is a rig whose items have reward calls.
+func scoredRig(t *testing.T, agents int) *workerRig {
+	rig := newWorkerRig(t, agents)
+	rig.scored = true
+	return rig
+}
+
+// lastEventAt is when the last event of an item's last run was made.
+func (r *workerRig) lastEventAt(item string) time.Time {
+	length := 10
+	if n, ok := r.engines.lengths[item]; ok {
+		length = n
+	}
+	runs := r.runsOf(item)
+	last := runs[len(runs)-1]
+	return last.at.Add(time.Duration(length-last.after) * eventGap)
+}
+
+func TestResultBearsTheScoreOfItsOwnCall(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		rig := scoredRig(t, 2)
+		rig.submit("j", 8, nil)
+		l := rig.await("j", 8, 3*time.Second)
+		rig.whole(l)
+		for _, x := range l.Results {
+			if !strings.HasSuffix(x.Score, " of "+rewardOf(x.ID)) {
+				t.Errorf("item %s has the score %q", x.ID, x.Score)
+			}
+			calls := rig.rewards.of(rewardOf(x.ID))
+			if len(calls) != 1 || calls[0].at.Before(rig.lastEventAt(x.ID)) {
+				t.Errorf("item %s: %d calls, the first before its last event", x.ID, len(calls))
+			}
+		}
+	})
+}
+
+func TestItemWithoutRewardCallNeedsNoScore(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		rig := newWorkerRig(t, 1)
+		rig.submit("j", 2, nil)
+		l := rig.await("j", 2, 3*time.Second)
+		if l.Results[0].Score != "" || len(rig.rewards.calls) != 0 {
+			t.Fatalf("score %q, %d calls", l.Results[0].Score, len(rig.rewards.calls))
+		}
+	})
+}
+
+// Only an endpoint's own failure of the call counts towards giving an item up;
+// silence and refusals say nothing of it, however often they come.
+func TestRewardCallsThatGetNoScore(t *testing.T) {
+	failed, broken, notRun := fmt.Errorf("%w: 500", ErrFailed), ErrBroken, ErrNotRun
+	for name, c := range map[string]struct {
+		answers []error
+		always  error
+		state   State
+		calls   int
+	}{
+		"fails once":              {[]error{failed}, nil, StateDone, 2},
+		"fails three times":       {[]error{failed, failed, failed}, nil, StateDone, 4},
+		"fails always":            {nil, failed, StateFailed, 4},
+		"silent among failures":   {[]error{failed, broken, failed, notRun, broken, failed}, nil, StateDone, 7},
+		"not run again and again": {[]error{notRun, notRun, notRun, notRun, notRun, notRun}, nil, StateDone, 7},
+		"broken again and again":  {[]error{broken, broken, broken, broken, broken}, nil, StateDone, 6},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				rig := scoredRig(t, 1)
+				rig.rewards.answers[rewardOf("item-000")] = c.answers
+				if c.always != nil {
+					rig.rewards.always[rewardOf("item-000")] = c.always
+				}
+				rig.submit("j", 1, nil)
+				l := rig.await("j", 1, 10*time.Second)
+				if n := len(rig.rewards.of(rewardOf("item-000"))); l.Results[0].State != c.state || n != c.calls {
+					t.Fatalf("%s after %d calls, want %s after %d", l.Results[0].State, n, c.state, c.calls)
+				}
+				if n := len(rig.runsOf("item-000")); n != 1 {
+					t.Fatalf("%d runs for the sake of a score", n)
+				}
+			})
+		})
+	}
+}
+
+// A whole text that waits for its score outlives its agent.
+func TestWholeTextOutlivesItsAgent(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		rig := scoredRig(t, 3)
+		rig.rewards.took = time.Hour
+		rig.submit("j", 1, nil)
+		time.Sleep(2 * time.Second) // done after 0.4 s, saved within 0.7 s of it
+		run := rig.runsOf("item-000")[0]
+		for i := range 3 {
+			if engineAddr(i) == run.engine {
+				rig.kill(i)
+			}
+		}
+		rig.rewards.set(func() { rig.rewards.took = 200 * time.Millisecond })
+		rig.whole(rig.await("j", 1, 6*time.Second))
+		if n := len(rig.runsOf("item-000")); n != 1 {
+			t.Fatalf("the item ran %d times", n)
+		}
+	})
+}
+
+func TestEveryAgentDiesWhileTextsAreScored(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		rig := scoredRig(t, 2)
+		rig.rewards.took = time.Hour
+		rig.submit("j", 4, nil)
+		time.Sleep(2 * time.Second)
+		rig.kill(0)
+		rig.kill(1)
+		rig.rewards.set(func() { rig.rewards.took = 200 * time.Millisecond })
+		rig.start(0)
+		rig.start(1)
+		rig.whole(rig.await("j", 4, 6*time.Second))
+		if n := len(rig.runs()); n != 4 {
+			t.Fatalf("%d runs of four items", n)
+		}
+	})
+}
+
+// Failures are counted over all holders of an item.
+func TestFailuresOfARewardCallOutliveItsAgent(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		rig := scoredRig(t, 2)
+		id := rewardOf("item-000")
+		rig.rewards.answers[id] = []error{ErrFailed, ErrFailed, ErrFailed}
+		rig.rewards.always[id] = ErrBroken
+		rig.submit("j", 1, nil)
+		time.Sleep(3 * time.Second)
+		run := rig.runsOf("item-000")[0]
+		for i := range 2 {
+			if engineAddr(i) == run.engine {
+				rig.kill(i)
+			}
+		}
+		before := len(rig.rewards.of(id))
+		rig.rewards.set(func() { rig.rewards.always[id] = ErrFailed })
+		l := rig.await("j", 1, 6*time.Second)
+		if n := len(rig.rewards.of(id)) - before; l.Results[0].State != StateFailed || n != 1 {
+			t.Fatalf("%s after %d more failures, want one", l.Results[0].State, n)
+		}
+	})
+}
+
+// An agent that stops hands over texts that wait for their score, with what is
+// known of their calls.
+func TestStoppingAgentHandsOverWholeTexts(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		rig := scoredRig(t, 2)
+		rig.rewards.took = time.Hour
+		rig.submit("j", 4, nil)
+		time.Sleep(time.Second)
+		w := rig.peers.workers["10.0.0.1"]
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		w.Drain(ctx, time.Second)
+		if n := w.heldNow(); n != 0 {
+			t.Fatalf("%d items still here", n)
+		}
+		rig.rewards.set(func() { rig.rewards.took = 200 * time.Millisecond })
+		rig.kill(0)
+		rig.kill(1)
+		rig.start(1)
+		rig.whole(rig.await("j", 4, 6*time.Second))
+		if n := len(rig.runs()); n != 4 {
+			t.Fatalf("%d runs of four items", n)
+		}
+	})
+}
+
+func TestEndOfAJobEndsItsRewardCalls(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		rig := scoredRig(t, 2)
+		rig.rewards.took = time.Hour
+		rig.submit("j", 4, nil)
+		time.Sleep(time.Second)
+		must(t, rig.ledger.End(t.Context(), "j"))
+		ended := time.Now()
+		time.Sleep(10 * time.Second)
+		if rig.rewards.ended != 4 {
+			t.Errorf("%d of 4 calls given up", rig.rewards.ended)
+		}
+		for _, c := range rig.rewards.calls {
+			if c.at.After(ended.Add(time.Second)) {
+				t.Errorf("%s sent %v after the end", c.id, c.at.Sub(ended))
+			}
+		}
+	})
+}
+
+// An engine that is lost takes no whole text with it: its agent goes on.
+func TestScoringNeedsNoEngine(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		rig := scoredRig(t, 1)
+		rig.rewards.took = 5 * time.Second
+		rig.submit("j", 2, nil)
+		time.Sleep(time.Second)
+		rig.engine(0, func(e *fakeEngine) { e.down = true })
+		rig.whole(rig.await("j", 2, 8*time.Second))
+	})
+}
+
+// What runs out of time is listed as failed: running, waiting, without a score
+// or without a holder.
+func TestItemsOutOfTimeAreListedAsFailed(t *testing.T) {
+	for name, stall := range map[string]func(r *workerRig){
+		"waiting for the engine": func(r *workerRig) {
+			r.engine(0, func(e *fakeEngine) { e.down = true })
+			r.engine(1, func(e *fakeEngine) { e.down = true })
+		},
+		"running": func(r *workerRig) {
+			for i := range 4 {
+				r.engines.lengths[fmt.Sprintf("item-%03d", i)] = 10_000
+			}
+		},
+		"without a score": func(r *workerRig) { r.rewards.took = time.Hour },
+		"without a holder": func(r *workerRig) {
+			r.kill(0)
+			time.AfterFunc(9*time.Second, func() { r.kill(1) })
+			r.engine(1, func(e *fakeEngine) { e.down = true })
+			time.AfterFunc(11*time.Second, func() { r.start(0) })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				rig := scoredRig(t, 2)
+				stall(rig)
+				rig.submit("j", 4, func(j *Job) { j.ItemTTL = 10 * time.Second })
+				time.Sleep(9900 * time.Millisecond)
+				if l := rig.await("j", 0, 0); len(l.Results) != 0 {
+					t.Fatalf("%d results before their time", len(l.Results))
+				}
+				l := rig.await("j", 4, 6*time.Second)
+				for _, x := range l.Results {
+					if x.State != StateFailed {
+						t.Errorf("item %s is %s", x.ID, x.State)
+					}
+				}
+			})
+		})
+	}
+}
+
+func TestJoinedSegmentsOfWholeTexts(t *testing.T) {
+	e := func(n int) []string { return make([]string, n) }
+	for name, c := range map[string]struct {
+		segments []segment
+		events   int
+		whole    bool
+		failures int
+	}{
+		"whole at once":           {[]segment{{Lineage: "a", Events: e(5), Whole: true}}, 5, true, 0},
+		"whole told later":        {[]segment{{Lineage: "a", Events: e(5)}, {Lineage: "a", From: 5, Whole: true}}, 5, true, 0},
+		"end of an unknown part":  {[]segment{{Lineage: "a", Events: e(5)}, {Lineage: "a", From: 9, Whole: true}}, 5, false, 0},
+		"whole beats longer":      {[]segment{{Lineage: "a", Events: e(9)}, {Lineage: "b", Events: e(5), Whole: true}}, 5, true, 0},
+		"failures of all holders": {[]segment{{Lineage: "a", Events: e(5), Whole: true, RewardFailures: 2}, {Lineage: "b", Events: e(4), RewardFailures: 1}}, 5, true, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := joinSegments(c.segments)[0]
+			if len(got.events) != c.events || got.whole != c.whole || got.rewardFailures != c.failures {
+				t.Fatalf("got %d events, whole %v, %d failures", len(got.events), got.whole, got.rewardFailures)
+			}
+		})
+	}
+}
--- a/batch/rig_test.go
+++ b/batch/rig_test.go
@@ -193,6 +193,60 @@
 	return w.Serve(req), nil
 }
 
+// fakeRewards stands in for the service that scores texts.
+type fakeRewards struct {
+	mu sync.Mutex
+	// took is how long a call takes.
+	took time.Duration
+	// answers are the errors of a call's next sends, by its id; nil is a score.
+	answers map[string][]error
+	// always is what each further send of a call is answered with.
+	always map[string]error
+	calls  []rewardCall
+	// ended counts the calls that were given up while they ran.
+	ended int
+}
+
+type rewardCall struct {
+	id string
+	at time.Time
+}
+
+func (f *fakeRewards) Score(ctx context.Context, ask RewardAsk) (RewardAnswer, error) {
+	f.mu.Lock()
+	f.calls = append(f.calls, rewardCall{ask.Call.ID, time.Now()})
+	n := len(f.calls)
+	err := f.always[ask.Call.ID]
+	if list := f.answers[ask.Call.ID]; len(list) > 0 {
+		err, f.answers[ask.Call.ID] = list[0], list[1:]
+	}
+	took := f.took
+	f.mu.Unlock()
+	if pause(ctx, took) != nil {
+		f.mu.Lock()
+		f.ended++
+		f.mu.Unlock()
+		return RewardAnswer{}, ErrBroken
+	}
+	if err != nil {
+		return RewardAnswer{MaxAttempts: 4}, err
+	}
+	return RewardAnswer{Score: fmt.Sprintf("score-%d of %s", n, ask.Call.ID), MaxAttempts: 4}, nil
+}
+
+// of are the sends of a call.
+func (f *fakeRewards) of(id string) []rewardCall {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(f.calls), func(c rewardCall) bool { return c.id != id })
+}
+
+func (f *fakeRewards) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
 // workerRig is a deployment of n agents with their engines.
 type workerRig struct {
 	t       *testing.T
@@ -200,11 +254,17 @@
 	ways    map[string]*rowstore.Client // of each agent, by its engine's address
 	engines *fakeEngines
 	peers   *fakePeers
+	rewards *fakeRewards
 	view    *fleet.View
 	stops   map[string]context.CancelFunc
 	ledger  *Ledger
+	// scored gives each item a reward call.
+	scored bool
 }
 
+// rewardOf is the id of an item's reward call.
+func rewardOf(item string) string { return "reward of " + item }
+
 func engineAddr(i int) string { return fmt.Sprintf("10.0.0.%d:80", i+1) }
 
 func newWorkerRig(t *testing.T, n int) *workerRig {
@@ -212,6 +272,7 @@
 	rig := &workerRig{
 		t: t, store: s, ways: map[string]*rowstore.Client{}, view: fleet.NewView(), stops: map[string]context.CancelFunc{}, ledger: newLedger(s),
 		engines: &fakeEngines{engines: map[string]*fakeEngine{}, lengths: map[string]int{}},
+		rewards: &fakeRewards{took: 200 * time.Millisecond, answers: map[string][]error{}, always: map[string]error{}},
 		peers:   &fakePeers{workers: map[string]*Worker{}, cut: map[string]bool{}, calls: map[string]int{}},
 	}
 	rig.view.SetConfig(&fleet.Config{Version: 1, Services: []fleet.Service{{Name: "svc", Models: []string{"m"}}}})
@@ -239,7 +300,7 @@
 	r.ways[addr] = r.store.Client()
 	w := NewWorker(WorkerConfig{
 		Node: fmt.Sprint("agent-", i), Incarnation: fmt.Sprint(time.Now().UnixNano()), Engine: addr, Service: "svc",
-		PeerPort: 7000, View: r.view, Ledger: newLedger(r.ways[addr]), Demand: NewDemand(), Engines: r.engines, Peers: r.peers,
+		PeerPort: 7000, View: r.view, Ledger: newLedger(r.ways[addr]), Demand: NewDemand(), Engines: r.engines, Peers: r.peers, Rewards: r.rewards,
 		Now: r.store.Now, Log: observe.Discard(), Counters: observe.NewCounters(),
 	})
 	host, _, _ := net.SplitHostPort(addr)
@@ -285,6 +346,9 @@
 	items := someItems(n)
 	for i := range items {
 		items[i].Group = ""
+		if r.scored {
+			items[i].Reward = &RewardCall{ID: rewardOf(items[i].ID), Host: "h", Path: "/score/" + items[i].ID}
+		}
 	}
 	must(r.t, r.ledger.Submit(r.t.Context(), job, items))
 }
--- a/batch/task.go
+++ b/batch/task.go
@@ -21,6 +21,7 @@
 	errJobEnded = errors.New("batch: the job has ended")
 	errGiven    = errors.New("batch: given to another agent")
 	errStalled  = errors.New("batch: no event for too long")
+	errExpired  = errors.New("batch: the item's time is up")
 )
 
 const (
@@ -46,18 +47,31 @@
 	// lineage names the text; saved is how many of its events are in the store.
 	lineage string
 	saved   int
+	// whole says that the text has its last event; such a task waits for its
+	// score or for its result to be appended, and needs the engine no more.
+	whole bool
 	// failures counts the engine's failures, breaks its broken answers since
 	// the last event.
 	failures int
 	breaks   int
+	// rewardFailures counts the failures that the reward call was answered
+	// with, by all holders of the item as far as is known.
+	rewardFailures int
+	// savedWhole says that the store knows the text as whole, savedFailures how
+	// many failures of the reward call it knows of.
+	savedWhole    bool
+	savedFailures int
 	// avoid are engines where it broke off again and again.
 	avoid []string
 	// notBefore is when it may be sent again.
 	notBefore time.Time
-	// cancel stops the run; nil while none runs.
+	// cancel stops the run, or the scoring of a whole text; nil while none of
+	// them goes on.
 	cancel context.CancelCauseFunc
-	// stopped is closed when the run has ended.
+	// stopped is closed when the run or the scoring has ended.
 	stopped chan struct{}
+	// finished says that the outbox has the result.
+	finished bool
 }
 
 // compareTasks orders tasks by when they should start: those of the older job
@@ -94,7 +108,15 @@
 }
 
 // restart drops the text.
-func (t *task) restart() { t.text, t.versions, t.lineage, t.saved = nil, nil, newLineage(), 0 }
+func (t *task) restart() {
+	t.text, t.versions, t.whole = nil, nil, false
+	t.beginLineage()
+}
+
+// beginLineage names the text anew, so that the store knows nothing of it yet.
+func (t *task) beginLineage() {
+	t.lineage, t.saved, t.savedWhole, t.savedFailures = newLineage(), 0, false, 0
+}
 
 // newLineage names a new text.
 func newLineage() string { return uuid.NewString() }
@@ -247,11 +269,15 @@
 	case err == nil:
 		w.engine.up = true
 		log.Info("item done")
-		w.finish(t, StateDone)
+		w.textWhole(t)
 		return
 	case errors.Is(stopped, errJobEnded), errors.Is(stopped, errGiven), w.ctx.Err() != nil:
 		w.forget(t)
 		return
+	case errors.Is(stopped, errExpired):
+		log.Warn("item given up: its time is up")
+		w.finish(t, StateFailed, "")
+		return
 	}
 	w.Counters.Retry(t.j.job.Route, retryReason(err))
 	log.WithError(err).Info("item not done")
@@ -264,12 +290,12 @@
 	t.notBefore = time.Now()
 	switch {
 	case errors.Is(err, ErrImpossible):
-		w.finish(t, StateFailed)
+		w.finish(t, StateFailed, "")
 		return
 	case errors.Is(err, ErrFailed):
 		t.failures++
 		if t.failures >= t.j.job.MaxAttempts {
-			w.finish(t, StateFailed)
+			w.finish(t, StateFailed, "")
 			return
 		}
 	case errors.Is(err, ErrNotRun):
@@ -293,10 +319,11 @@
 }
 
 // finish hands a result to the outbox. It is called with w.mu held.
-func (w *Worker) finish(t *task, state State) {
+func (w *Worker) finish(t *task, state State, score string) {
+	t.finished = true
 	r := Result{ID: t.item.ID, State: state}
 	if state == StateDone {
-		r.Output, r.Versions = strings.Join(t.text, "\n"), t.versions
+		r.Output, r.Versions, r.Score = strings.Join(t.text, "\n"), t.versions, score
 	}
 	t.j.outbox.put(t.index, r)
 }
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -27,7 +27,9 @@
 	// StoreWrites is the store's write calls a second for all processes; 0 is unknown.
 	StoreWrites int
 	Engines     Engine
-	Peers       PeerCaller
+	// Rewards scores whole texts; nil where no job has reward calls.
+	Rewards Rewarder
+	Peers   PeerCaller
 	// Now is the store's clock; false before it is known.
 	Now      func() (time.Duration, bool)
 	Log      logrus.FieldLogger
@@ -50,6 +52,7 @@
 	jobs     map[string]*workJob
 	waiting  []*task // in the order in which they are to start
 	running  map[*task]struct{}
+	scoring  map[*task]struct{} // whole texts that wait for their score
 	stopping bool
 	engine   engineState
 	// token is the fencing token of this incarnation's orders: the store's
@@ -79,7 +82,7 @@
 func NewWorker(cfg WorkerConfig) *Worker {
 	return &Worker{
 		WorkerConfig: cfg, changed: make(chan struct{}, 1), started: make(chan struct{}), jobs: map[string]*workJob{},
-		running: map[*task]struct{}{}, engine: newEngineState(),
+		running: map[*task]struct{}{}, scoring: map[*task]struct{}{}, engine: newEngineState(),
 	}
 }
 
@@ -93,6 +96,7 @@
 	wg.Go(func() { w.watchEngine(ctx) })
 	wg.Go(func() { w.help(ctx) })
 	wg.Go(func() { w.save(ctx) })
+	wg.Go(func() { w.expire(ctx) })
 	wg.Wait()
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -41,6 +41,8 @@
 	Stream Events
 	// Declined says that the endpoint did not run the request and never will.
 	Declined bool
+	// Signature is the endpoint's signature of the answer, empty if it has none.
+	Signature string
 }
 
 // Events are the events of a streamed answer, each as the bytes that the
--- a/logstory/logstory.go
+++ b/logstory/logstory.go
@@ -111,14 +111,16 @@
 func Tell(lines []Line, id string) Story {
 	s := Story{ID: id}
 	job := ""
+	reward := ""
 	for _, l := range lines {
 		if l.text(observe.FieldItem) == id {
 			job = cmp.Or(job, l.text(observe.FieldJob))
+			reward = cmp.Or(reward, l.text(observe.FieldReward))
 		}
 	}
 	processes := map[string]bool{}
 	for _, l := range lines {
-		if !belongs(l, id, job) {
+		if !belongs(l, id, job) && !sendOf(l, reward) {
 			continue
 		}
 		s.Lines = append(s.Lines, l)
@@ -134,7 +136,7 @@
 // belongs reports whether a line is of the id; of an item's job only lines that
 // name no other item are.
 func belongs(l Line, id, job string) bool {
-	for _, name := range []string{observe.FieldRequest, observe.FieldItem, observe.FieldJob} {
+	for _, name := range []string{observe.FieldRequest, observe.FieldItem, observe.FieldJob, observe.FieldReward} {
 		if l.text(name) == id {
 			return true
 		}
@@ -142,6 +144,11 @@
 	return job != "" && l.text(observe.FieldJob) == job && l.text(observe.FieldItem) == "" && l.Message != "results appended"
 }
 
+// sendOf reports whether a line is of a send of an item's reward call.
+func sendOf(l Line, reward string) bool {
+	return reward != "" && l.text(observe.FieldRequest) == reward
+}
+
 // dependencyWords mark the lines of lost and regained dependencies, and of
 // starts and stops.
 var dependencyWords = []string{"lost", "regained", "starting", "draining", "stopped", "not read", "not saved", "relayed", "order", "weights changed"}
@@ -164,6 +171,7 @@
 	{"job accepted", "job seen", "no agent saw the job: its feed was lost, or it has no agent for the service"},
 	{"job seen", "item sent", "no item of it was sent to an engine: versions too old, engines gone, or all busy"},
 	{"item sent", "item done", "no run of it came to its end"},
+	{"item not scored yet", "item scored", "its reward call got no score: see why each send failed, and whether its route has engines"},
 	{"item done", "results appended", "its result did not reach the store from the agent that finished it"},
 }
 
--- a/observe/fields.go
+++ b/observe/fields.go
@@ -14,6 +14,8 @@
 	FieldPeer    = "peer"
 	FieldJob     = "job"  // id of a batch job
 	FieldItem    = "item" // id of an item of a batch job
+	// FieldReward is the id of the call that scores an item's text.
+	FieldReward = "reward"
 )
 
 // Fields that the repeat filter and daemons add.
--- /dev/null
+++ b/reward/caller_test.go
@@ -0,0 +1,118 @@
+package reward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"mulberryscale.example/batch"
+	"mulberryscale.example/fleet"
+	"mulberryscale.example/forward"
+	"mulberryscale.example/observe"
+)
+
+// sender answers every send alike and keeps what was sent.
+type sender struct {
+	answer *forward.Answer
+	err    error
+	sent   []forward.Request
+	to     []string
+}
+
+func (s *sender) Send(_ context.Context, to fleet.Instance, r *forward.Request, _ time.Duration) (*forward.Answer, error) {
+	s.sent, s.to = append(s.sent, *r), append(s.to, to.Service)
+	return s.answer, s.err
+}
+
+// rig is a caller before a service with two endpoints.
+func rig(s *sender) *Caller {
+	view := fleet.NewView()
+	config := &fleet.Config{Version: 1, Services: []fleet.Service{{Name: "scores"}, {Name: "others"}}, Routes: []fleet.Route{{
+		Name: "r", Host: "s.example", Prefix: "/s/", Kind: fleet.KindSafe, Timeout: 3 * time.Second, Objective: 800 * time.Millisecond,
+		MaxAttempts: 4, Backends: []fleet.Backend{{Service: "scores", Weight: 1}},
+	}}}
+	config.Index()
+	view.SetConfig(config)
+	view.UpdateInstances([]fleet.Instance{
+		{ID: "a", Service: "scores", Addr: "10.0.0.1:1", Slots: 4}, {ID: "b", Service: "scores", Addr: "10.0.0.2:1", Slots: 4},
+		{ID: "c", Service: "others", Addr: "10.0.0.3:1", Slots: 4},
+	}, nil)
+	return &Caller{View: view, Forward: forward.New(view, s, "z", observe.Discard(), observe.NewCounters())}
+}
+
+func ask(path string) batch.RewardAsk {
+	return batch.RewardAsk{Call: &batch.RewardCall{ID: "r1", Host: "s.example", Path: path, Body: []byte("body")}, Left: 10 * time.Second}
+}
+
+func TestWhatAnAnswerMeansForAnItem(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer *forward.Answer
+		err    error
+		score  string
+		want   error
+	}{
+		"scored":              {&forward.Answer{Status: 200, Signature: "s"}, nil, "s", nil},
+		"created":             {&forward.Answer{Status: 201, Signature: "s"}, nil, "s", nil},
+		"no signature":        {&forward.Answer{Status: 200}, nil, "", batch.ErrBroken},
+		"failed":              {&forward.Answer{Status: 500, Signature: "s"}, nil, "", batch.ErrFailed},
+		"late at the service": {&forward.Answer{Status: 504, Signature: "s"}, nil, "", batch.ErrBroken},
+		"not found":           {&forward.Answer{Status: 404, Signature: "s"}, nil, "", batch.ErrBroken},
+		"redirected":          {&forward.Answer{Status: 302, Signature: "s"}, nil, "", batch.ErrBroken},
+		"full":                {&forward.Answer{Status: 503, Declined: true}, nil, "", batch.ErrNotRun},
+		"not sent":            {nil, forward.ErrUnsent, "", batch.ErrNotRun},
+		"reset":               {nil, fmt.Errorf("%w: reset", forward.ErrBroken), "", batch.ErrBroken},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &sender{answer: c.answer, err: c.err}
+			got, err := rig(s).Score(t.Context(), ask("/s/1"))
+			if got.Score != c.score || !errors.Is(err, c.want) {
+				t.Fatalf("got %q, %v", got.Score, err)
+			}
+			// An endpoint that did not run it is passed over once for the other.
+			want := 1
+			if errors.Is(c.want, batch.ErrNotRun) {
+				want = 2
+			}
+			if len(s.sent) != want {
+				t.Fatalf("sent %d times, want %d", len(s.sent), want)
+			}
+			if errors.Is(err, batch.ErrFailed) && got.MaxAttempts != 4 {
+				t.Errorf("%d failures allowed", got.MaxAttempts)
+			}
+		})
+	}
+}
+
+func TestCallIsSentAsItIsByItsRoute(t *testing.T) {
+	s := &sender{answer: &forward.Answer{Status: 200, Signature: "s"}}
+	if _, err := rig(s).Score(t.Context(), ask("/s/%41?q=%20")); err != nil {
+		t.Fatal(err)
+	}
+	r := s.sent[0]
+	if r.Method != "POST" || r.Target != "/s/%41?q=%20" || r.Host != "s.example" || string(r.Body) != "body" || r.ID != "r1" || len(r.Header) != 0 {
+		t.Errorf("sent %+v", r)
+	}
+	if s.to[0] != "scores" || time.Until(r.Deadline) > 3*time.Second {
+		t.Errorf("sent to %s with %v left", s.to[0], time.Until(r.Deadline))
+	}
+}
+
+// The route is the one in force when the call is sent.
+func TestRouteThatIsGoneOrMoved(t *testing.T) {
+	s := &sender{answer: &forward.Answer{Status: 200, Signature: "s"}}
+	c := rig(s)
+	if _, err := c.Score(t.Context(), ask("/t/1")); !errors.Is(err, batch.ErrNotRun) || len(s.sent) != 0 {
+		t.Fatalf("no route: got %v, %d sends", err, len(s.sent))
+	}
+	moved := *c.View.Snapshot().Config
+	moved.Version = 2
+	moved.Routes = []fleet.Route{moved.Routes[0]}
+	moved.Routes[0].Backends = []fleet.Backend{{Service: "others", Weight: 1}}
+	moved.Index()
+	c.View.SetConfig(&moved)
+	if _, err := c.Score(t.Context(), ask("/s/1")); err != nil || s.to[0] != "others" {
+		t.Fatalf("moved: got %v, sent to %v", err, s.to)
+	}
+}
--- a/service/node/agent.go
+++ b/service/node/agent.go
@@ -10,9 +10,11 @@
 	"time"
 
 	"mulberryscale.example/batch"
+	"mulberryscale.example/forward"
 	"mulberryscale.example/keys"
 	"mulberryscale.example/platform/enginehttp"
 	"mulberryscale.example/platform/nodefile"
+	"mulberryscale.example/reward"
 	"mulberryscale.example/transport"
 	"mulberryscale.example/transport/quictransport"
 )
@@ -34,9 +36,12 @@
 		return nil, err
 	}
 	a := &Agent{base: b, peers: &peers{}}
+	engines := enginehttp.New()
+	forwarder := forward.New(b.view, engines, settings.Zone, b.log, b.counters)
 	a.worker = batch.NewWorker(batch.WorkerConfig{
 		Node: settings.Node, Incarnation: b.incarnation, Engine: settings.Engine, Service: settings.Service,
-		PeerPort: settings.PeerPort, View: b.view, Ledger: b.ledger, Demand: batch.NewDemand(), Engines: enginehttp.New(), Peers: a.peers,
+		PeerPort: settings.PeerPort, View: b.view, Ledger: b.ledger, Demand: batch.NewDemand(), Engines: engines, Peers: a.peers,
+		Rewards:     &reward.Caller{View: b.view, Forward: forwarder},
 		StoreWrites: settings.StoreWrites,
 		Now:         b.store.Now, Log: b.log, Counters: b.counters,
 	})
