Incarnations are told by id and birth; entries of other writers name no instance

Loads, suspicions, orders and runs were kept by the id alone; a row with fields missing or of another type was taken as an instance, one of an unknown service could take the address of a good instance from it, and one that replaced a good row of its id left the old one in force.

Change: fleet.Incarnation (id, birth) is the key of loads and suspicions; an agent starts its belief in its engine anew at a newer birth, from the list or the report, and runs on the former one go on at once after their last event (before: after 1.5 s of silence). Older births change nothing.

--- a/batch/engine.go
+++ b/batch/engine.go
@@ -48,6 +48,8 @@
 
 // Report is the state of an engine.
 type Report struct {
+	// Born is the Unix millisecond of its start; 0 if it does not say.
+	Born     int64
 	Busy     bool // an order is being carried out
 	Sequence uint64
 	Versions map[string]uint64 // by model
--- a/batch/enginestate.go
+++ b/batch/enginestate.go
@@ -32,6 +32,8 @@
 // engineState is what is believed of the engine beside this process. It is
 // guarded by the worker's mu.
 type engineState struct {
+	// born is the Unix millisecond of its start, 0 while unknown.
+	born   int64
 	up     bool
 	losses int
 	// versions are the weights by model; sequence is the number of orders accepted.
@@ -52,6 +54,14 @@
 	return engineState{up: true, versions: map[string]uint64{}, stepped: map[string]uint64{}}
 }
 
+// bear starts the belief anew for an engine that started again: it knows nothing
+// of before, and an order in flight belonged to its former incarnation.
+func (e *engineState) bear(born int64) {
+	stepped := e.stepped // of jobs, not of the engine
+	*e = newEngineState()
+	e.born, e.stepped = born, stepped
+}
+
 // serves reports whether the engine's weights are recent enough for a job and
 // not about to change.
 func (e *engineState) serves(job *Job) bool {
@@ -93,6 +103,9 @@
 // watchEngine keeps the engine's state abreast and gives it orders.
 func (w *Worker) watchEngine(ctx context.Context) {
 	for {
+		if i, ok := w.View.Snapshot().AtAddr(w.Engine); ok {
+			w.seeBirth(i.Born)
+		}
 		w.report(ctx)
 		w.orderVersions(ctx)
 		interval := quietInterval
@@ -105,6 +118,33 @@
 	}
 }
 
+// seeBirth takes what the list or a report says of the engine's birth; false
+// says that it is a former one's. What ran on the former incarnation is lost
+// there and goes on after its last event.
+func (w *Worker) seeBirth(born int64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	was := w.engine.born
+	if born == 0 || born == was {
+		return true
+	}
+	if born < was {
+		return false
+	}
+	if was == 0 {
+		w.engine.born = born
+		return true
+	}
+	w.engine.bear(born)
+	for t := range w.running {
+		if t.engineBorn < born {
+			t.stop(errReborn)
+		}
+	}
+	w.Log.WithFields(logrus.Fields{"engine": w.Engine, "born": born, "former": was, "running": len(w.running)}).Warn("engine started again")
+	return true
+}
+
 func (w *Worker) active() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -122,6 +162,9 @@
 // report asks the engine for its state.
 func (w *Worker) report(ctx context.Context) {
 	r, err := w.Engines.Report(ctx, w.Engine)
+	if err == nil && !w.seeBirth(r.Born) {
+		return // a former incarnation's
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	e := &w.engine
--- a/batch/rig_test.go
+++ b/batch/rig_test.go
@@ -37,6 +37,7 @@
 }
 
 type fakeEngine struct {
+	born     int64
 	version  uint64
 	sequence uint64
 	slow     float64 // factor
@@ -70,7 +71,7 @@
 		length = n
 	}
 	e.open++
-	s := &fakeStream{ctx: ctx, f: f, e: e, item: r.Item.ID, next: r.After + 1, length: length, cut: -1}
+	s := &fakeStream{ctx: ctx, f: f, e: e, item: r.Item.ID, next: r.After + 1, length: length, cut: -1, born: e.born}
 	if n, ok := e.cutAfter[r.Item.ID]; ok {
 		s.cut = n
 		delete(e.cutAfter, r.Item.ID)
@@ -85,6 +86,7 @@
 	item         string
 	next, length int
 	cut          int
+	born         int64 // of the engine when the run began
 }
 
 func (s *fakeStream) Close() {
@@ -136,6 +138,12 @@
 	if s.cut == 0 || s.e.down {
 		return Event{}, ErrBroken
 	}
+	if s.born != s.e.born { // lost with the former incarnation, behind a cut: silent
+		s.f.mu.Unlock()
+		<-s.ctx.Done()
+		s.f.mu.Lock()
+		return Event{}, ErrBroken
+	}
 	s.cut--
 	e := Event{ID: s.next, Data: fmt.Sprintf("%s event %d", s.item, s.next), Version: s.e.version}
 	s.next++
@@ -149,7 +157,7 @@
 	if e.down || e.silent {
 		return Report{}, errors.New("no report")
 	}
-	return Report{Sequence: e.sequence, Versions: map[string]uint64{"m": e.version}}, nil
+	return Report{Born: e.born, Sequence: e.sequence, Versions: map[string]uint64{"m": e.version}}, nil
 }
 
 func (f *fakeEngines) Order(_ context.Context, o Order) error {
--- a/batch/task.go
+++ b/batch/task.go
@@ -21,6 +21,7 @@
 	errJobEnded = errors.New("batch: the job has ended")
 	errGiven    = errors.New("batch: given to another agent")
 	errStalled  = errors.New("batch: no event for too long")
+	errReborn   = errors.New("batch: the engine started again")
 	errExpired  = errors.New("batch: the item's time is up")
 )
 
@@ -70,6 +71,8 @@
 	cancel context.CancelCauseFunc
 	// stopped is closed when the run or the scoring has ended.
 	stopped chan struct{}
+	// engineBorn is the birth of the engine that it was last sent to.
+	engineBorn int64
 	// finished says that the outbox has the result.
 	finished bool
 }
@@ -187,6 +190,7 @@
 		t.restart()
 	}
 	w.running[t] = struct{}{}
+	t.engineBorn = w.engine.born
 	run := Run{
 		Addr: instance.Addr, Instance: instance.ID, Host: t.j.job.Host, Item: t.item, After: len(t.text),
 		Deadline: w.timeLeft(t.j.job),
@@ -303,6 +307,7 @@
 	case errors.Is(err, errVersion):
 		t.restart()
 		t.notBefore = t.notBefore.Add(busyPause)
+	case errors.Is(err, errReborn):
 	default: // broken or stalled
 		t.breaks++
 		if errors.Is(err, errStalled) {
@@ -342,6 +347,7 @@
 	reasonFailed  = "failed"
 	reasonVersion = "version"
 	reasonStalled = "stalled"
+	reasonReborn  = "engine_started_again"
 	reasonBroken  = "broken"
 )
 
@@ -355,6 +361,8 @@
 		return reasonVersion
 	case errors.Is(err, errStalled):
 		return reasonStalled
+	case errors.Is(err, errReborn):
+		return reasonReborn
 	}
 	return reasonBroken
 }
--- a/cmd/mulberryctl/engines.go
+++ b/cmd/mulberryctl/engines.go
@@ -26,6 +26,8 @@
 	Versions map[string]uint64 `json:"versions"`
 	// Behind names the models whose named version the engine does not have.
 	Behind []string `json:"behind"`
+	// Unusable says why the row names no instance to use.
+	Unusable string `json:"unusable,omitempty"`
 }
 
 func showEngines(ctx context.Context, cmd *cli.Command) error {
@@ -40,7 +42,10 @@
 	out := daemon.Table{Header: []string{"ID", "SERVICE", "ADDRESS", "ZONE", "SLOTS", "STATE", "VERSIONS", "BEHIND"}}
 	for _, e := range engines {
 		state := "ready"
-		if e.Draining {
+		switch {
+		case e.Unusable != "":
+			state = "unusable: " + e.Unusable
+		case e.Draining:
 			state = "draining"
 		}
 		out.Rows = append(out.Rows, []string{
@@ -71,8 +76,9 @@
 	engines := []engineLine{}
 	for _, row := range s.Rows {
 		i, err := operator.DecodeInstance(row.Name, row.Value)
-		if err != nil {
-			return nil, err
+		if err != nil { // another writer's; the others hold
+			engines = append(engines, engineLine{ID: row.Name, Behind: []string{}, Unusable: err.Error()})
+			continue
 		}
 		line := engineLine{
 			ID: i.ID, Service: i.Service, Address: i.Addr, Zone: i.Zone, Slots: i.Slots, Draining: i.Draining,
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -144,6 +144,9 @@
 // Hosts reports whether any route has the host.
 func (c *Config) Hosts(host string) bool { return len(c.byHost[strings.ToLower(host)]) > 0 }
 
+// Names reports whether a service is one of the configuration's.
+func (c *Config) Names(service string) bool { return c.Service(service) != nil }
+
 // Service returns a service by name, or nil.
 func (c *Config) Service(name string) *Service {
 	for i := range c.Services {
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -16,6 +16,8 @@
 	Addr    string // ip:port
 	Zone    string
 	Slots   int
+	// Born is the Unix millisecond of its start; 0 if it does not say.
+	Born int64
 	// Draining instances get no new work.
 	Draining bool
 	// Versions are the weight versions of its models.
@@ -88,6 +90,7 @@
 			return
 		}
 		s.Config, done = c, true
+		s.index()
 	})
 	return done
 }
@@ -140,9 +143,15 @@
 	return i.Entry > other.Entry
 }
 
+// index sorts the instances by address and service. Those of a service that the
+// configuration does not name were registered by somebody else: they take no
+// address from an instance that can be used.
 func (s *Snapshot) index() {
 	s.byAddr = make(map[string]Instance, len(s.Instances))
 	for _, i := range s.Instances {
+		if s.Config != nil && !s.Config.Names(i.Service) {
+			continue
+		}
 		if found, ok := s.byAddr[i.Addr]; !ok || i.follows(found) {
 			s.byAddr[i.Addr] = i
 		}
--- a/forward/call.go
+++ b/forward/call.go
@@ -16,7 +16,7 @@
 type call struct {
 	*Forwarder
 	request *Request
-	tried   map[string]bool // by instance id
+	tried   map[fleet.Incarnation]bool
 	results chan attempt
 	pending int
 	// sent counts the endpoints that the request may have reached.
@@ -36,8 +36,8 @@
 // run sends the request until an answer is final.
 func (c *call) run(ctx context.Context) (*Answer, error) {
 	// Attempts that lost the race are given up once there is an answer. They are
-	// kept by instance, each of which is sent to once.
-	cancels := map[string]context.CancelFunc{}
+	// kept by incarnation, each of which is sent to once.
+	cancels := map[fleet.Incarnation]context.CancelFunc{}
 	defer func() {
 		for _, cancel := range cancels {
 			cancel()
@@ -48,7 +48,7 @@
 	start := func() bool {
 		to, ok := c.next()
 		if ok {
-			cancels[to.ID] = c.send(ctx, to)
+			cancels[to.Incarnation()] = c.send(ctx, to)
 		}
 		return ok
 	}
@@ -70,7 +70,7 @@
 			reason := c.judge(a)
 			if reason == "" {
 				if a.answer.Stream != nil {
-					delete(cancels, a.to.ID) // its context ends with the stream
+					delete(cancels, a.to.Incarnation()) // its context ends with the stream
 				}
 				return a.answer, nil
 			}
@@ -109,17 +109,17 @@
 // send sends the request to one endpoint.
 func (c *call) send(ctx context.Context, to fleet.Instance) context.CancelFunc {
 	ctx, cancel := context.WithCancel(ctx)
-	c.tried[to.ID], c.last = true, to
+	c.tried[to.Incarnation()], c.last = true, to
 	c.sent++
 	c.pending++
-	c.loads.begin(to.ID)
+	c.loads.begin(to.Incarnation())
 	left := c.request.Route.Timeout
 	if !c.request.Deadline.IsZero() {
 		left = time.Until(c.request.Deadline)
 	}
 	go func() {
 		answer, err := c.Sender.Send(ctx, to, c.request, left)
-		c.loads.end(to.ID, err == nil || ctx.Err() != nil)
+		c.loads.end(to.Incarnation(), err == nil || ctx.Err() != nil)
 		c.results <- attempt{to: to, answer: answer, err: err}
 	}()
 	return cancel
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -141,7 +141,7 @@
 		limit = min(limit, time.Until(r.Deadline)-answerSlack)
 	}
 	bounded, cancel := context.WithTimeoutCause(ctx, limit, errTimeout)
-	c := &call{Forwarder: f, request: r, tried: map[string]bool{}, results: make(chan attempt, maxParallel)}
+	c := &call{Forwarder: f, request: r, tried: map[fleet.Incarnation]bool{}, results: make(chan attempt, maxParallel)}
 	answer, err := c.run(bounded)
 	if answer != nil && answer.Stream != nil {
 		answer.Stream = &streamEnd{Events: answer.Stream, end: cancel}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -67,7 +67,7 @@
 // rig is a forwarder before two instances, "a" in the own zone and "b" in another.
 func rig(a, b func(context.Context) (*Answer, error)) (*Forwarder, *fakeSender) {
 	view := fleet.NewView()
-	view.SetConfig(&fleet.Config{Version: 1})
+	view.SetConfig(&fleet.Config{Version: 1, Services: []fleet.Service{{Name: "s"}}})
 	view.UpdateInstances([]fleet.Instance{
 		{ID: "a", Service: "s", Zone: "here", Addr: "10.0.0.1:1", Slots: 4},
 		{ID: "b", Service: "s", Zone: "there", Addr: "10.0.0.2:1", Slots: 4},
@@ -197,3 +197,23 @@
 		t.Fatalf("got %#v", err)
 	}
 }
+
+// What is held against an instance is not held against its next incarnation.
+func TestInstanceThatStartedAgainIsNoSuspect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, sender := rig(fails(ErrBroken), answers(200, 0))
+		for range 2 {
+			if _, err := f.Do(t.Context(), request(fleet.KindSafe)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		sender.answers["a"] = answers(200, 0)
+		f.View.UpdateInstances([]fleet.Instance{{ID: "a", Service: "s", Zone: "here", Addr: "10.0.0.1:1", Slots: 4, Born: 1}}, nil)
+		if _, err := f.Do(t.Context(), request(fleet.KindSafe)); err != nil {
+			t.Fatal(err)
+		}
+		if want := []string{"a", "b", "b", "a"}; !slices.Equal(sender.sent, want) {
+			t.Fatalf("sent to %v", sender.sent)
+		}
+	})
+}
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -27,33 +27,34 @@
 	suspect     time.Time
 }
 
-// loads holds the loads of all instances by id. It is safe for concurrent use.
+// loads holds the loads of all instances by their incarnations. It is safe for
+// concurrent use.
 type loads struct {
-	mu   sync.Mutex
-	byID map[string]*load
+	mu            sync.Mutex
+	byIncarnation map[fleet.Incarnation]*load
 }
 
-func newLoads() *loads { return &loads{byID: map[string]*load{}} }
+func newLoads() *loads { return &loads{byIncarnation: map[fleet.Incarnation]*load{}} }
 
-func (l *loads) of(id string) *load {
-	found, ok := l.byID[id]
+func (l *loads) of(i fleet.Incarnation) *load {
+	found, ok := l.byIncarnation[i]
 	if !ok {
 		found = &load{}
-		l.byID[id] = found
+		l.byIncarnation[i] = found
 	}
 	return found
 }
 
-func (l *loads) begin(id string) {
+func (l *loads) begin(i fleet.Incarnation) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.of(id).outstanding++
+	l.of(i).outstanding++
 }
 
-func (l *loads) end(id string, answered bool) {
+func (l *loads) end(i fleet.Incarnation, answered bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	entry := l.of(id)
+	entry := l.of(i)
 	entry.outstanding--
 	if answered {
 		entry.suspect = time.Time{}
@@ -66,9 +67,9 @@
 func (l *loads) prune(s *fleet.Snapshot) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for id, entry := range l.byID {
-		if _, ok := s.Instances[id]; !ok && entry.outstanding == 0 {
-			delete(l.byID, id)
+	for i, entry := range l.byIncarnation {
+		if s.Instances[i.ID].Incarnation() != i && entry.outstanding == 0 {
+			delete(l.byIncarnation, i)
 		}
 	}
 }
@@ -76,14 +77,14 @@
 // pick chooses the instance for a request: of those that were not tried and
 // are not suspect, the least loaded, with a preference for the own zone.
 // Suspects are used when nothing else is left.
-func (l *loads) pick(candidates []fleet.Instance, tried map[string]bool, zone, request string, now time.Time) (fleet.Instance, bool) {
+func (l *loads) pick(candidates []fleet.Instance, tried map[fleet.Incarnation]bool, zone, request string, now time.Time) (fleet.Instance, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var fresh, suspects []fleet.Instance
 	for _, c := range candidates {
-		entry := l.of(c.ID)
+		entry := l.of(c.Incarnation())
 		switch {
-		case tried[c.ID]:
+		case tried[c.Incarnation()]:
 		case now.Sub(entry.suspect) < suspectTime:
 			suspects = append(suspects, c)
 		default:
@@ -97,7 +98,7 @@
 		return fleet.Instance{}, false
 	}
 	score := func(c fleet.Instance) float64 {
-		s := float64(l.of(c.ID).outstanding) / float64(max(1, c.Slots))
+		s := float64(l.of(c.Incarnation()).outstanding) / float64(max(1, c.Slots))
 		if c.Zone != zone {
 			s += zonePenalty
 		}
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -97,7 +97,7 @@
 // follow keeps the view abreast until ctx ends.
 func (b *base) follow(ctx context.Context, wg *sync.WaitGroup) {
 	config := &configWatcher{view: b.view, log: b.log}
-	instances := &instanceWatcher{view: b.view, log: b.log, kept: map[string]time.Time{}}
+	instances := newInstanceWatcher(b.view, b.log)
 	wg.Go(func() { b.serveMetrics(ctx, b.metricsPort) })
 	wg.Go(func() { b.tellTraffic(ctx) })
 	wg.Go(func() { store.Follow(ctx, b.store, operator.TableOperator, "", config) })
--- a/service/node/watch.go
+++ b/service/node/watch.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -73,6 +74,16 @@
 	// graceUntil is until when missing instances are kept; kept are those.
 	graceUntil time.Time
 	kept       map[string]time.Time
+	// births tell incarnations apart; unusable says why a row names no
+	// instance, by id, so that each change is logged once.
+	births   *fleet.Births
+	unusable map[string]string
+}
+
+func newInstanceWatcher(view *fleet.View, log logrus.FieldLogger) *instanceWatcher {
+	return &instanceWatcher{
+		view: view, log: log, kept: map[string]time.Time{}, births: fleet.NewBirths(), unusable: map[string]string{},
+	}
 }
 
 func (w *instanceWatcher) Lost(err error) { store.LogLoss(w.log, operator.TableInstances, err) }
@@ -93,54 +104,85 @@
 
 func (w *instanceWatcher) Replace(s store.Snapshot) {
 	w.heard()
-	listed := map[string]fleet.Instance{}
+	c := w.decode(s.Rows)
+	listed := map[string]bool{}
 	for _, row := range s.Rows {
-		if i, ok := w.decode(row); ok {
-			listed[i.ID] = i
-		}
+		listed[row.Name] = true
 	}
-	var gone []string
 	for id := range w.view.Snapshot().Instances {
-		if _, ok := listed[id]; !ok {
-			gone = append(gone, id)
+		if !listed[id] {
+			c.gone = append(c.gone, id)
 		}
 	}
-	var list []fleet.Instance
-	for _, i := range listed {
-		list = append(list, i)
-	}
-	w.update(list, gone)
+	maps.DeleteFunc(w.unusable, func(id string, _ string) bool { return !listed[id] })
+	w.update(c)
 }
 
 func (w *instanceWatcher) Apply(s store.Snapshot) {
 	w.heard()
-	var changed []fleet.Instance
-	var gone []string
-	for _, row := range s.Rows {
+	w.update(w.decode(s.Rows))
+}
+
+// listChange is what rows of the list say.
+type listChange struct {
+	changed []fleet.Instance
+	// gone have no row any more, replaced have one that names no instance.
+	gone, replaced []string
+}
+
+// decode sorts rows by what they say; former incarnations say nothing.
+func (w *instanceWatcher) decode(rows []store.Row) listChange {
+	var c listChange
+	for _, row := range rows {
 		if row.Deleted {
-			gone = append(gone, row.Name)
+			delete(w.unusable, row.Name)
+			c.gone = append(c.gone, row.Name)
 			continue
 		}
-		if i, ok := w.decode(row); ok {
-			changed = append(changed, i)
+		i, err := operator.DecodeInstance(row.Name, row.Value)
+		if err != nil {
+			w.noteUnusable(row.Name, err.Error())
+			c.replaced = append(c.replaced, row.Name)
+			continue
 		}
+		i.Entry = row.Version
+		switch w.births.Order(i.Incarnation(), time.Now()) {
+		case fleet.BirthOlder:
+			w.log.WithFields(logrus.Fields{"instance": i.ID, "born": i.Born}).Debug("entry of a former incarnation")
+			continue
+		case fleet.BirthUntold:
+			w.noteUnusable(i.ID, "it does not say its birth, as the instance has done before")
+			c.replaced = append(c.replaced, i.ID)
+			continue
+		case fleet.BirthNewer:
+			w.log.WithFields(logrus.Fields{"instance": i.ID, "born": i.Born}).Info("instance started again")
+		}
+		w.noteUsable(i.ID)
+		c.changed = append(c.changed, i)
 	}
-	w.update(changed, gone)
+	return c
 }
 
-func (w *instanceWatcher) decode(row store.Row) (fleet.Instance, bool) {
-	i, err := operator.DecodeInstance(row.Name, row.Value)
-	if err != nil {
-		w.log.WithError(err).WithField("instance", row.Name).Error("instance not readable")
-		return fleet.Instance{}, false
+// noteUnusable logs that a row names no instance to use, once for each reason.
+func (w *instanceWatcher) noteUnusable(id, reason string) {
+	if w.unusable[id] == reason {
+		return
+	}
+	w.unusable[id] = reason
+	w.log.WithFields(logrus.Fields{"instance": id, "reason": reason}).Warn("entry names no instance to use")
+}
+
+func (w *instanceWatcher) noteUsable(id string) {
+	if _, was := w.unusable[id]; was {
+		delete(w.unusable, id)
+		w.log.WithField("instance", id).Info("entry names its instance again")
 	}
-	i.Entry = row.Version
-	return i, true
 }
 
 // update puts changes in force, with those that are gone kept for their grace.
-func (w *instanceWatcher) update(changed []fleet.Instance, gone []string) {
+func (w *instanceWatcher) update(c listChange) {
 	now := time.Now()
+	changed, gone := c.changed, c.gone
 	for _, i := range changed {
 		delete(w.kept, i.ID)
 	}
@@ -150,6 +192,12 @@
 		}
 	}
 	var expired []string
+	for _, id := range c.replaced {
+		delete(w.kept, id)
+		if _, known := w.view.Snapshot().Instances[id]; known {
+			expired = append(expired, id)
+		}
+	}
 	for id, until := range w.kept {
 		if !now.Before(until) {
 			expired = append(expired, id)
@@ -163,6 +211,7 @@
 	for _, i := range changed {
 		w.log.WithFields(logrus.Fields{
 			"instance": i.ID, "service": i.Service, "addr": i.Addr, "draining": i.Draining, "versions": i.Versions,
+			"born": i.Born,
 		}).Info("instance known")
 	}
 	for _, id := range expired {
--- a/service/node/watch_test.go
+++ b/service/node/watch_test.go
@@ -5,12 +5,14 @@
 	"errors"
 	"fmt"
 	"os"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"mulberryscale.example/fleet"
 	"mulberryscale.example/internal/standin/rowstore"
@@ -22,10 +24,11 @@
 )
 
 func instanceRow(id string) store.Row {
-	return store.Row{
-		Key:   store.Key{Table: operator.TableInstances, Name: id},
-		Value: []byte(`{"Service":"s","Address":"10.0.0.1:80","State":"ready"}`),
-	}
+	return rowOf(id, `{"Service":"s","Address":"10.0.0.1:80","Zone":"z","Version":"v1","Slots":4,"State":"ready","ColdLeftMs":0,"Sequence":1}`)
+}
+
+func rowOf(id, value string) store.Row {
+	return store.Row{Key: operator.InstanceKey(id), Value: []byte(value)}
 }
 
 // listRig follows the instance list of a stand-in store.
@@ -39,7 +42,7 @@
 func newListRig(t *testing.T) *listRig {
 	s := rowstore.New()
 	r := &listRig{t: t, store: s, way: s.Client(), view: fleet.NewView()}
-	w := &instanceWatcher{view: r.view, log: observe.Discard(), kept: map[string]time.Time{}}
+	w := newInstanceWatcher(r.view, observe.Discard())
 	go store.Follow(t.Context(), r.way, operator.TableInstances, "", w)
 	r.put("a")
 	r.put("b")
@@ -168,3 +171,92 @@
 		}
 	})
 }
+
+// bornRow is a good entry of an instance's birth.
+func bornRow(id string, born int64) store.Row {
+	return rowOf(id, strings.Replace(string(instanceRow(id).Value), "}", fmt.Sprintf(`,"born":%d}`, born), 1))
+}
+
+func (r *listRig) write(row store.Row) {
+	r.t.Helper()
+	if _, err := r.store.Commit(r.t.Context(), store.Tx{Put: []store.Row{row}}); err != nil {
+		r.t.Fatal(err)
+	}
+	time.Sleep(100 * time.Millisecond)
+}
+
+// A row of another writer takes the place of a good one until the instance's
+// next heartbeat; all other rows hold.
+func TestForeignEntryReplacesAGoodOneForAWhile(t *testing.T) {
+	for name, value := range map[string]string{
+		"not readable": "\xff", "no fields": `{}`, "unknown state": strings.Replace(string(instanceRow("a").Value), "ready", "odd", 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newListRig(t)
+				r.write(rowOf("a", value))
+				if r.known("a") || !r.known("b") {
+					t.Fatalf("known: a %v, b %v", r.known("a"), r.known("b"))
+				}
+				r.write(instanceRow("a"))
+				if !r.known("a") {
+					t.Fatal("the good entry did not come back")
+				}
+			})
+		})
+	}
+}
+
+// An entry of a service that is not named takes no address from the instance
+// that stands there.
+func TestEntryOfAnUnknownServiceTakesNoAddress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newListRig(t)
+		r.view.SetConfig(&fleet.Config{Version: 1, Services: []fleet.Service{{Name: "s"}}})
+		r.remove("b")
+		r.write(rowOf("foreign", strings.Replace(string(instanceRow("foreign").Value), `"s"`, `"unheard"`, 1)))
+		if i, ok := r.view.Snapshot().AtAddr("10.0.0.1:80"); !ok || i.ID != "a" {
+			t.Fatalf("at the address: %+v, %v", i, ok)
+		}
+	})
+}
+
+func TestEachChangeOfAForeignEntryIsLoggedOnce(t *testing.T) {
+	log, hook := logtest.NewNullLogger()
+	w := newInstanceWatcher(fleet.NewView(), log)
+	bad, worse := rowOf("x", `{}`), rowOf("x", "\xff")
+	for range 3 {
+		w.Apply(store.Snapshot{Rows: []store.Row{bad}})
+		w.Replace(store.Snapshot{Rows: []store.Row{bad}})
+	}
+	w.Apply(store.Snapshot{Rows: []store.Row{worse}})
+	if n := len(hook.AllEntries()); n != 2 {
+		t.Fatalf("%d log lines, want one for each of two changes", n)
+	}
+}
+
+// The newest birth of an id holds, also when an older one is seen later.
+func TestBirthsOfAnInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newListRig(t)
+		born := func() int64 { return r.view.Snapshot().Instances["a"].Born }
+		r.write(bornRow("a", 1000))
+		r.write(bornRow("a", 2000))
+		r.write(bornRow("a", 1000))
+		if born() != 2000 {
+			t.Fatalf("an older birth holds: %d", born())
+		}
+		r.write(instanceRow("a"))
+		if r.known("a") {
+			t.Fatal("an entry without a birth is not the instance's own word")
+		}
+		r.write(bornRow("a", 1000))
+		if r.known("a") {
+			t.Fatal("an older birth came back after another writer's row")
+		}
+		r.write(bornRow("a", 2000))
+		if born() != 2000 {
+			t.Fatalf("born %d", born())
+		}
+	})
+}
