Reward calls wait for their turn in a window that follows the told load

Change: package background bounds an agent's open calls. It begins with its fair share of 0.7 of the places, doubles while endpoints tell of much room, grows by one a round up to the target and shrinks to 0.6 when one tells of a queue or no spare place. Calls wait in their agent, those of the oldest job first. A second endpoint is asked after 0.6 of the route's objective. The picker is a package of its own, so that internal/loadmodel can drive it; the model plays bursts, few senders, saturation and a slow endpoint in virtual time (mulberryscale model).

--- /dev/null
+++ b/background/window_test.go
@@ -0,0 +1,159 @@
+package background
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"mulberryscale.example/fleet"
+)
+
+var (
+	start = time.Date(2000, time.January, 1, 0, 0, 0, 0, time.UTC)
+	share = Share{Places: 24, Senders: 9}
+)
+
+func TestWindowBeginsWithItsFairShare(t *testing.T) {
+	for name, c := range map[string]struct {
+		share Share
+		want  int
+	}{
+		"nine senders":           {Share{Places: 24, Senders: 9}, 2}, // 0.7 x 24 / 9
+		"alone":                  {Share{Places: 24, Senders: 1}, 17},
+		"more senders than room": {Share{Places: 24, Senders: 100}, 1},
+		"nothing known":          {Share{}, 1},
+	} {
+		var w Window
+		if got := w.Size(c.share, 0, start); got != c.want {
+			t.Errorf("%s: %d, want %d", name, got, c.want)
+		}
+	}
+}
+
+func TestWindowFollowsWhatEndpointsTell(t *testing.T) {
+	tell := func(w *Window, n int, l fleet.Load) int {
+		now := start
+		for range n {
+			now = now.Add(backOffPause)
+			w.Heard(l, now)
+		}
+		return w.Size(share, 1, now)
+	}
+	var w Window
+	w.Size(share, 0, start)
+	if got := tell(&w, 10, fleet.Load{Running: 1, Places: 6}); got != 12 {
+		t.Errorf("after ten answers of idle endpoints: %d", got)
+	}
+	if got := tell(&w, 100, fleet.Load{Running: 1, Places: 6}); got != 17 {
+		t.Errorf("alone, it may fill its share of all places: %d", got)
+	}
+	if got := tell(&w, 1, fleet.Load{Running: 6, Waiting: 2, Places: 6}); got != 10 {
+		t.Errorf("after an answer that tells of a queue: %d", got)
+	}
+	if got := tell(&w, 20, fleet.Load{Running: 5, Places: 6}); got != 1 {
+		t.Errorf("endpoints without a spare place: %d", got)
+	}
+}
+
+// Answers that were under way together tell of one queue.
+func TestOneQueueShrinksTheWindowOnce(t *testing.T) {
+	var w Window
+	w.Size(Share{Places: 100, Senders: 7}, 0, start)
+	for range 10 {
+		w.Heard(fleet.Load{Running: 6, Waiting: 9, Places: 6}, start)
+	}
+	if got := w.Size(Share{Places: 100, Senders: 7}, 1, start); got != 6 {
+		t.Fatalf("%d, want 0.6 of 10", got)
+	}
+}
+
+func TestIdleWindowForgets(t *testing.T) {
+	var w Window
+	w.Size(share, 0, start)
+	for range 50 {
+		w.Heard(fleet.Load{Places: 6}, start)
+	}
+	w.Ended(0, start)
+	if got := w.Size(share, 0, start.Add(idleTime/2)); got != 17 {
+		t.Errorf("after a short pause: %d", got)
+	}
+	if got := w.Size(share, 0, start.Add(2*idleTime)); got != 2 {
+		t.Errorf("after a long one: %d", got)
+	}
+}
+
+func TestWindowStaysWithinItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := Share{Places: rapid.IntRange(0, 200).Draw(t, "places"), Senders: rapid.IntRange(0, 50).Draw(t, "senders")}
+		var w Window
+		now, open := start, 0
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms")) * time.Millisecond)
+			w.Heard(fleet.Load{
+				Running: rapid.IntRange(0, 8).Draw(t, "running"), Waiting: rapid.IntRange(0, 3).Draw(t, "waiting"),
+				Places: rapid.IntRange(1, 8).Draw(t, "places of one"),
+			}, now)
+			open = rapid.IntRange(0, 3).Draw(t, "open")
+			w.Ended(open, now)
+			if n := w.Size(s, open, now); n < 1 || n > max(1, s.Places) {
+				t.Fatalf("%d calls at %d places", n, s.Places)
+			}
+		}
+	})
+}
+
+func noted(*Window, time.Time) {}
+
+func TestGateLetsTheMostUrgentThroughFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := &Gate{}
+		one := Share{Places: 1, Senders: 1}
+		enter := func(rank time.Duration) error { return g.Enter(t.Context(), rank, one) }
+		if err := enter(0); err != nil {
+			t.Fatal(err)
+		}
+		var mu sync.Mutex
+		var order []int
+		for i, rank := range []time.Duration{5, 3, 5, 1} {
+			go func() {
+				if enter(rank) != nil {
+					return
+				}
+				mu.Lock()
+				order = append(order, i)
+				mu.Unlock()
+				time.Sleep(time.Second)
+				g.Leave(one, noted)
+			}()
+			synctest.Wait()
+		}
+		g.Leave(one, noted)
+		time.Sleep(10 * time.Second)
+		if want := [4]int{3, 1, 0, 2}; len(order) != 4 || [4]int(order) != want {
+			t.Fatalf("let through in the order %v, want %v", order, want)
+		}
+	})
+}
+
+func TestCallThatIsGivenUpLeavesItsTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := &Gate{}
+		one := Share{Places: 1, Senders: 1}
+		if err := g.Enter(t.Context(), 0, one); err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if err := g.Enter(ctx, 0, one); err == nil {
+			t.Fatal("two calls at one place")
+		}
+		g.Leave(one, noted)
+		if err := g.Enter(t.Context(), 0, one); err != nil || g.open != 1 {
+			t.Fatalf("%d open, %v", g.open, err)
+		}
+	})
+}
--- a/batch/reward.go
+++ b/batch/reward.go
@@ -13,6 +13,8 @@
 // RewardAsk is one send of a reward call.
 type RewardAsk struct {
 	Call *RewardCall
+	// Rank orders calls that wait for each other, the lowest first.
+	Rank time.Duration
 	// Left is how long the item may still take.
 	Left time.Duration
 }
@@ -21,6 +23,9 @@
 type RewardAnswer struct {
 	// Score is the signature of the answer.
 	Score string
+	// Failures are the endpoints' own failures of just this call that were met,
+	// also if the call got a score after them.
+	Failures int
 	// MaxAttempts is how many failures the route allows the call; it is set for
 	// ErrFailed too.
 	MaxAttempts int
@@ -28,9 +33,9 @@
 
 // Rewarder sends reward calls.
 type Rewarder interface {
-	// Score lets a call run at most once, at an endpoint of its route. Its error
-	// is, or wraps, ErrNotRun, ErrFailed or ErrBroken; ErrFailed is an endpoint's
-	// own failure of just this call.
+	// Score sends a call to endpoints of its route until one has answered. Its
+	// error is, or wraps, ErrNotRun, ErrFailed or ErrBroken; ErrFailed says that
+	// Failures is above 0.
 	Score(ctx context.Context, ask RewardAsk) (RewardAnswer, error)
 }
 
@@ -69,7 +74,7 @@
 func (w *Worker) score(ctx context.Context, t *task) (string, error) {
 	for silent := 0; ; {
 		began := time.Now()
-		answer, err := w.Rewards.Score(ctx, RewardAsk{Call: t.item.Reward, Left: w.timeLeft(t.j.job)})
+		answer, err := w.Rewards.Score(ctx, RewardAsk{Call: t.item.Reward, Rank: t.j.job.Accepted, Left: w.timeLeft(t.j.job)})
 		if err == nil {
 			return answer.Score, nil
 		}
@@ -79,7 +84,7 @@
 		silent++
 		if errors.Is(err, ErrFailed) {
 			silent = 0
-			if w.rewardFailed(t) >= answer.MaxAttempts {
+			if w.rewardFailed(t, answer.Failures) >= answer.MaxAttempts {
 				return "", err
 			}
 		}
@@ -91,11 +96,11 @@
 	}
 }
 
-// rewardFailed counts a failure of a reward call and returns how many there were.
-func (w *Worker) rewardFailed(t *task) int {
+// rewardFailed counts failures of a reward call and returns how many there were.
+func (w *Worker) rewardFailed(t *task, failures int) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	t.rewardFailures++
+	t.rewardFailures += failures
 	return t.rewardFailures
 }
 
--- a/batch/rig_test.go
+++ b/batch/rig_test.go
@@ -237,7 +237,11 @@
 		return RewardAnswer{}, ErrBroken
 	}
 	if err != nil {
-		return RewardAnswer{MaxAttempts: 4}, err
+		answer := RewardAnswer{MaxAttempts: 4}
+		if errors.Is(err, ErrFailed) {
+			answer.Failures = 1
+		}
+		return answer, err
 	}
 	return RewardAnswer{Score: fmt.Sprintf("score-%d of %s", n, ask.Call.ID), MaxAttempts: 4}, nil
 }
--- a/cmd/mulberryscale/main.go
+++ b/cmd/mulberryscale/main.go
@@ -17,6 +17,7 @@
 		Commands: []*cli.Command{
 			demoCommand(),
 			experimentCommand(),
+			modelCommand(),
 			capacityCommand(),
 		},
 	}
--- a/fleet/incarnation.go
+++ b/fleet/incarnation.go
@@ -14,6 +14,14 @@
 // Incarnation is the instance's.
 func (i Instance) Incarnation() Incarnation { return Incarnation{ID: i.ID, Born: i.Born} }
 
+// Load is what an endpoint tells of itself with its answers: requests that run,
+// that wait in its queue, and the places for running ones.
+type Load struct {
+	Running int
+	Waiting int
+	Places  int
+}
+
 // Births are the newest births that are known of endpoints, by id, so that an
 // older one seen later changes nothing. It is not safe for concurrent use.
 type Births struct {
--- a/forward/call.go
+++ b/forward/call.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mulberryscale.example/fleet"
+	"mulberryscale.example/picker"
 )
 
 // maxParallel is how many endpoints may work at one request at once.
@@ -22,6 +23,8 @@
 	// sent counts the endpoints that the request may have reached.
 	sent int
 	last fleet.Instance
+	// failures counts the endpoints' own failures.
+	failures int
 	// mayHaveRun says that an endpoint may have run it.
 	mayHaveRun bool
 }
@@ -103,7 +106,9 @@
 		return fleet.Instance{}, false
 	}
 	snap := c.View.Snapshot()
-	return c.loads.pick(snap.OfService(route.Backend(c.request.ID)), c.tried, c.Zone, c.request.ID, time.Now())
+	return c.picker.Pick(picker.Query{
+		Candidates: snap.OfService(route.Backend(c.request.ID)), Tried: c.tried, Zone: c.Zone, Request: c.request.ID, Now: time.Now(),
+	})
 }
 
 // send sends the request to one endpoint.
@@ -112,14 +117,14 @@
 	c.tried[to.Incarnation()], c.last = true, to
 	c.sent++
 	c.pending++
-	c.loads.begin(to.Incarnation())
+	c.picker.Begin(to.Incarnation())
 	left := c.request.Route.Timeout
 	if !c.request.Deadline.IsZero() {
 		left = time.Until(c.request.Deadline)
 	}
 	go func() {
 		answer, err := c.Sender.Send(ctx, to, c.request, left)
-		c.loads.end(to.Incarnation(), err == nil || ctx.Err() != nil)
+		c.picker.End(to.Incarnation(), err == nil || ctx.Err() != nil, time.Now())
 		c.results <- attempt{to: to, answer: answer, err: err}
 	}()
 	return cancel
@@ -139,6 +144,10 @@
 		return ReasonDeclined
 	}
 	c.mayHaveRun = true
+	if a.answer.Status == http.StatusInternalServerError {
+		c.failures++
+	}
+	a.answer.Failures = c.failures
 	if a.answer.Status >= http.StatusInternalServerError && c.repeatable() {
 		return ReasonFailed
 	}
@@ -164,7 +173,7 @@
 // refusal is the final answer of a request that no endpoint answered.
 func (c *call) refusal(reason string, cause error) *Refusal {
 	return &Refusal{
-		NotRun: !c.mayHaveRun && c.pending == 0, Reason: reason, RetryAfter: retryAfter, Cause: cause,
+		NotRun: !c.mayHaveRun && c.pending == 0, Reason: reason, RetryAfter: retryAfter, Cause: cause, Failures: c.failures,
 	}
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -13,6 +13,7 @@
 
 	"mulberryscale.example/fleet"
 	"mulberryscale.example/observe"
+	"mulberryscale.example/picker"
 )
 
 // Request is a client's request, read whole.
@@ -41,6 +42,11 @@
 	Stream Events
 	// Declined says that the endpoint did not run the request and never will.
 	Declined bool
+	// Failures is how many endpoints answered the request with a failure of
+	// their own, this answer's among them.
+	Failures int
+	// Load is what the endpoint tells of itself; nil if it does not.
+	Load *fleet.Load
 	// Signature is the endpoint's signature of the answer, empty if it has none.
 	Signature string
 }
@@ -75,6 +81,8 @@
 	Reason string
 	// RetryAfter is when the client may come back.
 	RetryAfter time.Duration
+	// Failures is how many endpoints answered with a failure of their own.
+	Failures int
 	// Cause is the last endpoint's error, if any.
 	Cause error
 }
@@ -124,18 +132,18 @@
 	Log      logrus.FieldLogger
 	Counters *observe.Counters
 
-	loads *loads
+	picker *picker.Picker
 }
 
 // New returns a forwarder.
 func New(view *fleet.View, sender Sender, zone string, log logrus.FieldLogger, counters *observe.Counters) *Forwarder {
-	return &Forwarder{View: view, Sender: sender, Zone: zone, Log: log, Counters: counters, loads: newLoads()}
+	return &Forwarder{View: view, Sender: sender, Zone: zone, Log: log, Counters: counters, picker: picker.New()}
 }
 
 // Do forwards a request and returns an endpoint's answer or a *Refusal.
 func (f *Forwarder) Do(ctx context.Context, r *Request) (*Answer, error) {
 	began := time.Now()
-	f.loads.prune(f.View.Snapshot())
+	f.picker.Prune(f.View.Snapshot())
 	limit := r.Route.Timeout - answerSlack
 	if !r.Deadline.IsZero() {
 		limit = min(limit, time.Until(r.Deadline)-answerSlack)
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -178,7 +178,7 @@
 		if want := []string{"a", "b", "b", "b"}; !slices.Equal(sender.sent, want) {
 			t.Fatalf("sent to %v", sender.sent)
 		}
-		time.Sleep(suspectTime)
+		time.Sleep(2 * time.Second) // the time that a suspect is passed over
 		if _, err := f.Do(t.Context(), request(fleet.KindSafe)); err != nil {
 			t.Fatal(err)
 		}
--- /dev/null
+++ b/internal/loadmodel/model_test.go
@@ -0,0 +1,110 @@
+package loadmodel
+
+import (
+	"bytes"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+)
+
+// seeds are enough to tell the policies of these tests apart by far more than
+// the spread between seeds.
+const seeds = 5
+
+func measure(t *testing.T, pattern, policy string) Row {
+	t.Helper()
+	row, err := Measure(pattern, policy, seeds)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return row
+}
+
+func TestSameSeedSameDay(t *testing.T) {
+	p := shortDesk()
+	if !reflect.DeepEqual(Run(p, Policies()["window"], 3), Run(p, Policies()["window"], 3)) {
+		t.Fatal("two runs of one seed differ")
+	}
+}
+
+// Bursts of background calls beside interactive requests: the window makes far
+// fewer of these late than no bound does, and does not hold the calls up.
+func TestBurstsBesideInteractiveRequests(t *testing.T) {
+	for _, pattern := range []string{"short-desk", "many-senders"} {
+		free, bounded := measure(t, pattern, "none"), measure(t, pattern, "window")
+		if bounded.Late.Mean > free.Late.Mean/3 {
+			t.Errorf("%s: %.3f late, %.3f without a bound", pattern, bounded.Late.Mean, free.Late.Mean)
+		}
+		if bounded.BackgroundP99.Mean > 2500 {
+			t.Errorf("%s: a background call took %.0f ms at the 99th percentile", pattern, bounded.BackgroundP99.Mean)
+		}
+	}
+}
+
+// Few of many senders have all the calls: the window grows past the fair share,
+// where a bound of a figure's own would hold the calls up.
+func TestFewSendersUseTheRoomOfAll(t *testing.T) {
+	fixed, bounded := measure(t, "few-senders", "two"), measure(t, "few-senders", "window")
+	if bounded.BackgroundP50.Mean > fixed.BackgroundP50.Mean/2 {
+		t.Errorf("half of the calls within %.0f ms, with a fixed bound %.0f ms", bounded.BackgroundP50.Mean, fixed.BackgroundP50.Mean)
+	}
+	if bounded.Late.Mean > 0.01 {
+		t.Errorf("%.3f of the interactive requests late", bounded.Late.Mean)
+	}
+}
+
+// Three times what the endpoints can do: the work goes on, all senders get
+// alike, and interactive requests are served.
+func TestSaturation(t *testing.T) {
+	p := saturated()
+	r := measure(t, p.Name, "window")
+	places := float64(p.Endpoints * p.Places)
+	if r.Work.Mean < 0.7*places {
+		t.Errorf("%.1f of %.0f places busy", r.Work.Mean, places)
+	}
+	if r.Jain.Mean < 0.95 {
+		t.Errorf("Jain index of senders %.3f", r.Jain.Mean)
+	}
+	if r.Late.Mean > 0.05 {
+		t.Errorf("%.3f of the interactive requests late", r.Late.Mean)
+	}
+}
+
+// A pattern's work grows with its load and never falls below it again.
+func TestGoodputDoesNotFallUnderOverload(t *testing.T) {
+	peak := 0.0
+	for _, times := range []int{1, 2, 3, 4} {
+		p := saturated()
+		p.Background.Burst = 480 * times
+		work := Run(p, Policies()["window"], 1).Work
+		peak = max(peak, work)
+		if times >= 3 && work < 0.95*peak {
+			t.Errorf("at %d times the load %.0f, peak %.0f", times, work, peak)
+		}
+	}
+}
+
+func TestTableAndPlot(t *testing.T) {
+	rows := []Row{measure(t, "short-desk", "one"), measure(t, "short-desk", "two")}
+	var out bytes.Buffer
+	if err := WriteTable(&out, rows); err != nil || !strings.Contains(out.String(), "short-desk  two") {
+		t.Errorf("got %s, %v", out.String(), err)
+	}
+	if err := Plot(rows, t.TempDir()+"/p.png"); err != nil {
+		t.Error(err)
+	}
+	if _, err := Measure("nowhere", "one", 1); err == nil {
+		t.Error("an unknown pattern was measured")
+	}
+}
+
+func TestTimes(t *testing.T) {
+	times := Times{1, 2, 3, 4}
+	if times.Quantile(0.5) != 3 || times.Over(3*time.Nanosecond) != 0.25 || Times(nil).Quantile(0.5) != 0 {
+		t.Errorf("%v, %v", times.Quantile(0.5), times.Over(3))
+	}
+	if j := Jain([]float64{1, 0, 0, 0}); j != 0.25 {
+		t.Errorf("Jain %v", j)
+	}
+}
--- a/reward/caller.go
+++ b/reward/caller.go
@@ -7,8 +7,10 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
+	"mulberryscale.example/background"
 	"mulberryscale.example/batch"
 	"mulberryscale.example/fleet"
 	"mulberryscale.example/forward"
@@ -18,10 +20,42 @@
 type Caller struct {
 	View    *fleet.View
 	Forward *forward.Forwarder
+	// Service is the one whose agents send reward calls, this process among them.
+	Service string
+
+	mu    sync.Mutex
+	gates map[string]*background.Gate // by the service that scores
+}
+
+// gate is the one before a service.
+func (c *Caller) gate(service string) *background.Gate {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.gates == nil {
+		c.gates = map[string]*background.Gate{}
+	}
+	if c.gates[service] == nil {
+		c.gates[service] = &background.Gate{}
+	}
+	return c.gates[service]
+}
+
+// share is what is known of a service that scores.
+func (c *Caller) share(service string) background.Share {
+	snap := c.View.Snapshot()
+	s := background.Share{Senders: len(snap.OfService(c.Service))}
+	for _, i := range snap.OfService(service) {
+		s.Places += i.Slots
+	}
+	return s
 }
 
-// Score implements batch.Rewarder: the call runs at one endpoint at most, so
-// that each failure is known and counted by itself.
+// maxSends is how many endpoints may work at a call at once: the second is asked
+// when the first has not answered for longer than most calls take, since it may
+// be slow, or its answer lost.
+const maxSends = 2
+
+// Score implements batch.Rewarder.
 func (c *Caller) Score(ctx context.Context, ask batch.RewardAsk) (batch.RewardAnswer, error) {
 	call := ask.Call
 	config := c.View.Snapshot().Config
@@ -33,33 +67,56 @@
 		return batch.RewardAnswer{}, fmt.Errorf("%w: no route for %s%s in configuration %d", batch.ErrNotRun, call.Host, call.Path, config.Version)
 	}
 	route := *matched
-	route.MaxAttempts = 1
+	route.MaxAttempts = min(maxSends, matched.MaxAttempts)
+	service := route.Backend(call.ID)
+	gate := c.gate(service)
+	if err := gate.Enter(ctx, ask.Rank, c.share(service)); err != nil {
+		return batch.RewardAnswer{}, fmt.Errorf("%w: %w", batch.ErrNotRun, err)
+	}
 	answer, err := c.Forward.Do(ctx, &forward.Request{
 		ID: call.ID, Route: &route, Method: http.MethodPost, Target: call.Path, Host: call.Host, Header: http.Header{},
 		Body: call.Body, Deadline: time.Now().Add(min(ask.Left, route.Timeout)),
 	})
+	gate.Leave(c.share(service), func(w *background.Window, now time.Time) {
+		switch {
+		case isDeclined(err):
+			w.Declined(now)
+		case err == nil && answer.Load != nil:
+			w.Heard(*answer.Load, now)
+		}
+	})
 	if err != nil {
-		return batch.RewardAnswer{}, notAnswered(err)
+		return notAnswered(err, matched)
 	}
 	return judge(answer, matched)
 }
 
-// notAnswered says whether a refused send can have run.
-func notAnswered(err error) error {
+// isDeclined reports whether endpoints had no room.
+func isDeclined(err error) bool {
 	var refusal *forward.Refusal
-	if errors.As(err, &refusal) && refusal.NotRun {
-		return fmt.Errorf("%w: %w", batch.ErrNotRun, err)
+	return errors.As(err, &refusal) && refusal.Reason == forward.ReasonDeclined
+}
+
+// notAnswered says what a call came to that no endpoint answered, or none but
+// with failures.
+func notAnswered(err error, route *fleet.Route) (batch.RewardAnswer, error) {
+	var refusal *forward.Refusal
+	switch {
+	case errors.As(err, &refusal) && refusal.NotRun:
+		return batch.RewardAnswer{}, fmt.Errorf("%w: %w", batch.ErrNotRun, err)
+	case refusal != nil && refusal.Failures > 0:
+		return batch.RewardAnswer{Failures: refusal.Failures, MaxAttempts: route.MaxAttempts}, fmt.Errorf("%w: %w", batch.ErrFailed, err)
 	}
-	return fmt.Errorf("%w: %w", batch.ErrBroken, err)
+	return batch.RewardAnswer{}, fmt.Errorf("%w: %w", batch.ErrBroken, err)
 }
 
 // judge says what an endpoint's answer means for the item. Of failures only 500
 // says that the call itself failed there; others, such as 504 at the deadline
 // handed on, say nothing of it.
 func judge(answer *forward.Answer, route *fleet.Route) (batch.RewardAnswer, error) {
-	out := batch.RewardAnswer{MaxAttempts: route.MaxAttempts}
+	out := batch.RewardAnswer{MaxAttempts: route.MaxAttempts, Failures: answer.Failures}
 	switch {
-	case answer.Status == http.StatusInternalServerError:
+	case answer.Status >= http.StatusInternalServerError && answer.Failures > 0:
 		return out, fmt.Errorf("%w: status %d", batch.ErrFailed, answer.Status)
 	case answer.Status < http.StatusOK || answer.Status >= http.StatusMultipleChoices:
 		return out, fmt.Errorf("%w: status %d", batch.ErrBroken, answer.Status)
--- a/reward/caller_test.go
+++ b/reward/caller_test.go
@@ -52,17 +52,19 @@
 		err    error
 		score  string
 		want   error
+		// sent is how many endpoints were asked, failures how many failed it.
+		sent, failures int
 	}{
-		"scored":              {&forward.Answer{Status: 200, Signature: "s"}, nil, "s", nil},
-		"created":             {&forward.Answer{Status: 201, Signature: "s"}, nil, "s", nil},
-		"no signature":        {&forward.Answer{Status: 200}, nil, "", batch.ErrBroken},
-		"failed":              {&forward.Answer{Status: 500, Signature: "s"}, nil, "", batch.ErrFailed},
-		"late at the service": {&forward.Answer{Status: 504, Signature: "s"}, nil, "", batch.ErrBroken},
-		"not found":           {&forward.Answer{Status: 404, Signature: "s"}, nil, "", batch.ErrBroken},
-		"redirected":          {&forward.Answer{Status: 302, Signature: "s"}, nil, "", batch.ErrBroken},
-		"full":                {&forward.Answer{Status: 503, Declined: true}, nil, "", batch.ErrNotRun},
-		"not sent":            {nil, forward.ErrUnsent, "", batch.ErrNotRun},
-		"reset":               {nil, fmt.Errorf("%w: reset", forward.ErrBroken), "", batch.ErrBroken},
+		"scored":              {&forward.Answer{Status: 200, Signature: "s"}, nil, "s", nil, 1, 0},
+		"created":             {&forward.Answer{Status: 201, Signature: "s"}, nil, "s", nil, 1, 0},
+		"no signature":        {&forward.Answer{Status: 200}, nil, "", batch.ErrBroken, 1, 0},
+		"failed":              {&forward.Answer{Status: 500, Signature: "s"}, nil, "", batch.ErrFailed, 2, 2},
+		"late at the service": {&forward.Answer{Status: 504, Signature: "s"}, nil, "", batch.ErrBroken, 2, 0},
+		"not found":           {&forward.Answer{Status: 404, Signature: "s"}, nil, "", batch.ErrBroken, 1, 0},
+		"redirected":          {&forward.Answer{Status: 302, Signature: "s"}, nil, "", batch.ErrBroken, 1, 0},
+		"full":                {&forward.Answer{Status: 503, Declined: true}, nil, "", batch.ErrNotRun, 2, 0},
+		"not sent":            {nil, forward.ErrUnsent, "", batch.ErrNotRun, 2, 0},
+		"reset":               {nil, fmt.Errorf("%w: reset", forward.ErrBroken), "", batch.ErrBroken, 2, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := &sender{answer: c.answer, err: c.err}
@@ -70,16 +72,11 @@
 			if got.Score != c.score || !errors.Is(err, c.want) {
 				t.Fatalf("got %q, %v", got.Score, err)
 			}
-			// An endpoint that did not run it is passed over once for the other.
-			want := 1
-			if errors.Is(c.want, batch.ErrNotRun) {
-				want = 2
+			if len(s.sent) != c.sent {
+				t.Fatalf("sent %d times, want %d", len(s.sent), c.sent)
 			}
-			if len(s.sent) != want {
-				t.Fatalf("sent %d times, want %d", len(s.sent), want)
-			}
-			if errors.Is(err, batch.ErrFailed) && got.MaxAttempts != 4 {
-				t.Errorf("%d failures allowed", got.MaxAttempts)
+			if got.Failures != c.failures || (c.failures > 0 && got.MaxAttempts != 4) {
+				t.Errorf("%d failures of %d allowed", got.Failures, got.MaxAttempts)
 			}
 		})
 	}
