The soak scores texts, lets engines start again under their ids and writes foreign rows

Two of three items bear a reward call whose kind follows from its id: scored, failed once or always, lost once, slow. The back end's side checks that it runs after the last event of its text was made, and unchanged; callers check that a score is a signature of that call, and that an item given up had its failures. Engines start again under their id, at times with the former one's last heartbeat after it; rows of other writers come under ids of their own or in an engine's place. New kinds of faults stand last, and the kept seeds draw from the 18 kinds that they failed with, so they draw as before.

--- a/e2e/soak_config_test.go
+++ b/e2e/soak_config_test.go
@@ -41,6 +41,9 @@
 	w.write(w.t.Context(), row, err)
 }
 
+// soakRewardAttempts is how often a reward call may fail before its item is given up.
+const soakRewardAttempts = 3
+
 // soakConfig is a configuration that sends lookups to one of the desks.
 func soakConfig(version uint64, desk string) *fleetview.Config {
 	c := &fleetview.Config{
@@ -60,6 +63,7 @@
 	add(fleetview.Route{Name: "book", Prefix: prefixBook, Kind: fleetview.KindUnsafe, MaxAttempts: 2, Timeout: short, Objective: aim}, serviceDesk)
 	add(fleetview.Route{Name: "tell", Prefix: prefixTell, Kind: fleetview.KindStream, Timeout: long, Objective: aim, Resumable: true}, serviceEngines)
 	add(fleetview.Route{Name: "say", Prefix: prefixSay, Kind: fleetview.KindStream, Timeout: long, Objective: aim}, serviceEngines)
+	add(fleetview.Route{Name: "score", Prefix: prefixScore, Kind: fleetview.KindSafe, Timeout: short, Objective: aim, MaxAttempts: soakRewardAttempts}, serviceDesk)
 	for _, m := range soakModels {
 		add(fleetview.Route{
 			Name: m, Prefix: "/" + m + "/", Kind: fleetview.KindBatch, Objective: time.Second, ItemTTL: time.Minute, RunTarget: 5 * time.Second,
--- a/e2e/soak_engine_test.go
+++ b/e2e/soak_engine_test.go
@@ -21,7 +21,9 @@
 	soakEventTime = 15 * time.Millisecond
 	soakLoadTime  = 300 * time.Millisecond
 	soakHeartbeat = 400 * time.Millisecond
-	soakDrain     = 2 * time.Second // how long a draining engine serves on
+	// soakSlowReward is how long a slow reward call takes, twice its route's objective.
+	soakSlowReward = 600 * time.Millisecond
+	soakDrain      = 2 * time.Second // how long a draining engine serves on
 )
 
 // soakEngine is an engine of the soak: an enginehttp.StandIn that records what
@@ -36,7 +38,9 @@
 
 	mu       sync.Mutex
 	starts   int
+	life     int // the incarnation that runs, by its start; 0 is none
 	id       string
+	born     int64 // Unix milliseconds
 	server   *http.Server
 	draining bool
 	versions map[string]uint64
@@ -48,8 +52,9 @@
 	beats    uint64
 }
 
-// start starts an incarnation.
-func (e *soakEngine) start() error {
+// start starts an incarnation, under the id that the last one had if it is to
+// start again.
+func (e *soakEngine) start(again bool) error {
 	l, err := net.Listen("tcp", e.listen)
 	if err != nil {
 		return err
@@ -57,8 +62,11 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.starts++
-	e.id = fmt.Sprintf("i-%s-%d", strings.ReplaceAll(e.listen, ".", "-"), e.starts)
-	e.id = strings.ReplaceAll(e.id, ":", "-")
+	e.life, e.born = e.starts, time.Now().UnixMilli()
+	if !again {
+		e.id = fmt.Sprintf("i-%s-%d", strings.ReplaceAll(e.listen, ".", "-"), e.starts)
+		e.id = strings.ReplaceAll(e.id, ":", "-")
+	}
 	e.draining, e.busy, e.sequence, e.running = false, false, 0, 0
 	e.loading = map[string]bool{}
 	if e.versions == nil {
@@ -70,7 +78,7 @@
 	e.server = &http.Server{Handler: enginehttp.Handler(e)}
 	e.stop = make(chan struct{})
 	go e.server.Serve(l) // ends with the server
-	go e.beat(e.id, e.stop)
+	go e.beat(e.life, e.stop)
 	return nil
 }
 
@@ -78,7 +86,7 @@
 func (e *soakEngine) crash() {
 	e.mu.Lock()
 	server, stop := e.server, e.stop
-	e.id = "" // runs under way notice that they have ended
+	e.life = 0 // runs under way notice that they have ended
 	e.mu.Unlock()
 	server.Close()
 	close(stop)
@@ -88,21 +96,21 @@
 func (e *soakEngine) leave() {
 	e.mu.Lock()
 	e.draining = true
-	server, stop, id := e.server, e.stop, e.id
+	server, stop, id, life := e.server, e.stop, e.id, e.life
 	e.mu.Unlock()
-	e.register(id)
+	e.register(life)
 	time.Sleep(soakDrain + soakDrain/2)
 	close(stop)
 	e.registry.remove(id)
 	e.mu.Lock()
-	e.id = ""
+	e.life = 0
 	e.mu.Unlock()
 	server.Close()
 }
 
-func (e *soakEngine) beat(id string, stop chan struct{}) {
+func (e *soakEngine) beat(life int, stop chan struct{}) {
 	for {
-		e.register(id)
+		e.register(life)
 		select {
 		case <-stop:
 			return
@@ -112,26 +120,47 @@
 }
 
 // register writes the engine's entry.
-func (e *soakEngine) register(id string) {
+func (e *soakEngine) register(life int) {
 	e.mu.Lock()
-	if e.id != id {
+	if e.life != life {
 		e.mu.Unlock()
 		return
 	}
-	e.beats++
-	i := fleetview.Instance{
-		ID: id, Service: e.service, Addr: e.addr, Zone: e.zone, Slots: soakSlots, Draining: e.draining, Versions: maps.Clone(e.versions),
-	}
-	beats := e.beats
+	i, beats := e.entry()
 	e.mu.Unlock()
 	e.registry.beat(i, beats)
 }
 
+// entry is the engine's next entry. It is called with e.mu held.
+func (e *soakEngine) entry() (i fleetview.Instance, beats uint64) {
+	e.beats++
+	return fleetview.Instance{
+		ID: e.id, Born: e.born, Service: e.service, Addr: e.addr, Zone: e.zone, Slots: soakSlots, Draining: e.draining,
+		Versions: maps.Clone(e.versions),
+	}, e.beats
+}
+
+// startAgain ends an incarnation and starts the next under the same id; at times
+// the former one's last heartbeat arrives late.
+func (e *soakEngine) startAgain(late bool, down time.Duration) error {
+	e.mu.Lock()
+	former, beats := e.entry()
+	e.mu.Unlock()
+	e.crash()
+	time.Sleep(down)
+	err := e.start(true)
+	if late {
+		time.Sleep(soakHeartbeat / 4)
+		e.registry.beat(former, beats)
+	}
+	return err
+}
+
 // Report implements enginehttp.StandIn.
 func (e *soakEngine) Report() batch.Report {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return batch.Report{Busy: e.busy, Sequence: e.sequence, Running: e.running, Versions: maps.Clone(e.versions)}
+	return batch.Report{Born: e.born, Busy: e.busy, Sequence: e.sequence, Running: e.running, Versions: maps.Clone(e.versions)}
 }
 
 // Order implements enginehttp.StandIn: it changes the weights of a model.
@@ -140,7 +169,7 @@
 	defer e.mu.Unlock()
 	e.record.ordered(e.listen, o.Holder, o.Token)
 	switch {
-	case o.Instance != e.id:
+	case e.life == 0 || o.Instance != e.id:
 		return enginehttp.OrderMisdirected
 	case e.versions[o.Model] == o.Version:
 		return enginehttp.OrderHolds
@@ -151,59 +180,59 @@
 	}
 	e.busy, e.loading[o.Model] = true, true
 	e.sequence++
-	go e.load(e.id, o.Model, o.Version)
+	go e.load(e.life, o.Model, o.Version)
 	return enginehttp.OrderTaken
 }
 
-func (e *soakEngine) load(id, model string, version uint64) {
+func (e *soakEngine) load(life int, model string, version uint64) {
 	time.Sleep(soakLoadTime)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.id == id {
+	if e.life == life {
 		e.busy, e.loading[model], e.versions[model] = false, false, version
 	}
 }
 
 // admit takes a request in, or declines it.
-func (e *soakEngine) admit(a enginehttp.Arrival, w *enginehttp.AnswerWriter) (id string, ok bool) {
+func (e *soakEngine) admit(a enginehttp.Arrival, w *enginehttp.AnswerWriter) (id string, life int, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
-	case e.id == "" || (a.Instance != "" && a.Instance != e.id):
+	case e.life == 0 || (a.Instance != "" && a.Instance != e.id):
 		w.Decline(true)
-		return "", false
+		return "", 0, false
 	case e.running >= soakSlots || e.loading[a.Model]:
 		w.Decline(false)
-		return "", false
+		return "", 0, false
 	}
 	e.running++
-	return e.id, true
+	return e.id, e.life, true
 }
 
 // release gives the slot of a run back, if its incarnation still runs.
-func (e *soakEngine) release(id string) {
+func (e *soakEngine) release(life int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.id == id {
+	if e.life == life {
 		e.running--
 	}
 }
 
 // version is the weights that make the next event; ok is false once the
 // incarnation has ended.
-func (e *soakEngine) version(id, model string) (version uint64, ok bool) {
+func (e *soakEngine) version(life int, model string) (version uint64, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.versions[model], e.id == id
+	return e.versions[model], e.life == life
 }
 
 // Run implements enginehttp.StandIn.
 func (e *soakEngine) Run(ctx context.Context, a enginehttp.Arrival, w *enginehttp.AnswerWriter) {
-	id, ok := e.admit(a, w)
+	id, life, ok := e.admit(a, w)
 	if !ok {
 		return
 	}
-	defer e.release(id)
+	defer e.release(life)
 	e.record.began(e.service, a)
 	w.Accept(stampOf(id, a.ID))
 	kind := kindOf(a.ID)
@@ -212,10 +241,12 @@
 		w.Fail(true)
 	case kind == itemFailing, kind == itemFailsOnce && e.record.failOnce(a.ID):
 		w.Fail(false)
+	case strings.HasPrefix(a.Target, prefixScore):
+		e.score(ctx, a, w)
 	case strings.HasPrefix(a.Target, prefixLook) || strings.HasPrefix(a.Target, prefixBook):
 		e.answer(ctx, a, w)
 	default:
-		e.stream(ctx, id, a, w)
+		e.stream(ctx, life, a, w)
 	}
 }
 
@@ -229,13 +260,33 @@
 	}
 }
 
+// score answers a reward call as its kind says.
+func (e *soakEngine) score(ctx context.Context, a enginehttp.Arrival, w *enginehttp.AnswerWriter) {
+	kind := rewardKindOf(a.ID)
+	work := workOf(a.ID)
+	if kind == rewardSlow {
+		work = soakSlowReward
+	}
+	switch {
+	case !sleep(ctx, work), kind == rewardLostOnce && e.record.failOnce(a.ID):
+		w.Break()
+	case kind == rewardFailing, kind == rewardFailsOnce && e.record.failOnce(a.ID):
+		e.record.rewardFails(a.ID)
+		w.Fail(false)
+		return
+	}
+	if err := w.Whole(answerOf(a.ID, a.Body)); err != nil {
+		e.record.count("scores that nobody took")
+	}
+}
+
 // stream makes the events of a text after the last that is known.
-func (e *soakEngine) stream(ctx context.Context, id string, a enginehttp.Arrival, w *enginehttp.AnswerWriter) {
+func (e *soakEngine) stream(ctx context.Context, life int, a enginehttp.Arrival, w *enginehttp.AnswerWriter) {
 	for n := a.After + 1; n <= eventsOf(a.ID); n++ {
 		if !sleep(ctx, soakEventTime) {
 			w.Break()
 		}
-		version, ok := e.version(id, a.Model)
+		version, ok := e.version(life, a.Model)
 		if !ok {
 			w.Break()
 		}
--- a/e2e/soak_faults_test.go
+++ b/e2e/soak_faults_test.go
@@ -11,6 +11,7 @@
 )
 
 // soakFaults are the kinds of trouble; each does its harm, waits, and mends it.
+// New ones come last, so that a seed draws the same from those that were there.
 var soakFaults = []struct {
 	name string
 	do   func(w *soakWorld, rng *rand.Rand)
@@ -42,14 +43,17 @@
 			span(rng, 50, 600)
 		}
 	}},
+	{"engine starts again", func(w *soakWorld, rng *rand.Rand) { w.startAgain(rng, w.engine(rng)) }},
+	{"foreign entry", func(w *soakWorld, rng *rand.Rand) { w.reg.foreign(rng) }},
 }
 
-// disturb draws faults until the soak's time is over, and mends all at the end.
-func (w *soakWorld) disturb() {
+// disturb draws faults of the first so many kinds until the soak's time is over,
+// and mends all at the end.
+func (w *soakWorld) disturb(kinds int) {
 	rng := rand.New(rand.NewPCG(w.seed, 0))
 	var faults sync.WaitGroup
 	for time.Since(w.began) < *soakTime {
-		f := soakFaults[rng.IntN(len(soakFaults))]
+		f := soakFaults[rng.IntN(kinds)]
 		own := rand.New(rand.NewPCG(rng.Uint64(), 2))
 		faults.Go(func() {
 			w.note("fault: %s", f.name)
@@ -222,6 +226,18 @@
 	w.restart(e)
 }
 
+// startAgain lets an engine start again under its id, unless another fault has it.
+func (w *soakWorld) startAgain(rng *rand.Rand, e *soakEngine) {
+	if !e.faulty.TryLock() {
+		return
+	}
+	defer e.faulty.Unlock()
+	down := time.Duration(rng.IntN(1000)) * time.Millisecond
+	if err := e.startAgain(rng.IntN(2) == 0, down); err != nil {
+		w.record.problem("engine at %s: %v", e.listen, err)
+	}
+}
+
 func (w *soakWorld) leave(rng *rand.Rand, e *soakEngine) {
 	if !e.faulty.TryLock() {
 		return
@@ -233,7 +249,7 @@
 }
 
 func (w *soakWorld) restart(e *soakEngine) {
-	if err := e.start(); err != nil {
+	if err := e.start(false); err != nil {
 		w.record.problem("engine at %s: %v", e.listen, err)
 	}
 }
--- a/e2e/soak_record_test.go
+++ b/e2e/soak_record_test.go
@@ -21,7 +21,7 @@
 
 // sameResult says whether two results are one.
 func sameResult(a, b *batch.Result) bool {
-	return a.ID == b.ID && a.State == b.State && a.Output == b.Output && slices.Equal(a.Versions, b.Versions)
+	return a.ID == b.ID && a.State == b.State && a.Output == b.Output && a.Score == b.Score && slices.Equal(a.Versions, b.Versions)
 }
 
 // soakJob is a batch job and what was read of it.
@@ -41,6 +41,7 @@
 	runs     map[string]int
 	made     map[string]map[int][]uint64 // by item and event: the versions that made it
 	failed   map[string]bool
+	rewards  map[string]int  // failures of reward calls, by their ids
 	refused  map[string]bool // promised not to run
 	versions map[string]uint64
 	orders   map[string]orderer
@@ -57,7 +58,7 @@
 
 func newRecord() *record {
 	return &record{
-		sent: map[string]*request{}, runs: map[string]int{}, made: map[string]map[int][]uint64{}, failed: map[string]bool{},
+		sent: map[string]*request{}, runs: map[string]int{}, made: map[string]map[int][]uint64{}, failed: map[string]bool{}, rewards: map[string]int{},
 		refused: map[string]bool{}, versions: map[string]uint64{}, orders: map[string]orderer{}, counts: map[string]int{},
 	}
 }
@@ -139,6 +140,12 @@
 	case r.refused[a.ID]:
 		r.broke("request %s: run after it was refused", a.ID)
 	}
+	if item, isReward := strings.CutPrefix(a.ID, rewardPrefix); isReward {
+		r.counts["reward calls"]++
+		if len(r.made[item][eventsOf(item)]) == 0 {
+			r.broke("reward call %s: run before the last event of its text was made", a.ID)
+		}
+	}
 	if a.After == 0 {
 		return
 	}
@@ -148,6 +155,13 @@
 	}
 }
 
+// rewardFails notes that a reward call was answered with a failure.
+func (r *record) rewardFails(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rewards[id]++
+}
+
 // madeEvent notes that an engine made an event of a request.
 func (r *record) madeEvent(id string, n int, version uint64) {
 	r.mu.Lock()
@@ -213,13 +227,19 @@
 	switch result.State {
 	case batch.StateFailed:
 		r.counts["given up"]++
-		if kind != itemImpossible && kind != itemFailing && !j.ended {
+		if kind != itemImpossible && kind != itemFailing && r.rewards[rewardOf(result.ID)] < soakRewardAttempts && !j.ended {
 			r.broke("%s: given up without a reason", at)
 		}
 	case batch.StateDone:
 		if result.Output != textOf(result.ID) {
 			r.broke("%s: text is %q, want %q", at, result.Output, textOf(result.ID))
 		}
+		switch {
+		case !hasReward(result.ID) && result.Score != "":
+			r.broke("%s: score %q of no call", at, result.Score)
+		case hasReward(result.ID) && (!isStamp(result.Score, rewardOf(result.ID)) || r.runs[rewardOf(result.ID)] == 0):
+			r.broke("%s: score %q is no signature of its reward call", at, result.Score)
+		}
 		r.checkVersions(j, at, result)
 	default:
 		r.broke("%s: state %q", at, result.State)
--- a/e2e/soak_store_test.go
+++ b/e2e/soak_store_test.go
@@ -1,8 +1,11 @@
 package e2e
 
 import (
+	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -105,6 +108,31 @@
 	g.store.put(operator.InstanceRow(i, beats))
 }
 
+// foreign writes an entry of another writer, under an id of its own or in the
+// place of an engine's, until that one's next heartbeat.
+func (g *registry) foreign(rng *rand.Rand) {
+	g.mu.Lock()
+	ids := slices.Sorted(maps.Keys(g.heard))
+	g.mu.Unlock()
+	if len(ids) == 0 {
+		return
+	}
+	id := ids[rng.IntN(len(ids))]
+	if rng.IntN(2) == 0 {
+		id = fmt.Sprint("i-foreign-", rng.IntN(5))
+		g.mu.Lock()
+		g.heard[id] = time.Now() // lapses
+		g.mu.Unlock()
+	}
+	values := []string{
+		"", "\xff\x00", `{}`, `null`, `[1]`, `{"Service":"` + serviceEngines + `"}`,
+		`{"Service":7,"Address":{},"State":"ready"}`,
+		`{"Service":"unheard","Address":"127.0.0.1:9","Zone":"z","Version":"v1","Slots":99,"State":"ready","ColdLeftMs":0,"Sequence":1}`,
+		`{"Service":"` + serviceDesk + `","Address":"127.0.0.1:9","Zone":"z","Version":"v1","Slots":99,"State":"warming","ColdLeftMs":0,"Sequence":1}`,
+	}
+	g.store.put(store.Row{Key: operator.InstanceKey(id), Value: []byte(values[rng.IntN(len(values))])}, nil)
+}
+
 // remove takes an entry out at once.
 func (g *registry) remove(id string) {
 	g.mu.Lock()
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -22,17 +22,19 @@
 	soakTime  = flag.Duration("soak.time", 8*time.Second, "how long a seed's faults go on")
 )
 
-// soakCases are seeds that failed once, each with its cause.
+// soakCases are seeds that failed once, each with its cause and the number of
+// kinds of faults that it drew from.
 var soakCases = []struct {
 	seed  uint64
+	kinds int
 	cause string
 }{
 	// The program heard signals only once its settings were read.
-	{15, "SIGTERM within milliseconds of the start"},
-	{16, "SIGHUP within milliseconds of the start ended the process"},
-	{18, "SIGTERM within milliseconds of the start"},
-	{43, "SIGTERM within milliseconds of the start"},
-	{45, "SIGTERM within milliseconds of the start"},
+	{15, 18, "SIGTERM within milliseconds of the start"},
+	{16, 18, "SIGHUP within milliseconds of the start ended the process"},
+	{18, 18, "SIGTERM within milliseconds of the start"},
+	{43, 18, "SIGTERM within milliseconds of the start"},
+	{45, 18, "SIGTERM within milliseconds of the start"},
 }
 
 // TestSoak plays seeds; those that failed once are always among them.
@@ -41,12 +43,12 @@
 		t.Run(fmt.Sprintf("case-%d", c.seed), func(t *testing.T) {
 			t.Parallel()
 			t.Logf("failed once: %s", c.cause)
-			soak(t, c.seed)
+			soak(t, c.seed, c.kinds)
 		})
 	}
 	for i := range *soakSeeds {
 		seed := *soakFirst + uint64(i)
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { t.Parallel(); soak(t, seed) })
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { t.Parallel(); soak(t, seed, len(soakFaults)) })
 	}
 }
 
@@ -54,7 +56,7 @@
 var soakSlot = make(chan struct{}, atOnce)
 
 // soak plays one seed.
-func soak(t *testing.T, seed uint64) {
+func soak(t *testing.T, seed uint64, kinds int) {
 	soakSlot <- struct{}{}
 	defer func() { <-soakSlot }()
 	w := startSoak(t, seed)
@@ -67,7 +69,7 @@
 	for _, model := range soakModels {
 		callers.Go(func() { (&soakTrainer{soakClient: w.client("trainer-" + model), model: model}).run(ctx) })
 	}
-	w.disturb()
+	w.disturb(kinds)
 	cancel()
 	callers.Wait()
 	w.settle()
--- a/e2e/soak_texts_test.go
+++ b/e2e/soak_texts_test.go
@@ -40,6 +40,37 @@
 	return itemWhole
 }
 
+// Kinds of reward calls, by a hash of their ids.
+const (
+	rewardScores = iota
+	rewardFailing
+	rewardFailsOnce
+	rewardLostOnce
+	rewardSlow
+)
+
+// rewardPrefix begins the ids of reward calls; the item's id follows.
+const rewardPrefix = "reward-"
+
+// hasReward says whether an item bears a reward call: two of three do.
+func hasReward(item string) bool { return hashOf(item)%3 != 0 }
+
+func rewardOf(item string) string { return rewardPrefix + item }
+
+func rewardKindOf(id string) int {
+	switch hashOf(id) % 40 {
+	case 0:
+		return rewardFailing
+	case 1, 2:
+		return rewardFailsOnce
+	case 3, 4:
+		return rewardLostOnce
+	case 5, 6:
+		return rewardSlow
+	}
+	return rewardScores
+}
+
 // workOf is how long a request that is no stream takes.
 func workOf(id string) time.Duration { return time.Duration(5+hashOf(id)%200) * time.Millisecond }
 
--- a/e2e/soak_trainer_test.go
+++ b/e2e/soak_trainer_test.go
@@ -78,6 +78,12 @@
 			item := batch.Item{
 				ID: id, Path: "/" + t.model + "/" + id, Body: []byte(bodyOf(id)), Tokens: 100, Group: group[0], ExpectedTokens: eventsOf(id),
 			}
+			if hasReward(id) {
+				item.Reward = &batch.RewardCall{ID: rewardOf(id), Host: soakHost, Path: prefixScore + id, Body: []byte(bodyOf(rewardOf(id)))}
+				t.w.record.send(rewardOf(id), &request{
+					method: http.MethodPost, target: prefixScore + id, body: bodyOf(rewardOf(id)), services: []string{serviceDesk},
+				})
+			}
 			s.Items = append(s.Items, item)
 			t.w.record.send(id, &request{
 				method: http.MethodPost, target: item.Path, body: bodyOf(id), model: t.model, services: []string{serviceEngines},
@@ -114,6 +120,9 @@
 	if refusedOnly && ctx.Err() == nil {
 		for _, group := range fresh {
 			t.w.record.refuse(group...)
+			for _, id := range group {
+				t.w.record.refuse(rewardOf(id))
+			}
 		}
 	}
 	return false
--- a/e2e/soak_world_test.go
+++ b/e2e/soak_world_test.go
@@ -26,10 +26,11 @@
 
 // Prefixes of the routes that are forwarded.
 const (
-	prefixLook = "/look/" // may be repeated; the operator moves it between two services
-	prefixBook = "/book/" // runs once
-	prefixTell = "/tell/" // a stream that may be resumed
-	prefixSay  = "/say/"  // a stream that runs once
+	prefixLook  = "/look/"  // may be repeated; the operator moves it between two services
+	prefixBook  = "/book/"  // runs once
+	prefixTell  = "/tell/"  // a stream that may be resumed
+	prefixScore = "/score/" // scores texts; it may be repeated
+	prefixSay   = "/say/"   // a stream that runs once
 )
 
 var soakModels = []string{"guide", "meter"}
@@ -193,7 +194,7 @@
 		service: service, zone: zoneOf(ip), listen: addr(ip, portEngineIn), addr: addr(ip, portEngine), models: models,
 		registry: w.reg, record: w.record,
 	}
-	if err := e.start(); err != nil {
+	if err := e.start(false); err != nil {
 		w.t.Fatal(err)
 	}
 	return e
