--- a/observe/names.go
+++ b/observe/names.go
@@ -80,6 +80,13 @@
 	NameAccept Name = "batch_accept_seconds"
 )
 
+// Measures of reward calls.
+const (
+	// NameRewardWait is a histogram by route: seconds that a reward call waited
+	// in its agent for its turn before it was sent.
+	NameRewardWait Name = "reward_wait_seconds"
+)
+
 // Measures of forwarded requests.
 const (
 	// NameForward is a histogram by route: seconds from a request's arrival to
--- a/reward/caller.go
+++ b/reward/caller.go
@@ -14,6 +14,7 @@
 	"mulberryscale.example/batch"
 	"mulberryscale.example/fleet"
 	"mulberryscale.example/forward"
+	"mulberryscale.example/observe"
 )
 
 // Caller is a batch.Rewarder. It is safe for concurrent use.
@@ -70,9 +71,11 @@
 	route.MaxAttempts = min(maxSends, matched.MaxAttempts)
 	service := route.Backend(call.ID)
 	gate := c.gate(service)
+	asked := time.Now()
 	if err := gate.Enter(ctx, ask.Rank, c.share(service)); err != nil {
 		return batch.RewardAnswer{}, fmt.Errorf("%w: %w", batch.ErrNotRun, err)
 	}
+	c.Forward.Counters.Observe(observe.NameRewardWait, route.Name, time.Since(asked))
 	answer, err := c.Forward.Do(ctx, &forward.Request{
 		ID: call.ID, Route: &route, Method: http.MethodPost, Target: call.Path, Host: call.Host, Header: http.Header{},
 		Body: call.Body, Deadline: time.Now().Add(min(ask.Left, route.Timeout)),
