Tests of reward calls and of the gate read their stand-ins under its lock

The tests alone were at fault: both fields belong to the tests' own stand-ins. They were run without -race before.

Change: both read under the lock; what they check is the same. Package background runs on one processor under the detector, as all tests in bubbles do.

--- a/background/window_test.go
+++ b/background/window_test.go
@@ -133,6 +133,8 @@
 		}
 		g.Leave(one, noted)
 		time.Sleep(10 * time.Second)
+		mu.Lock()
+		defer mu.Unlock()
 		if want := [4]int{3, 1, 0, 2}; len(order) != 4 || [4]int(order) != want {
 			t.Fatalf("let through in the order %v, want %v", order, want)
 		}
--- a/batch/reward_test.go
+++ b/batch/reward_test.go
@@ -49,9 +49,11 @@
 		rig := newWorkerRig(t, 1)
 		rig.submit("j", 2, nil)
 		l := rig.await("j", 2, 3*time.Second)
-		if l.Results[0].Score != "" || len(rig.rewards.calls) != 0 {
-			t.Fatalf("score %q, %d calls", l.Results[0].Score, len(rig.rewards.calls))
-		}
+		rig.rewards.set(func() {
+			if l.Results[0].Score != "" || len(rig.rewards.calls) != 0 {
+				t.Errorf("score %q, %d calls", l.Results[0].Score, len(rig.rewards.calls))
+			}
+		})
 	})
 }
 
@@ -190,14 +192,16 @@
 		must(t, rig.ledger.End(t.Context(), "j"))
 		ended := time.Now()
 		time.Sleep(10 * time.Second)
-		if rig.rewards.ended != 4 {
-			t.Errorf("%d of 4 calls given up", rig.rewards.ended)
-		}
-		for _, c := range rig.rewards.calls {
-			if c.at.After(ended.Add(time.Second)) {
-				t.Errorf("%s sent %v after the end", c.id, c.at.Sub(ended))
+		rig.rewards.set(func() {
+			if rig.rewards.ended != 4 {
+				t.Errorf("%d of 4 calls given up", rig.rewards.ended)
 			}
-		}
+			for _, c := range rig.rewards.calls {
+				if c.at.After(ended.Add(time.Second)) {
+					t.Errorf("%s sent %v after the end", c.id, c.at.Sub(ended))
+				}
+			}
+		})
 	})
 }
 
--- a/batch/rig_test.go
+++ b/batch/rig_test.go
@@ -253,6 +253,7 @@
 	return slices.DeleteFunc(slices.Clone(f.calls), func(c rewardCall) bool { return c.id != id })
 }
 
+// set changes or reads the stand-in.
 func (f *fakeRewards) set(change func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
