--- a/background/window.go
+++ b/background/window.go
@@ -9,7 +9,13 @@
 // a part of the places only, and wait for their turn in their own processes,
 // where a call that has become urgent can still go first.
 //
-// The package has no clock, network or goroutine of its own.
+// Measured by paired plays of a deployment with 24 places, nine senders and bursts
+// of a hundred calls, the window raised what all callers earned by 0.047 ± 0.007
+// of 1; without it 16 in 100 interactive requests took over 150 ms, with it 0.4
+// (package loadmodel, pattern short-desk).
+//
+// Window has no clock, network or goroutine of its own; Gate reads the clock and
+// lets goroutines wait.
 package background
 
 import (
@@ -30,9 +36,9 @@
 	// interactive request.
 	spare = 1
 	// fewShare is the share of the target below which the window grows by a call
-	// for each answer, so that it doubles with each round of them: where few
-	// senders have calls, a sender with 20 calls of 200 ms was done after three
-	// rounds instead of five.
+	// for each answer, so that it doubles with each round of them: where 4 of 36
+	// senders have all calls, half of these were answered within 0.40 s instead of
+	// 0.64 s (package loadmodel, pattern few-senders).
 	fewShare = 0.5
 	// backOff is what an overloaded endpoint's answer shrinks the window to, as
 	// a share of it.
--- a/batch/expiry.go
+++ b/batch/expiry.go
@@ -14,8 +14,9 @@
 const (
 	// expiryCheck is how often an agent looks for jobs whose items' time is up.
 	expiryCheck = 500 * time.Millisecond
-	// expiryMargin is how long after their time items are given up: clocks of
-	// processes follow the store's to within some ten milliseconds.
+	// expiryMargin is how long after their time items are given up. A process's
+	// notion of the store's clock is behind it by an answer's way, never ahead but
+	// for the drift of its own clock.
 	expiryMargin = 300 * time.Millisecond
 	// expiryTurn is how long each agent leaves items that nobody holds to the
 	// one that a job's ranking names before it.
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -52,8 +52,8 @@
 	// interactive requests late (pattern slow-endpoint), with 10 s 5 in 100.
 	slowMemory = 10 * time.Second
 	// slowFrom is from how many times the usual time on an instance counts as
-	// slow: the spread of the work itself makes a mean of a few answers vary by
-	// a third.
+	// slow: work with a lognormal spread of 0.5 alone gives the mean of the
+	// newest answers a standard deviation of 0.2 (computed from ownWeight).
 	slowFrom = 1.7
 	// typicalWeight and ownWeight are the weights of the newest answer in the
 	// means over all instances and over one.
