A stream is opened on a new connection while a lost one still looks alive

A connection that ends fails its streams before its context ends. Who opens a stream in between gets the kept connection, whose opening fails; the dialer tries again, the context is still alive, and the second and last attempt gets the same connection.

Ruled out: that the new connection took a reset meant for the old one. The new test holds a kept connection in just that state, without a race, and failed with the same error at Open; no new connection was ever made.

Change: a kept connection that fails to open a stream, though the caller still waits, is forgotten before the next attempt.

--- a/transport/quictransport/connection.go
+++ b/transport/quictransport/connection.go
@@ -16,6 +16,7 @@
 	unusedTimeout time.Duration
 	ready         chan struct{} // closed once conn and peer, or err, are set
 	conn          *quic.Conn
+	openStream    func(context.Context) (*quic.Stream, error) // of conn
 	peer          transport.PeerID
 	err           error
 
@@ -32,6 +33,7 @@
 
 func (c *connection) succeed(conn *quic.Conn, peer transport.PeerID) {
 	c.conn = conn
+	c.openStream = conn.OpenStreamSync
 	c.peer = peer
 	close(c.ready)
 }
--- a/transport/quictransport/dialer.go
+++ b/transport/quictransport/dialer.go
@@ -89,8 +89,13 @@
 	if c.err != nil {
 		return nil, reused, c.err
 	}
-	qs, err := c.conn.OpenStreamSync(ctx)
+	qs, err := c.openStream(ctx)
 	if err != nil {
+		if ctx.Err() == nil {
+			// The connection is lost. It fails its streams before its context ends,
+			// so the next attempt would get it again.
+			d.forget(addr, c)
+		}
 		return nil, reused, err
 	}
 	opened := newStream(c.conn, qs, c.peer)
--- a/transport/quictransport/reset_test.go
+++ b/transport/quictransport/reset_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/quic-go/quic-go"
+
 	"mulberryscale.example/keys"
 	"mulberryscale.example/transport"
 )
@@ -78,3 +80,27 @@
 	check(t, anew.Send(request{}))
 	check(t, anew.Recv(&answer))
 }
+
+// A connection that ends fails its streams before it says that it has ended.
+// Whoever opens a stream in between gets a new connection, not the error twice.
+func TestStreamIsOpenedAnewWhileALostConnectionStillLooksAlive(t *testing.T) {
+	ctx := testContext(t)
+	a := newAuthority(t)
+	server := requestServer(t, "127.0.0.1:0", sourceOf(t, a, "agent-1"), Options{})
+	d := newTestDialer(t, sourceOf(t, a, "entry-1"), Options{})
+	old, err := d.Open(ctx, server.Addr())
+	check(t, err)
+	defer old.Close()
+	inner := d.(*dialer)
+	inner.mu.Lock()
+	inner.conns[server.Addr()].openStream = func(context.Context) (*quic.Stream, error) {
+		return nil, &quic.StatelessResetError{}
+	}
+	inner.mu.Unlock()
+	anew, err := d.Open(ctx, server.Addr())
+	check(t, err)
+	defer anew.Close()
+	var answer request
+	check(t, anew.Send(request{}))
+	check(t, anew.Recv(&answer))
+}
