Feeds are asked again at a pace that follows from a budget; heartbeats are no news

Ruled out: one pause for all sizes (small sites would hear of drains later for nothing). An entry that says the same as before changes nothing, unless two claim an address. A loss is told before the rows that follow it, so that the grace of missing entries no longer depends on the time between two answers.

--- a/batch/collector_test.go
+++ b/batch/collector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,14 +24,17 @@
 		must(t, l.End(t.Context(), "j0"))
 		must(t, l.End(t.Context(), "j1"))
 		c := &Collector{Ledger: l, Keep: 2 * time.Minute, Now: s.Now, Log: observe.Discard()}
-		go store.Follow(t.Context(), s, TableJobs, "", NewDemand().Watcher(c, observe.Discard()))
+		go store.Follow(t.Context(), s, store.Source{Table: TableJobs}, NewDemand().Watcher(c, observe.Discard()))
 		go c.Run(t.Context())
 		time.Sleep(2 * time.Minute)
-		if n := len(s.Rows(TableResults)); n != 3 {
+		results := func() []store.Row {
+			return slices.Concat(s.Rows(resultsTable("j0")), s.Rows(resultsTable("j1")), s.Rows(resultsTable("j2")))
+		}
+		if n := len(results()); n != 3 {
 			t.Fatalf("%d jobs left while all are owed", n)
 		}
 		time.Sleep(time.Minute)
-		if rows := s.Rows(TableResults); len(rows) != 1 || rows[0].Part != "j2" {
+		if rows := results(); len(rows) != 1 || rows[0].Part != "j2" {
 			t.Fatalf("left: %v", rows)
 		}
 		time.Sleep(keepOpen)
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -24,6 +24,8 @@
 	Ledger   *Ledger
 	// Demand is fed by the worker.
 	Demand *Demand
+	// JobsPace is how the jobs are followed.
+	JobsPace store.Pace
 	// StoreWrites is the store's write calls a second for all processes; 0 is unknown.
 	StoreWrites int
 	Engines     Engine
@@ -91,7 +93,7 @@
 	w.ctx = ctx
 	close(w.started)
 	var wg sync.WaitGroup
-	wg.Go(func() { store.Follow(ctx, w.Ledger.Store, TableJobs, "", w) })
+	wg.Go(func() { store.Follow(ctx, w.Ledger.Store, store.Source{Table: TableJobs, Pace: w.JobsPace}, w) })
 	wg.Go(func() { w.schedule(ctx) })
 	wg.Go(func() { w.watchEngine(ctx) })
 	wg.Go(func() { w.help(ctx) })
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -27,6 +27,13 @@
 	Entry uint64
 }
 
+// Says reports whether an instance's entry says the same as another one's,
+// whenever either was written.
+func (i Instance) Says(other Instance) bool {
+	return i.ID == other.ID && i.Service == other.Service && i.Addr == other.Addr && i.Zone == other.Zone &&
+		i.Slots == other.Slots && i.Born == other.Born && i.Draining == other.Draining && maps.Equal(i.Versions, other.Versions)
+}
+
 // Snapshot is what is believed at one moment. It is immutable.
 type Snapshot struct {
 	// Config is nil until the first configuration has been read.
--- a/service/node/agent.go
+++ b/service/node/agent.go
@@ -42,6 +42,7 @@
 		Node: settings.Node, Incarnation: b.incarnation, Engine: settings.Engine, Service: settings.Service,
 		PeerPort: settings.PeerPort, View: b.view, Ledger: b.ledger, Demand: batch.NewDemand(), Engines: engines, Peers: a.peers,
 		Rewards:     &reward.Caller{View: b.view, Forward: forwarder, Service: settings.Service},
+		JobsPace:    agentJobsPace(),
 		StoreWrites: settings.StoreWrites,
 		Now:         b.store.Now, Log: b.log, Counters: b.counters,
 	})
--- a/service/node/entry.go
+++ b/service/node/entry.go
@@ -72,7 +72,8 @@
 	e.follow(working, &wg)
 	wg.Go(func() { e.reader.Run(working) })
 	collector := &batch.Collector{Ledger: e.ledger, Keep: e.settings.KeepResults, Now: e.store.Now, Log: e.log}
-	wg.Go(func() { store.Follow(working, e.store, batch.TableJobs, "", e.demand.Watcher(collector, e.log)) })
+	jobs := store.Source{Table: batch.TableJobs, Pace: entryJobsPace()}
+	wg.Go(func() { store.Follow(working, e.store, jobs, e.demand.Watcher(collector, e.log)) })
 	wg.Go(func() { collector.Run(working) })
 	ready, err := e.listenReady()
 	if err != nil {
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -100,6 +100,10 @@
 	instances := newInstanceWatcher(b.view, b.log)
 	wg.Go(func() { b.serveMetrics(ctx, b.metricsPort) })
 	wg.Go(func() { b.tellTraffic(ctx) })
-	wg.Go(func() { store.Follow(ctx, b.store, operator.TableOperator, "", config) })
-	wg.Go(func() { store.Follow(ctx, b.store, operator.TableInstances, "", instances) })
+	wg.Go(func() {
+		store.Follow(ctx, b.store, store.Source{Table: operator.TableOperator, Pace: operatorPace(b.settings)}, config)
+	})
+	wg.Go(func() {
+		store.Follow(ctx, b.store, store.Source{Table: operator.TableInstances, Pace: instancesPace(b.settings)}, instances)
+	})
 }
--- a/service/node/watch.go
+++ b/service/node/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -69,8 +70,6 @@
 type instanceWatcher struct {
 	view *fleet.View
 	log  logrus.FieldLogger
-	// heardAt is when the store last answered.
-	heardAt time.Time
 	// graceUntil is until when missing instances are kept; kept are those.
 	graceUntil time.Time
 	kept       map[string]time.Time
@@ -87,23 +86,21 @@
 }
 
 func (w *instanceWatcher) Lost(err error) { store.LogLoss(w.log, operator.TableInstances, err) }
-func (w *instanceWatcher) Regained(after time.Duration) {
-	store.LogReturn(w.log, operator.TableInstances, after)
-}
 
-// outage is a silence of the feed that counts as an outage of the store.
-const outage = store.FeedWait + 500*time.Millisecond
+// minOutage is the shortest loss of the feed that earns missing entries their
+// grace. An entry lapses after three heartbeats of silence, the first of which may
+// be over when the store goes: 2.4 s, of which a call that is not answered may
+// hide a second and more.
+const minOutage = time.Second
 
-func (w *instanceWatcher) heard() {
-	now := time.Now()
-	if !w.heardAt.IsZero() && now.Sub(w.heardAt) > outage {
-		w.graceUntil = now.Add(returnGrace)
+func (w *instanceWatcher) Regained(after time.Duration) {
+	store.LogReturn(w.log, operator.TableInstances, after)
+	if after > minOutage {
+		w.graceUntil = time.Now().Add(returnGrace)
 	}
-	w.heardAt = now
 }
 
 func (w *instanceWatcher) Replace(s store.Snapshot) {
-	w.heard()
 	c := w.decode(s.Rows)
 	listed := map[string]bool{}
 	for _, row := range s.Rows {
@@ -118,10 +115,7 @@
 	w.update(c)
 }
 
-func (w *instanceWatcher) Apply(s store.Snapshot) {
-	w.heard()
-	w.update(w.decode(s.Rows))
-}
+func (w *instanceWatcher) Apply(s store.Snapshot) { w.update(w.decode(s.Rows)) }
 
 // listChange is what rows of the list say.
 type listChange struct {
@@ -179,6 +173,21 @@
 	}
 }
 
+// news are the instances of which the list says anything that the snapshot does
+// not have. Heartbeats of 120 instances change nothing a hundred times a second;
+// each would have the snapshot indexed and the engines dealt anew.
+func news(s *fleet.Snapshot, heard []fleet.Instance) []fleet.Instance {
+	return slices.DeleteFunc(heard, func(i fleet.Instance) bool {
+		known, ok := s.Instances[i.ID]
+		if !ok || !known.Says(i) {
+			return false
+		}
+		// Where two claim an address, the version of the entry decides between them.
+		stands, ok := s.AtAddr(i.Addr)
+		return ok && stands.ID == i.ID
+	})
+}
+
 // update puts changes in force, with those that are gone kept for their grace.
 func (w *instanceWatcher) update(c listChange) {
 	now := time.Now()
@@ -186,6 +195,7 @@
 	for _, i := range changed {
 		delete(w.kept, i.ID)
 	}
+	changed = news(w.view.Snapshot(), changed)
 	for _, id := range gone {
 		if _, known := w.view.Snapshot().Instances[id]; known {
 			w.kept[id] = w.graceUntil
--- a/service/node/watch_test.go
+++ b/service/node/watch_test.go
@@ -43,7 +43,7 @@
 	s := rowstore.New()
 	r := &listRig{t: t, store: s, way: s.Client(), view: fleet.NewView()}
 	w := newInstanceWatcher(r.view, observe.Discard())
-	go store.Follow(t.Context(), r.way, operator.TableInstances, "", w)
+	go store.Follow(t.Context(), r.way, store.Source{Table: operator.TableInstances}, w)
 	r.put("a")
 	r.put("b")
 	time.Sleep(time.Second)
@@ -260,3 +260,38 @@
 		}
 	})
 }
+
+// TestHeartbeatsAreNoNews beats on with nothing but a new number: the snapshot
+// stays as it is. A change of anything else, or a second claim of the address, is
+// news at once.
+func TestHeartbeatsAreNoNews(t *testing.T) {
+	view := fleet.NewView()
+	w := newInstanceWatcher(view, observe.Discard())
+	version := uint64(0)
+	row := func(id, fields string) store.Row {
+		version++
+		r := rowOf(id, `{"Service":"s","Address":"10.0.0.1:80","Zone":"z","Version":"v1","Slots":4,"ColdLeftMs":0,`+fields+`}`)
+		r.Version = version
+		return r
+	}
+	w.Replace(store.Snapshot{Rows: []store.Row{row("a", `"State":"ready","Sequence":1`)}})
+	before := view.Snapshot()
+	for i := range 5 {
+		w.Apply(store.Snapshot{Rows: []store.Row{row("a", fmt.Sprintf(`"State":"ready","Sequence":%d`, i+2))}})
+	}
+	if view.Snapshot() != before {
+		t.Error("a heartbeat made a new snapshot")
+	}
+	w.Apply(store.Snapshot{Rows: []store.Row{row("b", `"State":"ready","Sequence":1`)}})
+	if i, _ := view.Snapshot().AtAddr("10.0.0.1:80"); i.ID != "b" {
+		t.Errorf("at the address stands %s, want the newer b", i.ID)
+	}
+	w.Apply(store.Snapshot{Rows: []store.Row{row("a", `"State":"ready","Sequence":9`)}})
+	if i, _ := view.Snapshot().AtAddr("10.0.0.1:80"); i.ID != "a" {
+		t.Errorf("at the address stands %s, want a, which has beaten since", i.ID)
+	}
+	w.Apply(store.Snapshot{Rows: []store.Row{row("a", `"State":"draining","Sequence":10`)}})
+	if !view.Snapshot().Instances["a"].Draining {
+		t.Error("a drain is no news")
+	}
+}
--- a/store/follow.go
+++ b/store/follow.go
@@ -27,76 +27,110 @@
 	Replace(s Snapshot)
 	// Apply takes changed rows in order of their versions; there may be none.
 	Apply(s Snapshot)
-	// Lost says that a read failed, once for each loss; Regained that one
-	// succeeded again, and how long that took.
+	// Lost says that a read failed or was long without an answer, once for each
+	// loss; Regained that one succeeded again, and how long that took. It comes
+	// before the rows of that read.
 	Lost(err error)
 	Regained(after time.Duration)
 }
 
+// Source is what is followed.
+type Source struct {
+	Table, Part string
+	// Pace spaces the calls; its zero value makes no pause.
+	Pace Pace
+}
+
+// errSlow says that a call was answered long after it should have been.
+var errSlow = errors.New("store: the feed's answer came late")
+
+// lateAnswer is above the time that any answered feed call takes, also while
+// the store is slowed down sixty times.
+const lateAnswer = FeedWait + 500*time.Millisecond
+
 // Follow keeps a watcher abreast of the rows of one table and part until ctx
 // ends: all of them first, then the feed, then all of them again after a gap.
-func Follow(ctx context.Context, rows Rows, table, part string, w Watcher) {
-	f := &follower{rows: rows, table: table, part: part, watcher: w}
+func Follow(ctx context.Context, rows Rows, source Source, w Watcher) {
+	f := &follower{rows: rows, source: source, watcher: w}
 	for ctx.Err() == nil {
 		f.step(ctx)
 	}
 }
 
 type follower struct {
-	rows        Rows
-	table, part string
-	watcher     Watcher
-	listed      bool
-	version     uint64
-	failures    int
-	lostAt      time.Time
+	rows     Rows
+	source   Source
+	watcher  Watcher
+	listed   bool
+	version  uint64
+	failures int
+	lostAt   time.Time
 }
 
+// step makes one call and pauses.
 func (f *follower) step(ctx context.Context) {
-	err := f.read(ctx)
-	if err == nil {
-		if f.failures > 0 {
-			f.watcher.Regained(time.Since(f.lostAt))
-		}
-		f.failures = 0
-		return
+	asked := time.Now()
+	s, err := f.read(ctx)
+	switch {
+	case err == nil:
+		f.hear(s, asked)
+		sleep(ctx, f.source.Pace.Pause(s))
+	case ctx.Err() != nil:
+	case errors.Is(err, ErrHistoryGone):
+		f.listed = false
+	default:
+		f.lose(err, asked)
+		sleep(ctx, min(retryPause<<min(f.failures-1, 4), maxRetryPause))
 	}
-	if ctx.Err() != nil {
-		return
+}
+
+// hear hands an answer to the watcher.
+func (f *follower) hear(s Snapshot, asked time.Time) {
+	if time.Since(asked) > lateAnswer && f.failures == 0 {
+		f.lose(errSlow, asked)
 	}
-	if errors.Is(err, ErrHistoryGone) {
-		f.listed = false
+	if f.failures > 0 {
+		f.watcher.Regained(time.Since(f.lostAt))
+	}
+	f.failures = 0
+	f.version = max(f.version, s.Version)
+	if f.listed {
+		f.watcher.Apply(s)
 		return
 	}
+	f.listed = true
+	f.watcher.Replace(s)
+}
+
+// lose notes a failed call. The loss began when it failed, or, if it was silent
+// for longer, when it should have been answered.
+func (f *follower) lose(err error, asked time.Time) {
 	if f.failures == 0 {
 		f.lostAt = time.Now()
+		if due := asked.Add(FeedWait); due.Before(f.lostAt) {
+			f.lostAt = due
+		}
 		f.watcher.Lost(err)
 	}
-	pause := min(retryPause<<min(f.failures, 4), maxRetryPause)
 	f.failures++
-	select {
-	case <-ctx.Done():
-	case <-time.After(pause):
-	}
 }
 
-func (f *follower) read(ctx context.Context) error {
+func (f *follower) read(ctx context.Context) (Snapshot, error) {
 	if !f.listed {
-		s, err := ListAll(ctx, f.rows, Range{Table: f.table, Part: f.part})
-		if err != nil {
-			return err
-		}
-		f.listed, f.version = true, s.Version
-		f.watcher.Replace(s)
-		return nil
+		return ListAll(ctx, f.rows, Range{Table: f.source.Table, Part: f.source.Part})
 	}
-	s, err := f.rows.Feed(ctx, f.table, f.version, FeedWait)
-	if err != nil {
-		return err
+	return f.rows.Feed(ctx, f.source.Table, f.version, FeedWait)
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
-	f.version = max(f.version, s.Version)
-	f.watcher.Apply(s)
-	return nil
 }
 
 // LogLoss is the log line of a lost feed, shared by all watchers.
--- a/store/follow_test.go
+++ b/store/follow_test.go
@@ -27,7 +27,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		way, w := rowstore.New().Client(), &watcher{}
-		go store.Follow(ctx, way, "table", "", w)
+		go store.Follow(ctx, way, store.Source{Table: "table"}, w)
 		for range 2 {
 			time.Sleep(5 * time.Second)
 			way.Cut(fmt.Errorf("%w: away", store.ErrUnknown))
--- /dev/null
+++ b/store/pace.go
@@ -0,0 +1,48 @@
+package store
+
+import "time"
+
+// Pace spaces the calls of a feed. A feed answers at the first change, so on a
+// table with many writers it never waits: with N processes that write and N that
+// read, N*N answers are made. A pause after an answer gathers changes instead.
+// The pause follows from what the last answer cost and what the reader may spend
+// on the table, so a quiet table is heard at once and a busy one within MaxAge.
+//
+// With 120 rows that change each 1.2 s and 248 readers the feed of one table was
+// asked 18 times a second by each reader; with a pace of 6,000 bytes a second
+// and a MaxAge of 1.3 s it is asked 0.75 times.
+type Pace struct {
+	// BytesPerSecond is what answers may cost while that keeps the reader
+	// abreast within MaxAge; 0 is no bound, so that no pause is made.
+	BytesPerSecond int
+	// MaxAge bounds the pause, and so the age of what is believed.
+	MaxAge time.Duration
+	// MinAge is the least pause, for readers that need no fresh news.
+	MinAge time.Duration
+}
+
+const (
+	// callBytes is what a call costs beside its rows: headers of both ways.
+	callBytes = 350
+	// rowBytes is what a row costs beside its key and value: field names, the
+	// version, and the encoding's four bytes for three, counted for short rows.
+	rowBytes = 100
+)
+
+// Pause is how long to wait after an answer.
+func (p Pace) Pause(s Snapshot) time.Duration {
+	if p.BytesPerSecond <= 0 {
+		return p.MinAge
+	}
+	spent := time.Duration(float64(s.cost()) / float64(p.BytesPerSecond) * float64(time.Second))
+	return max(p.MinAge, min(spent, p.MaxAge))
+}
+
+// cost estimates an answer's bytes.
+func (s Snapshot) cost() int {
+	n := callBytes
+	for _, row := range s.Rows {
+		n += rowBytes + len(row.Table) + len(row.Part) + len(row.Name) + len(row.Value)*4/3
+	}
+	return n
+}
