Results are read when somebody asks for them, by job; who is done stands apart from the texts

Ruled out: a range of names within a job's part: a late write may stand under an old name, so a reader could show another order than the others. The ids of done items stand in batch_done, written in the same transaction.

--- a/batch/ledger_test.go
+++ b/batch/ledger_test.go
@@ -49,7 +49,7 @@
 			func(t *testing.T, s *rowstore.Store) bool { return len(s.Rows(TableJobs)) == 1 }},
 		{"append", func(ctx context.Context, l *Ledger) error {
 			return l.Append(ctx, "j", "w-1", []Result{{ID: "a", State: StateDone}})
-		}, func(t *testing.T, s *rowstore.Store) bool { return len(s.Rows(TableResults)) == 1 }},
+		}, func(t *testing.T, s *rowstore.Store) bool { return len(s.Rows(resultsTable("j"))) == 1 }},
 	}
 	outcomes := map[string]rowstore.Outcome{
 		"done": rowstore.Done, "refused": rowstore.Refused, "lost": rowstore.Lost, "dropped": rowstore.Dropped, "late": rowstore.Late,
@@ -157,7 +157,7 @@
 	must(t, l.saveProgress(t.Context(), "j", "w", []segment{{Events: []string{"e"}}}))
 	must(t, l.End(t.Context(), "j"))
 	must(t, l.Remove(t.Context(), job))
-	for _, table := range []string{TableJobs, tableItems, TableResults, tableProgress} {
+	for _, table := range []string{TableJobs, tableItems, resultsTable("j"), tableDone, tableProgress} {
 		if rows := s.Rows(table); len(rows) > 0 {
 			t.Errorf("%s: %d rows left", table, len(rows))
 		}
@@ -191,7 +191,7 @@
 				t.Fatal(err)
 			}
 			if rapid.Bool().Draw(t, "feed") {
-				feed, err := s.Feed(context.Background(), TableResults, early.Version, 0)
+				feed, err := s.Feed(context.Background(), resultsTable("j"), early.Version, 0)
 				if err != nil {
 					t.Fatal(err)
 				}
--- a/batch/openjobs.go
+++ b/batch/openjobs.go
@@ -113,7 +113,7 @@
 	if !results {
 		return true
 	}
-	listing, err := w.Ledger.Results(w.ctx, j.job.ID)
+	listed, err := w.Ledger.Done(w.ctx, j.job.ID)
 	if err != nil {
 		w.Log.WithError(err).WithField(observe.FieldJob, j.job.ID).Warn("results not read")
 		return false
@@ -121,7 +121,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for i := range j.items {
-		if listing.Listed(j.items[i].ID) {
+		if listed[j.items[i].ID] {
 			j.done[i] = true
 		}
 	}
--- a/batch/reader.go
+++ b/batch/reader.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-
-	"mulberryscale.example/store"
 )
 
 // Errors of a Reader.
@@ -24,54 +22,52 @@
 	// last asked for. Callers poll open jobs about twice a second.
 	forgetAfter = 15 * time.Second
 	forgetEvery = 2 * time.Second
-	// readFeedWait is how long the store may hold a feed call while jobs are
-	// read here. Two answers and a half a second are small against those that
-	// bring results.
-	readFeedWait = 400 * time.Millisecond
-	// feedSilence is the age of the feed's last word above which a caller that
-	// finds nothing new is answered from the store itself. What one entry has
-	// shown, every other must show a second later; it is above readFeedWait, so
-	// that a feed that works causes no reads.
-	feedSilence = 700 * time.Millisecond
+	// showAfter is how long a caller for whom there are results waits for news of
+	// more: ten times the usual answer of the store.
+	showAfter = 40 * time.Millisecond
 )
 
 // Reader serves the results of jobs from the store, with what it has read kept
-// in memory. Results never change, so what it holds may be shown at any time,
-// also while the store is away. It is safe for concurrent use.
+// in memory. The store is asked only while somebody reads: a caller brings the
+// list up to date and waits on the feed of the job's table itself. Results never
+// change, so what is kept may be shown at any time, also while the store is away.
+// It is safe for concurrent use.
 type Reader struct {
 	ledger *Ledger
 	log    logrus.FieldLogger
 
-	mu      sync.Mutex
-	jobs    map[string]*readJob
-	version uint64    // of the feed
-	heard   time.Time // when the feed last said anything
-	gaps    int       // how often the feed lost its place
+	mu   sync.Mutex
+	jobs map[string]*readJob
 }
 
 // readJob is a job that was asked for here.
 type readJob struct {
-	load sync.Mutex // held while the job is read from the store
+	load sync.Mutex // held while the job's head or items are read from the store
 
 	// The rest is guarded by Reader.mu.
-	job     *Job // nil until known
-	ended   bool
+	job     *Job     // nil until known
 	listing *Listing // nil until read; replaced or appended to
-	loading bool     // the list is being read; missed collects what the feed says meanwhile
-	missed  []store.Row
+	update  *update  // in flight; nil if none
 	items   map[string]Item
-	changed chan struct{}
 	used    time.Time
 }
 
-// NewReader returns a reader; Run must run for it to hear of new results.
+// NewReader returns a reader.
 func NewReader(ledger *Ledger, log logrus.FieldLogger) *Reader {
 	return &Reader{ledger: ledger, log: log, jobs: map[string]*readJob{}}
 }
 
-func (j *readJob) signal() {
-	close(j.changed)
-	j.changed = make(chan struct{})
+// Run forgets jobs that nobody reads any more until ctx ends.
+func (r *Reader) Run(ctx context.Context) {
+	for pause(ctx, forgetEvery) == nil {
+		r.mu.Lock()
+		for id, j := range r.jobs {
+			if time.Since(j.used) > forgetAfter {
+				delete(r.jobs, id)
+			}
+		}
+		r.mu.Unlock()
+	}
 }
 
 // touch returns the kept job, making it if need be.
@@ -80,7 +76,7 @@
 	defer r.mu.Unlock()
 	j, ok := r.jobs[id]
 	if !ok {
-		j = &readJob{changed: make(chan struct{})}
+		j = &readJob{}
 		r.jobs[id] = j
 	}
 	j.used = time.Now()
@@ -108,31 +104,49 @@
 func (r *Reader) Read(ctx context.Context, id string, from, maxBytes int, wait time.Duration) (Page, error) {
 	q := query{from: from, maxBytes: maxBytes, asked: time.Now(), wait: wait}
 	j := r.touch(id)
+	if err := r.loadJob(ctx, id, j); err != nil {
+		return Page{}, err
+	}
+	err := r.catchUp(ctx, id, j, q)
 	for {
-		if err := r.loadJob(ctx, id, j); err != nil {
-			return Page{}, err
-		}
-		page, changed, stale := r.page(j, q)
-		if stale {
-			if err := r.loadListing(ctx, id, j); err != nil {
-				return Page{}, err
-			}
-			page, changed, _ = r.page(j, q)
-		}
+		page := r.page(j, q)
 		left := wait - time.Since(q.asked)
-		if len(page.Results) > 0 || from >= page.Total || left <= 0 {
-			return r.gather(ctx, j, page, q)
+		switch {
+		case ctx.Err() != nil:
+			return Page{}, context.Cause(ctx)
+		case len(page.Results) > 0:
+			return r.gather(ctx, id, j, page, q)
+		case from >= page.Total, left <= 0 && err == nil:
+			return page, nil
+		case left <= 0:
+			return Page{}, err // what others have read may be missing here
 		}
 		q.waited = true
-		select {
-		case <-changed:
-		case <-time.After(left):
-		case <-ctx.Done():
-			return Page{}, context.Cause(ctx)
+		if err != nil {
+			_ = pause(ctx, writePause) // the loop looks at ctx
 		}
+		u := r.bringUp(id, j, min(left, updateWait))
+		err = u.await(ctx, wait-time.Since(q.asked))
 	}
 }
 
+// catchUp brings a job's list up to date before it is shown. A caller for whom
+// there is something waits for that no longer than showAfter.
+func (r *Reader) catchUp(ctx context.Context, id string, j *readJob, q query) error {
+	u, current := r.inFlight(j)
+	if current {
+		return nil
+	}
+	if u == nil {
+		u = r.bringUp(id, j, 0)
+	}
+	if len(r.page(j, q).Results) > 0 {
+		_ = u.await(ctx, showAfter) // what is kept is true whatever became of it
+		return nil
+	}
+	return u.await(ctx, updateLimit)
+}
+
 const (
 	// gatherTime is how long a reader that has waited for a result waits for the
 	// next ones. The longest items of a job begin together and are of one length,
@@ -153,7 +167,7 @@
 // gather waits for further results, unless the list is whole: near its end for
 // a caller that allows it until readPeriod after its call, and for one that has
 // waited already for gatherTime.
-func (r *Reader) gather(ctx context.Context, j *readJob, page Page, q query) (Page, error) {
+func (r *Reader) gather(ctx context.Context, id string, j *readJob, page Page, q query) (Page, error) {
 	left := time.Duration(0)
 	if q.from+len(page.Results) >= int(lastShare*float64(page.Total)) {
 		left = min(q.wait, readPeriod) - time.Since(q.asked)
@@ -161,34 +175,29 @@
 	if q.waited {
 		left = max(left, gatherTime)
 	}
-	if left <= 0 || len(page.Results) == 0 {
-		return page, nil
-	}
-	end := time.After(left)
+	end := time.Now().Add(left)
 	for {
-		page, changed, _ := r.page(j, q)
-		if q.from+len(page.Results) >= page.Total || page.cut {
+		page = r.page(j, q)
+		left = time.Until(end)
+		if left <= 0 || q.from+len(page.Results) >= page.Total || page.cut {
 			return page, nil
 		}
-		select {
-		case <-changed:
-		case <-end:
-			page, _, _ = r.page(j, q)
-			return page, nil
-		case <-ctx.Done():
+		if err := r.bringUp(id, j, min(left, updateWait)).await(ctx, left); err != nil {
+			_ = pause(ctx, min(left, writePause)) // what is kept is shown all the same
+		}
+		if ctx.Err() != nil {
 			return Page{}, context.Cause(ctx)
 		}
 	}
 }
 
-// page cuts a page out of the list; stale says that the list must be read
-// from the store first.
-func (r *Reader) page(j *readJob, q query) (page Page, changed <-chan struct{}, stale bool) {
+// page cuts a page out of the list.
+func (r *Reader) page(j *readJob, q query) Page {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	page = Page{Total: j.job.Items}
+	page := Page{Total: j.job.Items}
 	if j.listing == nil {
-		return page, j.changed, true
+		return page
 	}
 	bytes := 0
 	for i := q.from; i < len(j.listing.Results); i++ {
@@ -199,9 +208,7 @@
 		}
 		page.Results = append(page.Results, j.listing.Results[i])
 	}
-	whole := len(j.listing.Results) == j.job.Items
-	stale = len(page.Results) == 0 && !whole && time.Since(r.heard) > feedSilence
-	return page, j.changed, stale
+	return page
 }
 
 // loadJob reads the job's head unless it is known.
@@ -214,7 +221,7 @@
 	if known {
 		return nil
 	}
-	job, ended, found, err := r.ledger.Job(ctx, id)
+	job, _, found, err := r.ledger.Job(ctx, id)
 	if err != nil {
 		return err
 	}
@@ -224,41 +231,6 @@
 		delete(r.jobs, id) // whoever makes up ids fills no memory
 		return ErrNoJob
 	}
-	j.job, j.ended = job, ended
+	j.job = job
 	return nil
 }
-
-// loadListing reads the job's results from the store.
-func (r *Reader) loadListing(ctx context.Context, id string, j *readJob) error {
-	j.load.Lock()
-	defer j.load.Unlock()
-	r.mu.Lock()
-	j.loading, j.missed = true, nil
-	gaps := r.gaps
-	r.mu.Unlock()
-
-	listing, err := r.ledger.Results(ctx, id)
-
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	missed := j.missed
-	j.loading, j.missed = false, nil
-	if err != nil {
-		return err
-	}
-	if r.gaps != gaps {
-		return errFeedGap
-	}
-	if j.listing != nil && j.listing.Version >= listing.Version {
-		return nil
-	}
-	if err := listing.Apply(missed, r.version); err != nil {
-		return err
-	}
-	j.listing = listing
-	j.signal()
-	return nil
-}
-
-// errFeedGap says that the feed lost its place while a list was read.
-var errFeedGap = errors.New("batch: the feed lost its place, read again")
--- a/batch/reader_test.go
+++ b/batch/reader_test.go
@@ -1,8 +1,10 @@
 package batch
 
 import (
+	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -230,3 +232,105 @@
 		}
 	})
 }
+
+// TestNobodyReadsWhatNobodyAskedFor lets twenty entries stand by while one job of
+// many is read at one of them: the others make no call for its results, and the
+// reader does not hear of jobs in other tables.
+func TestNobodyReadsWhatNobodyAskedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newReaderRig(t, 200)
+		var idle []*countingStore
+		for range 20 {
+			c := &countingStore{Store: rig.store}
+			idle = append(idle, c)
+			go NewReader(newLedger(c), observe.Discard()).Run(t.Context())
+		}
+		own := &countingStore{Store: rig.store}
+		rig.reader = NewReader(newLedger(own), observe.Discard())
+		const seconds = 10
+		go func() {
+			for i := range 10 * seconds {
+				rig.append(fmt.Sprint("item-", i))
+				must(t, rig.ledger.Append(t.Context(), fmt.Sprint("other-", i), "w", []Result{{ID: "x", State: StateDone, Output: "text"}}))
+				time.Sleep(100 * time.Millisecond)
+			}
+		}()
+		from := 0
+		for range 2 * seconds {
+			from += len(rig.ids(from, 0))
+			time.Sleep(500 * time.Millisecond)
+		}
+		from += len(rig.ids(from, 0))
+		for i, c := range idle {
+			if c.calls.Load() > 0 {
+				t.Errorf("entry %d: %d calls", i, c.calls.Load())
+			}
+		}
+		if from != 10*seconds {
+			t.Errorf("%d of %d results read", from, 10*seconds)
+		}
+		if own.calls.Load() > 3*seconds {
+			t.Errorf("%d calls for %d reads", own.calls.Load(), 2*seconds)
+		}
+		if own.rows.Load() > 13*seconds {
+			t.Errorf("%d rows for %d results", own.rows.Load(), 10*seconds)
+		}
+	})
+}
+
+// countingStore counts reading calls and the rows that they bring.
+type countingStore struct {
+	store.Store
+	calls, rows atomic.Int64
+}
+
+func (c *countingStore) List(ctx context.Context, r store.Range) (store.Snapshot, error) {
+	s, err := c.Store.List(ctx, r)
+	c.calls.Add(1)
+	c.rows.Add(int64(len(s.Rows)))
+	return s, err
+}
+
+func (c *countingStore) Feed(ctx context.Context, table string, after uint64, wait time.Duration) (store.Snapshot, error) {
+	s, err := c.Store.Feed(ctx, table, after, wait)
+	c.calls.Add(1)
+	c.rows.Add(int64(len(s.Rows)))
+	return s, err
+}
+
+// TestSlowStoreDelaysNoResultThatIsHere has results in memory while the store
+// takes a second for each answer.
+func TestSlowStoreDelaysNoResultThatIsHere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newReaderRig(t, 8)
+		rig.append("a", "b")
+		rig.want(0, "a", "b")
+		rig.store.Slow(time.Second)
+		began := time.Now()
+		rig.want(0, "a", "b")
+		if took := time.Since(began); took > 2*showAfter {
+			t.Errorf("shown after %s", took)
+		}
+		time.Sleep(2 * updateLimit) // the update that nobody waits for ends
+	})
+}
+
+// TestSharedUpdate lets ten callers wait for one job: they share the calls.
+func TestSharedUpdate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rig := newReaderRig(t, 8)
+		own := &countingStore{Store: rig.store}
+		rig.reader = NewReader(newLedger(own), observe.Discard())
+		for range 10 {
+			go func() {
+				if _, err := rig.reader.Read(t.Context(), "j", 0, 1<<20, time.Second); err != nil {
+					t.Error(err)
+				}
+			}()
+		}
+		time.Sleep(2 * time.Second)
+		if n := own.calls.Load(); n > 8 {
+			t.Errorf("%d calls for ten callers of one job", n)
+		}
+	})
+}
--- /dev/null
+++ b/batch/update.go
@@ -0,0 +1,130 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+const (
+	// updateWait is how long the store may hold a feed call that has nothing to
+	// tell of a job. Whoever waits longer asks again, so that a feed that has gone
+	// silent hides nothing for longer.
+	updateWait = 400 * time.Millisecond
+	// feedAnswer is how long after its time to wait a feed call may be answered
+	// before the list is read whole instead. Together with updateWait it is below
+	// the second after which every entry must show what one has shown.
+	feedAnswer = 500 * time.Millisecond
+	// updateLimit bounds an update: a silent feed, then the list.
+	updateLimit = updateWait + feedAnswer + 1500*time.Millisecond
+)
+
+// update is one reading of what is new in a job's list, shared by all callers
+// that read the job meanwhile.
+type update struct {
+	done  chan struct{} // closed at its end
+	began time.Time
+	err   error // set before done is closed
+}
+
+// errStillReading says that an update has not ended in the caller's time.
+var errStillReading = errors.New("batch: the job's list is still being read")
+
+// await waits for the update's end, for limit at most.
+func (u *update) await(ctx context.Context, limit time.Duration) error {
+	select {
+	case <-u.done:
+		return u.err
+	default:
+	}
+	select {
+	case <-u.done:
+		return u.err
+	case <-time.After(limit):
+		if time.Since(u.began) < updateWait+feedAnswer {
+			return nil // the feed is listened to and has told of nothing
+		}
+		return errStillReading
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// inFlight is the update in flight, if any; current says that a list is known
+// and the feed is being listened to, so that there is nothing to catch up with.
+func (r *Reader) inFlight(j *readJob) (u *update, current bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	u = j.update
+	return u, u != nil && j.listing != nil && time.Since(u.began) < updateWait+feedAnswer
+}
+
+// bringUp begins an update unless one is in flight; the store may hold it for wait.
+func (r *Reader) bringUp(id string, j *readJob, wait time.Duration) *update {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if j.update != nil {
+		return j.update
+	}
+	u := &update{done: make(chan struct{}), began: time.Now()}
+	j.update = u
+	go func() {
+		// No caller's context: others may have joined it.
+		ctx, cancel := context.WithTimeout(context.Background(), updateLimit)
+		defer cancel()
+		err := r.hear(ctx, id, j, wait)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		u.err, j.update = err, nil
+		close(u.done)
+	}()
+	return u
+}
+
+// hear brings a job's list up to date: from the feed of its table, or whole
+// where none is known, the feed gives no answer or no longer reaches back.
+func (r *Reader) hear(ctx context.Context, id string, j *readJob, wait time.Duration) error {
+	r.mu.Lock()
+	known := j.listing
+	version := uint64(0)
+	if known != nil {
+		version = known.Version
+	}
+	r.mu.Unlock()
+	if known != nil && r.hearFeed(ctx, id, known, version, wait) == nil {
+		return nil
+	}
+	listing, err := r.ledger.Results(ctx, id)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if j.listing == nil || j.listing.Version < listing.Version {
+		j.listing = listing
+	}
+	return nil
+}
+
+// hearFeed applies what the feed tells of a job after a version.
+func (r *Reader) hearFeed(ctx context.Context, id string, listing *Listing, version uint64, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+feedAnswer)
+	defer cancel()
+	s, err := r.ledger.Store.Feed(ctx, resultsTable(id), version, wait)
+	if err != nil {
+		return err
+	}
+	rows := s.Rows[:0:0]
+	for _, row := range s.Rows {
+		if row.Part == id {
+			rows = append(rows, row)
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err := listing.Apply(rows, s.Version); err != nil {
+		r.log.WithError(err).WithField("job", id).Error("results not readable")
+		return err
+	}
+	return nil
+}
