Agents look after the jobs of their own model, notice a dead neighbour, and deal out what they find

Cause: each agent with a free place asked eight agents four times a second and now and then all 114, for jobs of all models, most of which its engine can never run: 13,000 QUIC connections and some 7,000 calls a second. Ruled out: fewer agents asked a round alone (connections stay); watching by all (the cost is N x N). Change: an agent looks after jobs that it takes part in or can run; it asks four others for work, less often while they have none; it asks its neighbour in the ring of addresses twice a second, and rounds that ask all are shared out over the agents. Who finds items without a holder deals them out at once instead of leaving each other agent to find its own part. The engine's report is asked for each 0.1 s only while an order is carried out.

--- a/batch/drain.go
+++ b/batch/drain.go
@@ -17,13 +17,19 @@
 		w.giveWaiting(ctx)
 	}
 	for w.heldNow() > 0 && pause(ctx, drainPoll) == nil {
-		statuses, _ := w.ask(ctx, w.openJobs(), true)
+		statuses := w.askRoom(ctx)
 		w.giveAll(ctx, statuses, true)
 	}
 	for w.unappended() && pause(ctx, drainPoll) == nil {
 	}
 }
 
+// askRoom asks the agents that may take this one's items.
+func (w *Worker) askRoom(ctx context.Context) map[string]*Status {
+	jobs := w.openJobs()
+	return w.ask(ctx, jobs, some(w.engines(jobs), askMany))
+}
+
 // drainPoll is how often a drain looks at what is left.
 const drainPoll = 100 * time.Millisecond
 
@@ -39,7 +45,7 @@
 	n := len(w.waiting)
 	w.mu.Unlock()
 	if n > 0 {
-		statuses, _ := w.ask(ctx, w.openJobs(), true)
+		statuses := w.askRoom(ctx)
 		w.giveAll(ctx, statuses, false)
 	}
 }
--- a/batch/enginestate.go
+++ b/batch/enginestate.go
@@ -11,10 +11,13 @@
 )
 
 const (
-	// watchInterval is how often the engine is asked for its report while it
-	// has or may get work; the report is free on its own machine.
-	watchInterval = 100 * time.Millisecond
-	// quietInterval is the same while no job is open.
+	// changeInterval is how often the engine is asked for its report while it
+	// carries out an order or is not known to be well; the report is free on its
+	// own machine, but each costs both of them a wake-up.
+	changeInterval = 100 * time.Millisecond
+	// watchInterval is the same while it may have work, and tells by its events
+	// that it is well, and quietInterval while it has none.
+	watchInterval = 200 * time.Millisecond
 	quietInterval = 500 * time.Millisecond
 	// maxLosses is how many reports and runs without an answer, in a row, make
 	// an engine count as down.
@@ -102,20 +105,38 @@
 
 // watchEngine keeps the engine's state abreast and gives it orders.
 func (w *Worker) watchEngine(ctx context.Context) {
-	for {
+	reported := time.Time{}
+	for ctx.Err() == nil {
+		changed := w.View.Changed()
 		if i, ok := w.View.Snapshot().AtAddr(w.Engine); ok {
 			w.seeBirth(i.Born)
 		}
-		w.report(ctx)
+		if time.Since(reported) >= w.reportInterval() {
+			w.report(ctx)
+			reported = time.Now()
+		}
 		w.orderVersions(ctx)
-		interval := quietInterval
-		if w.active() {
-			interval = watchInterval
+		select {
+		case <-ctx.Done():
+		case <-changed: // an order may be due
+		case <-time.After(w.reportInterval() - time.Since(reported)):
 		}
-		if pause(ctx, interval) != nil {
-			return
+	}
+}
+
+// reportInterval is how often the engine is asked for its report now.
+func (w *Worker) reportInterval() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.engine.order != nil || !w.engine.up || !w.engine.known {
+		return changeInterval
+	}
+	for _, j := range w.jobs {
+		if !j.ended && !j.finished && (len(j.tasks) > 0 || w.takesPart(j)) {
+			return watchInterval
 		}
 	}
+	return quietInterval
 }
 
 // seeBirth takes what the list or a report says of the engine's birth; false
@@ -145,20 +166,6 @@
 	return true
 }
 
-func (w *Worker) active() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.engine.order != nil || !w.engine.up || !w.engine.known {
-		return true
-	}
-	for _, j := range w.jobs {
-		if !j.ended && !j.finished {
-			return true
-		}
-	}
-	return false
-}
-
 // report asks the engine for its state.
 func (w *Worker) report(ctx context.Context) {
 	r, err := w.Engines.Report(ctx, w.Engine)
--- a/batch/help.go
+++ b/batch/help.go
@@ -11,71 +11,98 @@
 )
 
 const (
-	// helpInterval is how often an agent with free slots looks at the others.
+	// helpInterval is how often an agent looks whether there is anything to do for
+	// others. Looking by itself calls nobody.
 	helpInterval = 250 * time.Millisecond
 	// helpAge is the age below which a job is left to its owners.
 	helpAge = 400 * time.Millisecond
-	// askFew is how many agents are asked in a round. Whoever has work to give is
-	// asked by each of the others that are idle with that chance.
-	askFew = 8
-	// fullRound is the least number of rounds to one that asks all agents. With
-	// more agents there are more, so that an agent's calls stay the same; some
-	// agent then makes a full round as often as ever.
-	fullRound = 4
-	// orphanCheck is the least time between two reads of a job's results in
-	// search of items that nobody holds. It is longer than a handover takes.
-	orphanCheck = 600 * time.Millisecond
+	// askFew is how many agents are asked in a round for work to take. Whoever has
+	// work to give is asked by each of the others that are idle with that chance.
+	askFew = 4
+	// askMany is how many are asked for room by an agent whose engine takes no work.
+	askMany = 16
+	// maxHelpPause bounds the pause between rounds that found nothing to take; it
+	// doubles from helpInterval with each and starts anew with each new job.
+	maxHelpPause = time.Second
 	// slowRatio is how many times slower another engine must be for its running
 	// items to be worth moving: a move costs a prompt read again, 30 ms.
 	slowRatio = 1.6
 )
 
-// help looks after the items of other agents while this one has room, and
-// gives away its own when its engine cannot run them. Most rounds ask a few
-// agents only, which finds work to take about as well as asking all; now and
-// then one asks all, to find items that nobody holds.
+// help looks after the items of other agents, and gives away its own when its
+// engine cannot run them, until ctx ends.
 func (w *Worker) help(ctx context.Context) {
-	since := rand.IntN(fullRound) // the last full round, so that agents take turns
+	h := &helper{Worker: w, lost: newLostRounds(rand.Float64)}
 	for pause(ctx, helpInterval) == nil {
 		jobs := w.openJobs()
 		if len(jobs) == 0 {
 			continue
 		}
-		since++
-		full := since >= max(fullRound, w.others(jobs)/askFew)
-		if full {
-			since = 0
-		}
-		w.helpOnce(ctx, jobs, full)
+		h.giveAway(ctx, jobs)
+		h.takeWork(ctx, jobs)
+		h.findLost(ctx, jobs)
 	}
 }
 
-// others is the number of other agents that may hold items of the jobs.
-func (w *Worker) others(jobs []*workJob) int { return len(w.engines(jobs)) }
+// helper is what an agent remembers between its looks at the others.
+type helper struct {
+	*Worker
+	lost *lostRounds
+	// pause is the present pause between rounds that ask for work, asked when the
+	// last one was; newest is the newest job at that time.
+	pause  time.Duration
+	asked  time.Time
+	newest time.Duration
+}
 
-func (w *Worker) helpOnce(ctx context.Context, jobs []*workJob, full bool) {
-	w.mu.Lock()
-	free, held, broken := w.free(), w.held(), w.broken()
-	w.mu.Unlock()
-	unable := w.unable()
-	if free == 0 && held == 0 {
-		return
-	}
-	if free == 0 && !unable && len(broken) == 0 {
+// giveAway gives away what this engine cannot run.
+func (h *helper) giveAway(ctx context.Context, jobs []*workJob) {
+	h.mu.Lock()
+	held, broken := h.held(), h.broken()
+	h.mu.Unlock()
+	unable := h.unable()
+	if held == 0 || (!unable && len(broken) == 0) {
 		return
 	}
-	statuses, all := w.ask(ctx, jobs, full || unable || len(broken) > 0)
+	statuses := h.ask(ctx, jobs, some(h.engines(jobs), askMany))
 	if unable {
-		w.giveAll(ctx, statuses, true)
+		h.giveAll(ctx, statuses, true)
 		return
 	}
 	for j, tasks := range broken {
-		w.giveJob(ctx, j, tasks, roomiest(statuses))
+		h.giveJob(ctx, j, tasks, roomiest(statuses))
+	}
+}
+
+// takeWork asks a few agents for items that they have no room for, or run slowly.
+func (h *helper) takeWork(ctx context.Context, jobs []*workJob) {
+	jobs = slices.DeleteFunc(slices.Clone(jobs), func(j *workJob) bool { return !h.fresh(j) })
+	h.mu.Lock()
+	free := h.free()
+	h.mu.Unlock()
+	if free == 0 || len(jobs) == 0 || h.unable() {
+		return
+	}
+	if newest := jobs[len(jobs)-1].job.Accepted; newest != h.newest {
+		h.newest, h.pause = newest, 0
 	}
-	w.takeFrom(ctx, jobs, statuses, free)
-	if all {
-		w.adoptOrphans(jobs, statuses)
+	if time.Since(h.asked) < h.pause {
+		return
+	}
+	h.asked = time.Now()
+	statuses := h.ask(ctx, jobs, some(h.engines(jobs), askFew))
+	if h.takeFrom(ctx, jobs, statuses, free) > 0 {
+		h.pause = 0
+		return
 	}
+	h.pause = min(max(helpInterval, 2*h.pause), maxHelpPause)
+}
+
+// some are up to n of the engines, drawn at random.
+func some(engines []string, n int) []string {
+	engines = slices.Clone(engines)
+	rand.Shuffle(len(engines), func(i, k int) { engines[i], engines[k] = engines[k], engines[i] })
+	return engines[:min(n, len(engines))]
 }
 
 // broken are the waiting items that broke off here again and again, though the
@@ -102,7 +129,9 @@
 	return (listed && !registered) || !w.engine.up || w.stopping
 }
 
-// openJobs are the jobs that may have unfinished items.
+// openJobs are the jobs that may have unfinished items here or that this engine
+// could run items of, the oldest first. Jobs of models that other engines serve
+// are theirs to look after: with six trainers that is a sixth of all calls.
 func (w *Worker) openJobs() []*workJob {
 	now, known := w.Now()
 	w.mu.Lock()
@@ -112,7 +141,9 @@
 		if j.ended || j.finished || !known || now-j.job.Accepted < helpAge || now-j.job.Accepted > j.job.ItemTTL {
 			continue
 		}
-		open = append(open, j)
+		if len(j.tasks) > 0 || w.engine.serves(j.job) || w.takesPart(j) {
+			open = append(open, j)
+		}
 	}
 	slices.SortFunc(open, func(a, b *workJob) int {
 		return cmp.Or(cmp.Compare(a.job.Accepted, b.job.Accepted), cmp.Compare(a.job.ID, b.job.ID))
@@ -120,6 +151,14 @@
 	return open
 }
 
+// takesPart reports whether this engine is one of the participants of a job.
+func (w *Worker) takesPart(j *workJob) bool {
+	if slices.Contains(j.job.Owners, w.Engine) {
+		return true
+	}
+	return j.job.Model != "" && w.deals(w.View.Snapshot())[j.job.Model].Has(w.Engine)
+}
+
 // participants are the engines whose agents may hold items of a job.
 func (w *Worker) participants(j *workJob) []string {
 	engines := map[string]bool{}
@@ -146,24 +185,17 @@
 	return slices.Sorted(maps.Keys(engines))
 }
 
-// ask asks the agents that may hold items of the jobs, all or a random few;
-// those that do not answer are missing in what it returns. It says whether it
-// asked all.
-func (w *Worker) ask(ctx context.Context, jobs []*workJob, all bool) (statuses map[string]*Status, asksAll bool) {
+// ask asks agents for their state; those that do not answer are missing in what
+// it returns.
+func (w *Worker) ask(ctx context.Context, jobs []*workJob, engines []string) map[string]*Status {
 	var ids []string
 	for _, j := range jobs {
 		ids = append(ids, j.job.ID)
 	}
-	asked := w.engines(jobs)
-	all = all || len(asked) <= askFew
-	if !all {
-		rand.Shuffle(len(asked), func(i, k int) { asked[i], asked[k] = asked[k], asked[i] })
-		asked = asked[:askFew]
-	}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	statuses = map[string]*Status{}
-	for _, e := range asked {
+	statuses := map[string]*Status{}
+	for _, e := range engines {
 		wg.Go(func() {
 			reply, err := w.call(ctx, e, &PeerRequest{Status: &StatusAsk{Jobs: ids}})
 			if err != nil || reply.Status == nil {
@@ -175,23 +207,25 @@
 		})
 	}
 	wg.Wait()
-	return statuses, all
+	return statuses
 }
 
-// takeFrom takes items from the agent that has the most to give.
-func (w *Worker) takeFrom(ctx context.Context, jobs []*workJob, statuses map[string]*Status, free int) {
+// takeFrom takes items from the agents that have the most to give, and returns
+// how many.
+func (w *Worker) takeFrom(ctx context.Context, jobs []*workJob, statuses map[string]*Status, free int) int {
 	w.mu.Lock()
 	pace := w.engine.pace
 	w.mu.Unlock()
+	taken := 0
 	for _, j := range jobs {
-		if free <= 0 || !w.fresh(j) {
+		if taken >= free || !w.fresh(j) {
 			continue
 		}
 		engine, running, n := richest(j.job.ID, statuses, pace)
 		if n == 0 {
 			continue
 		}
-		ask := &TakeAsk{Job: j.job.ID, Max: min(free, (n+1)/2), Running: running}
+		ask := &TakeAsk{Job: j.job.ID, Max: min(free-taken, (n+1)/2), Running: running}
 		if !w.read(j, false) {
 			continue
 		}
@@ -199,8 +233,9 @@
 		if err != nil || reply.Handed == nil {
 			continue
 		}
-		free -= w.accept(engine, reply.Handed)
+		taken += w.accept(engine, reply.Handed)
 	}
+	return taken
 }
 
 // fresh reports whether the engine's weights serve a job now.
--- a/batch/help_test.go
+++ b/batch/help_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
+
+	"mulberryscale.example/fleet"
 )
 
 // statusOf is an agent's state with items of one job.
@@ -59,20 +62,74 @@
 	}
 }
 
-// TestCallsOfAnAgentDoNotGrowWithTheAgents lets many idle agents look after one
-// long item: each makes about as many calls however many they are.
+// TestCallsOfAnAgentDoNotGrowWithTheAgents lets 30, 100 and 300 idle agents look
+// after one long item.
 func TestCallsOfAnAgentDoNotGrowWithTheAgents(t *testing.T) {
+	perSecond := func(agents int) (calls float64) {
+		bubble(t, func(t *testing.T) {
+			const seconds = 10
+			rig := newWorkerRig(t, agents)
+			rig.engines.lengths["item-000"] = 1000
+			rig.submit("j", 1, nil)
+			time.Sleep(seconds * time.Second)
+			rig.peers.mu.Lock()
+			defer rig.peers.mu.Unlock()
+			total := 0
+			for _, n := range rig.peers.calls {
+				total += n
+			}
+			calls = float64(total) / float64(agents) / seconds
+		})
+		return calls
+	}
+	few := perSecond(30)
+	if few > 12 {
+		t.Errorf("%.1f calls a second by each of 30 agents", few)
+	}
+	for _, agents := range []int{100, 300} {
+		if many := perSecond(agents); many > 1.3*few {
+			t.Errorf("%.1f calls a second by each of %d agents, %.1f by each of 30", many, agents, few)
+		}
+	}
+}
+
+// TestAgentsLookAfterTheirOwnModelsJobs has the engines of two models, one of
+// which has an open job.
+func TestAgentsLookAfterTheirOwnModelsJobs(t *testing.T) {
 	bubble(t, func(t *testing.T) {
-		const agents, seconds = 60, 10
-		rig := newWorkerRig(t, agents)
+		rig := newWorkerRig(t, 8)
+		rig.view.SetConfig(&fleet.Config{Version: 2, Services: []fleet.Service{{Name: "svc", Models: []string{"m", "n"}}}})
+		snap := rig.view.Snapshot()
+		deal := DealModels(addrs(snap.OfService("svc")), []string{"m", "n"}, NewDemand())["m"]
 		rig.engines.lengths["item-000"] = 1000
-		rig.submit("j", 1, nil)
-		time.Sleep(seconds * time.Second)
+		rig.submit("j", 1, func(j *Job) { j.Owners, j.MinVersion, j.Ready = deal.All(), 2, len(deal.All()) })
+		time.Sleep(5 * time.Second)
 		rig.peers.mu.Lock()
 		defer rig.peers.mu.Unlock()
-		perSecond := rig.peers.calls[engineAddr(0)] / seconds
-		if rounds := int(time.Second / helpInterval); perSecond > 2*askFew*rounds || perSecond < askFew*rounds {
-			t.Errorf("%d calls a second by one of %d agents", perSecond, agents)
+		for addr, n := range rig.peers.calls {
+			if !deal.Has(addr) && n > 0 {
+				t.Errorf("%d calls by the agent of %s, which has nothing to do with the job", n, addr)
+			}
 		}
 	})
 }
+
+// TestItemsOfADeadAgentGoOnSoon kills one of thirty agents, all others of which
+// have room, in the middle of its item.
+func TestItemsOfADeadAgentGoOnSoon(t *testing.T) {
+	for _, agents := range []int{3, 30, 100} {
+		bubble(t, func(t *testing.T) {
+			rig := newWorkerRig(t, agents)
+			rig.submitLong("j", agents, "item-000")
+			runs := rig.runsOf("item-000")
+			holder := slices.IndexFunc(rig.addrs(), func(a string) bool { return a == runs[len(runs)-1].engine })
+			rig.kill(holder)
+			killed := time.Now()
+			rig.whole(rig.await("j", agents, 20*time.Second))
+			runs = rig.runsOf("item-000")
+			if took := runs[len(runs)-1].at.Sub(killed); took > 2*time.Second {
+				t.Errorf("%d agents: sent again %s after the kill", agents, took)
+			}
+		})
+	}
+}
--- a/batch/orphans.go
+++ b/batch/orphans.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"time"
@@ -10,9 +11,76 @@
 	"mulberryscale.example/observe"
 )
 
-// adoptOrphans takes the items that no agent holds and that are not done, as
+const (
+	// orphanCheck is the least time between two reads of a job's results in
+	// search of items that nobody holds. It is longer than a handover takes.
+	orphanCheck = 600 * time.Millisecond
+	// neighbourCheck is how often an agent looks whether the next one lives.
+	neighbourCheck = 500 * time.Millisecond
+)
+
+// lostRounds says when an agent asks all others of its jobs, to find items that
+// nobody holds. Two causes are told apart. An agent that dies is noticed by the
+// one before it in the ring of their addresses, which asks it twice a second. A
+// hand-over that was lost leaves all agents alive, so all of them together make a
+// round each orphanCheck, in turns drawn at random. So the calls of an agent do not
+// grow with the agents: four a second for its neighbour and its part of the rounds.
+type lostRounds struct {
+	draw      func() float64 // uniform in [0, 1)
+	next      time.Time      // of the next round
+	neighbour time.Time      // when it was last asked
+}
+
+func newLostRounds(draw func() float64) *lostRounds { return &lostRounds{draw: draw} }
+
+// due reports whether a round of n agents is due, and draws the time of the next.
+func (l *lostRounds) due(now time.Time, n int) bool {
+	first := l.next.IsZero()
+	if !first && now.Before(l.next) {
+		return false
+	}
+	mean := float64(n) * float64(orphanCheck)
+	l.next = now.Add(time.Duration(2 * l.draw() * mean))
+	return !first
+}
+
+// neighbourDue reports whether the neighbour is to be asked now.
+func (l *lostRounds) neighbourDue(now time.Time) bool {
+	if now.Sub(l.neighbour) < neighbourCheck {
+		return false
+	}
+	l.neighbour = now
+	return true
+}
+
+// findLost finds items that no agent holds and that are not done, and deals
+// them out.
+func (h *helper) findLost(ctx context.Context, jobs []*workJob) {
+	jobs = slices.DeleteFunc(slices.Clone(jobs), func(j *workJob) bool { return !h.takesPart(j) })
+	if len(jobs) == 0 {
+		return
+	}
+	others := h.engines(jobs)
+	round := h.lost.due(time.Now(), len(others)+1)
+	if !round && len(others) > 0 && h.lost.neighbourDue(time.Now()) {
+		next := neighbour(h.Engine, others)
+		_, lives := h.ask(ctx, jobs, []string{next})[next]
+		round = !lives
+	}
+	if round {
+		h.adoptOrphans(ctx, jobs, h.ask(ctx, jobs, others))
+	}
+}
+
+// neighbour is the engine after one in the ring of the others, which are sorted.
+func neighbour(engine string, others []string) string {
+	at, _ := slices.BinarySearch(others, engine)
+	return others[at%len(others)]
+}
+
+// adoptOrphans deals out the items that no agent holds and that are not done, as
 // happens when an agent died or a handover was lost.
-func (w *Worker) adoptOrphans(jobs []*workJob, statuses map[string]*Status) {
+func (w *Worker) adoptOrphans(ctx context.Context, jobs []*workJob, statuses map[string]*Status) {
 	for _, j := range jobs {
 		missing, finished := w.missing(j, statuses)
 		if finished {
@@ -31,7 +99,7 @@
 		}
 		w.mu.Unlock()
 		if due && w.read(j, true) {
-			w.adopt(j, missing, statuses)
+			w.adopt(ctx, j, missing, statuses)
 		}
 	}
 }
@@ -62,9 +130,16 @@
 	return missing, len(done) == j.job.Items
 }
 
-// adopt takes this agent's part of the items without a holder: all agents that
-// answer and are up share them by rendezvous hashing.
-func (w *Worker) adopt(j *workJob, missing []int, statuses map[string]*Status) {
+// adopt deals out the items without a holder: to all agents that answered and
+// are up, by rendezvous hashing, so that two that find the same items name the
+// same agents.
+func (w *Worker) adopt(ctx context.Context, j *workJob, missing []int, statuses map[string]*Status) {
+	w.mu.Lock()
+	lost := slices.DeleteFunc(missing, func(i int) bool { return j.done[i] })
+	w.mu.Unlock()
+	if len(lost) == 0 {
+		return
+	}
 	engines := []string{w.Engine}
 	for e, s := range statuses {
 		if s.Up {
@@ -73,22 +148,30 @@
 	}
 	slices.Sort(engines)
 	saved := w.savedTexts(j, true)
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	n := 0
-	for _, i := range missing {
-		if j.done[i] || engines[best(j.items[i].ID, engines)] != w.Engine {
-			continue
-		}
-		if w.take(j, saved[i].task(i)) {
-			n++
-			w.Log.WithFields(logrus.Fields{
-				observe.FieldItem: j.items[i].ID, observe.FieldJob: j.job.ID, "owner": j.owners[i],
-				"answered": len(statuses),
-			}).Info("item without a holder taken")
+	shares := map[string]*HandedItems{}
+	for _, i := range lost {
+		e := engines[best(j.items[i].ID, engines)]
+		if shares[e] == nil {
+			shares[e] = &HandedItems{Job: j.job.ID}
 		}
+		shares[e].Items = append(shares[e].Items, saved[i].handed(i))
+		w.Log.WithFields(logrus.Fields{
+			observe.FieldItem: j.items[i].ID, observe.FieldJob: j.job.ID, "owner": j.owners[i],
+			"answered": len(statuses), "to": e,
+		}).Info("item without a holder found")
+	}
+	for e, share := range shares {
+		w.deliver(ctx, e, share)
+	}
+}
+
+// deliver gives found items to an agent. What it does not take is found again.
+func (w *Worker) deliver(ctx context.Context, engine string, items *HandedItems) {
+	if engine == w.Engine {
+		w.accept(w.Engine, items)
+		return
 	}
-	if n > 0 {
-		w.wake()
+	if _, err := w.call(ctx, engine, &PeerRequest{Give: items}); err != nil {
+		w.Log.WithError(err).WithFields(logrus.Fields{observe.FieldJob: items.Job, "to": engine}).Info("found items not delivered")
 	}
 }
--- a/batch/progress.go
+++ b/batch/progress.go
@@ -79,6 +79,11 @@
 	return &task{index: index, text: s.events, versions: s.versions, whole: s.whole, rewardFailures: s.rewardFailures}
 }
 
+// handed is an item with the text, as one agent gives it to another.
+func (s savedText) handed(index int) Handed {
+	return Handed{Index: index, Text: s.events, Versions: s.versions, Whole: s.whole, RewardFailures: s.rewardFailures}
+}
+
 // saveProgress appends segments. It is tried once: the next save repeats what
 // was not acknowledged.
 func (l *Ledger) saveProgress(ctx context.Context, jobID, name string, segments []segment) error {
--- a/batch/rig_test.go
+++ b/batch/rig_test.go
@@ -264,6 +264,15 @@
 	return w
 }
 
+// addrs are the engines' addresses by their numbers.
+func (r *workerRig) addrs() []string {
+	list := make([]string, len(r.engines.engines))
+	for i := range list {
+		list[i] = engineAddr(i)
+	}
+	return list
+}
+
 // kill ends an agent at once.
 func (r *workerRig) kill(i int) {
 	r.stops[engineAddr(i)]()
