--- a/store/detour/detour_test.go
+++ b/store/detour/detour_test.go
@@ -74,7 +74,7 @@
 	return store.Tx{If: []store.Condition{{Key: k}}, Put: []store.Row{{Key: k, Value: []byte("value")}}}
 }
 
-var refused = fmt.Errorf("%w: busy", store.ErrRefused)
+var errBusy = fmt.Errorf("%w: busy", store.ErrRefused)
 
 // silence is a path on which calls get no answer until their time is up.
 type silence struct{ store.Store }
@@ -87,8 +87,8 @@
 func TestCallsGoOnThroughOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig()
-		r.own.Cut(refused)
-		r.others[0].Cut(refused) // is turned away too
+		r.own.Cut(errBusy)
+		r.others[0].Cut(errBusy) // is turned away too
 		began := time.Now()
 		if _, err := r.reach.Commit(t.Context(), put("a")); err != nil {
 			t.Fatalf("commit: %v", err)
@@ -140,7 +140,7 @@
 func TestOwnPathIsUsedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig()
-		r.own.Cut(refused)
+		r.own.Cut(errBusy)
 		_, _ = r.reach.Commit(t.Context(), put("a"))
 		r.own.Cut(nil)
 		time.Sleep(1500 * time.Millisecond)
@@ -163,7 +163,7 @@
 		r := newRig()
 		ways := append([]*rowstore.Client{r.own}, r.others...)
 		for _, w := range ways {
-			w.Cut(refused)
+			w.Cut(errBusy)
 		}
 		for range 100 {
 			if _, err := r.reach.Commit(t.Context(), put("a")); !errors.Is(err, store.ErrRefused) {
@@ -190,7 +190,7 @@
 		for _, outcome := range []rowstore.Outcome{rowstore.Lost, rowstore.Dropped, rowstore.Late} {
 			r := newRig()
 			for _, o := range r.others {
-				o.Cut(refused)
+				o.Cut(errBusy)
 			}
 			r.store.Next(outcome)
 			if _, err := r.reach.Commit(t.Context(), put("a")); !errors.Is(err, store.ErrUnknown) {
