A detour through agents is bounded, so that a process behind a cut is back as soon as it heals

A call through an agent behind the same cut had no bound of its own, so a feed call could last until the QUIC connection was given up (8 s) though the own path had long failed. Change: a call through others is bounded at 0.6 s beside the time for which a feed may be held, is not held again after the own path has been silent, and is not begun after a long silence. The beginning and the end of a detour are logged. Measured: TestSilentOthersHoldUpNoCall blocked for good before, 2 s after (the own path's bound).

--- a/service/node/node.go
+++ b/service/node/node.go
@@ -60,13 +60,24 @@
 	b.store.Traffic = b.countTraffic
 	b.log = logger.WithFields(logrus.Fields{observe.FieldProcess: settings.Node, "role": role, "incarnation": b.incarnation})
 	b.rows = &detour.Store{
-		Own: b.store, Used: func() { b.counters.Add(observe.NameStoreDetours, observe.RowNone, 1) },
+		Own: b.store, Changed: b.tellDetour,
+		Used:   func() { b.counters.Add(observe.NameStoreDetours, observe.RowNone, 1) },
 		Others: &others{node: settings.Node, own: settings.Engine, port: settings.PeerPort, view: b.view, peers: b.peers},
 	}
 	b.ledger = &batch.Ledger{Store: b.rows, RowBytes: settings.RowBytes, ObjectBytes: settings.ObjectBytes}
 	return b, nil
 }
 
+// tellDetour logs that calls to the store begin to go through agents, or end to.
+func (b *base) tellDetour(detouring bool) {
+	log := b.log.WithField("dependency", "store")
+	if detouring {
+		log.Warn("store reached through agents only")
+		return
+	}
+	log.Info("store reached directly again")
+}
+
 // countTraffic counts a call to the store.
 func (b *base) countTraffic(table string, sent, received int) {
 	b.counters.Add(observe.NameStoreCalls, table, 1)
--- a/store/detour/detour.go
+++ b/store/detour/detour.go
@@ -34,32 +34,38 @@
 	// Own is the process's own path.
 	Own    store.Store
 	Others Others
-	// Used, if set, is told of each call that got through by another process.
-	Used func()
+	// Used, if set, is told of each call that got through by another process, and
+	// Changed when such calls begin and end.
+	Used    func()
+	Changed func(detouring bool)
 
 	path path
 }
 
 // Commit implements store.Rows.
 func (s *Store) Commit(ctx context.Context, tx store.Tx) (store.Snapshot, error) {
-	return call(ctx, s, 0, func(ctx context.Context, by store.Store) (store.Snapshot, error) { return by.Commit(ctx, tx) })
+	return call(ctx, s, 0, func(ctx context.Context, by store.Store, _ time.Duration) (store.Snapshot, error) {
+		return by.Commit(ctx, tx)
+	})
 }
 
 // List implements store.Rows.
 func (s *Store) List(ctx context.Context, r store.Range) (store.Snapshot, error) {
-	return call(ctx, s, 0, func(ctx context.Context, by store.Store) (store.Snapshot, error) { return by.List(ctx, r) })
+	return call(ctx, s, 0, func(ctx context.Context, by store.Store, _ time.Duration) (store.Snapshot, error) {
+		return by.List(ctx, r)
+	})
 }
 
 // Feed implements store.Rows.
 func (s *Store) Feed(ctx context.Context, table string, after uint64, wait time.Duration) (store.Snapshot, error) {
-	return call(ctx, s, wait, func(ctx context.Context, by store.Store) (store.Snapshot, error) {
+	return call(ctx, s, wait, func(ctx context.Context, by store.Store, wait time.Duration) (store.Snapshot, error) {
 		return by.Feed(ctx, table, after, wait)
 	})
 }
 
 // PutObject implements store.Objects.
 func (s *Store) PutObject(ctx context.Context, name string, body []byte) error {
-	_, err := call(ctx, s, 0, func(ctx context.Context, by store.Store) (struct{}, error) {
+	_, err := call(ctx, s, 0, func(ctx context.Context, by store.Store, _ time.Duration) (struct{}, error) {
 		return struct{}{}, by.PutObject(ctx, name, body)
 	})
 	return err
@@ -67,12 +73,14 @@
 
 // GetObject implements store.Objects.
 func (s *Store) GetObject(ctx context.Context, name string) ([]byte, error) {
-	return call(ctx, s, 0, func(ctx context.Context, by store.Store) ([]byte, error) { return by.GetObject(ctx, name) })
+	return call(ctx, s, 0, func(ctx context.Context, by store.Store, _ time.Duration) ([]byte, error) {
+		return by.GetObject(ctx, name)
+	})
 }
 
 // DeleteObject implements store.Objects.
 func (s *Store) DeleteObject(ctx context.Context, name string) error {
-	_, err := call(ctx, s, 0, func(ctx context.Context, by store.Store) (struct{}, error) {
+	_, err := call(ctx, s, 0, func(ctx context.Context, by store.Store, _ time.Duration) (struct{}, error) {
 		return struct{}{}, by.DeleteObject(ctx, name)
 	})
 	return err
@@ -95,27 +103,32 @@
 	return err == nil
 }
 
+// ask makes a call by a way to the store, which may hold it for a time.
+type ask[T any] func(ctx context.Context, by store.Store, wait time.Duration) (T, error)
+
 // call makes a call by the way that is believed to work, and by the other one
-// too once that fails or is silent. The store may hold the call for wait.
-func call[T any](ctx context.Context, s *Store, wait time.Duration, do func(context.Context, store.Store) (T, error)) (T, error) {
+// too once that fails or is silent. The store may hold the call for wait; one that
+// another process makes because the own path has been silent is not held again.
+func call[T any](ctx context.Context, s *Store, wait time.Duration, do ask[T]) (T, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan result[T], 2)
 	tried := map[bool]bool{} // by whether it is the own way
-	begin := func(own bool) {
+	begin := func(own bool, wait time.Duration) {
 		tried[own] = true
 		go func() {
 			r := result[T]{own: own}
 			if own {
-				r.value, r.err = do(ctx, s.Own)
+				r.value, r.err = do(ctx, s.Own, wait)
 			} else {
-				r.value, r.err = through(ctx, s, do)
+				r.value, r.err = through(ctx, s, wait, do)
 			}
 			results <- r
 		}()
 	}
-	ownFirst := !s.path.lost(time.Now())
-	begin(ownFirst)
+	began := time.Now()
+	ownFirst := !s.path.lost(began)
+	begin(ownFirst, wait)
 	silent := time.NewTimer(wait + silentAfter)
 	defer silent.Stop()
 	var failed []error
@@ -123,7 +136,7 @@
 		select {
 		case <-silent.C:
 			if !tried[!ownFirst] && s.path.mayAsk(time.Now()) {
-				begin(!ownFirst)
+				begin(!ownFirst, 0)
 			}
 			continue
 		case r := <-results:
@@ -133,40 +146,59 @@
 			}
 			failed = append(failed, r.err)
 		}
-		switch {
-		case len(failed) == len(tried) && ctx.Err() == nil && !tried[!ownFirst] && (!ownFirst || s.path.mayAsk(time.Now())):
-			begin(!ownFirst)
-		case len(failed) == len(tried):
+		if len(failed) < len(tried) {
+			continue
+		}
+		if tried[!ownFirst] || ctx.Err() != nil || !s.secondWay(ownFirst, time.Since(began) < wait+silentAfter) {
 			var none T
 			return none, joined(failed)
 		}
+		begin(!ownFirst, wait)
 	}
 }
 
-// note remembers which way has worked.
+// secondWay reports whether the other way is to be tried once the first has
+// failed. The own one always is; others are only after a failure that came early,
+// since after a long silence the caller has waited enough.
+func (s *Store) secondWay(ownFirst, early bool) bool {
+	return !ownFirst || (early && s.path.mayAsk(time.Now()))
+}
+
+// note remembers which way has worked; known says that the caller still
+// wanted the answer.
 func (s *Store) note(own, known bool) {
 	switch {
 	case own:
-		s.path.ownAnswered()
+		if s.path.ownAnswered() {
+			s.changed(false)
+		}
 	case known:
-		s.path.otherAnswered(time.Now())
+		if s.path.otherAnswered(time.Now()) {
+			s.changed(true)
+		}
 		if s.Used != nil {
 			s.Used()
 		}
 	}
 }
 
+func (s *Store) changed(detouring bool) {
+	if s.Changed != nil {
+		s.Changed(detouring)
+	}
+}
+
 // errNoOther says that there is nobody to ask.
 var errNoOther = fmt.Errorf("%w: no other process is known", store.ErrRefused)
 
 // through makes a call through other processes, one after the other while they
 // say that nothing was done.
-func through[T any](ctx context.Context, s *Store, do func(context.Context, store.Store) (T, error)) (T, error) {
+func through[T any](ctx context.Context, s *Store, wait time.Duration, do ask[T]) (T, error) {
 	var none T
 	err := error(errNoOther)
 	for _, other := range s.Others.Draw() {
 		var value T
-		value, err = do(ctx, other)
+		value, err = bounded(ctx, wait, func(ctx context.Context) (T, error) { return do(ctx, other, wait) })
 		if answered(err) {
 			return value, err
 		}
@@ -180,6 +212,13 @@
 	return none, err
 }
 
+// bounded makes a call that may be held for wait.
+func bounded[T any](ctx context.Context, wait time.Duration, do func(context.Context) (T, error)) (T, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+otherAnswer)
+	defer cancel()
+	return do(ctx)
+}
+
 // joined is the outcome of a call that failed by all ways: nothing was done only
 // if each of them says so.
 func joined(failed []error) error {
--- a/store/detour/detour_test.go
+++ b/store/detour/detour_test.go
@@ -140,8 +140,15 @@
 func TestOwnPathIsUsedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig()
+		var told []bool
+		r.reach.Changed = func(detouring bool) { told = append(told, detouring) }
 		r.own.Cut(errBusy)
-		_, _ = r.reach.Commit(t.Context(), put("a"))
+		for i := range 5 {
+			if _, err := r.reach.Commit(t.Context(), put(fmt.Sprint("a", i))); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(700 * time.Millisecond)
+		}
 		r.own.Cut(nil)
 		time.Sleep(1500 * time.Millisecond)
 		asked := r.asked.Load()
@@ -153,6 +160,9 @@
 		if n := r.asked.Load() - asked; n > 0 {
 			t.Errorf("%d calls through others", n)
 		}
+		if fmt.Sprint(told) != "[true false]" {
+			t.Errorf("told %v of one loss", told)
+		}
 	})
 }
 
@@ -213,3 +223,56 @@
 		t.Errorf("a process that makes no such calls: %v", err)
 	}
 }
+
+// deaf are others that give no answer at all, such as those behind the same cut.
+type deaf struct{}
+
+func (deaf) Draw() []store.Store {
+	return []store.Store{detour.Remote{Call: func(ctx context.Context, _ *detour.Call) (*detour.Reply, error) {
+		<-ctx.Done()
+		return nil, context.Cause(ctx)
+	}}}
+}
+
+// boundedFeed is an own path on which a feed call fails after its bound.
+type boundedFeed struct {
+	store.Store
+	bound time.Duration
+}
+
+func (b boundedFeed) Feed(ctx context.Context, _ string, _ uint64, _ time.Duration) (store.Snapshot, error) {
+	select {
+	case <-time.After(b.bound):
+	case <-ctx.Done():
+	}
+	return store.Snapshot{}, fmt.Errorf("%w: silent", store.ErrUnknown)
+}
+
+// TestSilentOthersHoldUpNoCall cuts a process off from the store and from all
+// others: its calls must fail as soon as by its own path alone, so that it is back
+// as soon as the cut heals.
+func TestSilentOthersHoldUpNoCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const wait, bound = time.Second, 2 * time.Second
+		reach := &detour.Store{Own: boundedFeed{rowstore.New(), bound}, Others: deaf{}}
+		for range 5 {
+			began := time.Now()
+			if _, err := reach.Feed(t.Context(), "t", 0, wait); err == nil {
+				t.Fatal("want an error")
+			}
+			if took := time.Since(began); took > bound+100*time.Millisecond {
+				t.Errorf("failed after %s", took)
+			}
+		}
+		r := newRig()
+		r.reach.Others = deaf{}
+		r.own.Cut(errBusy)
+		began := time.Now()
+		if _, err := r.reach.Commit(t.Context(), put("a")); err == nil {
+			t.Fatal("want an error")
+		}
+		if took := time.Since(began); took > 700*time.Millisecond {
+			t.Errorf("a commit failed after %s", took)
+		}
+	})
+}
--- a/store/detour/path.go
+++ b/store/detour/path.go
@@ -10,6 +10,11 @@
 	// through another process as well: a hundred times an answer's usual time, and
 	// half of the slowest seen while the store itself was slowed down sixty times.
 	silentAfter = 400 * time.Millisecond
+	// otherAnswer bounds a call that another process makes, beside the time for
+	// which a feed may be held. It is short, since a process that is cut off from the
+	// store is often cut off from the others too: its calls then fail no later than by
+	// its own path alone, so that it is back as soon as the cut heals.
+	otherAnswer = 600 * time.Millisecond
 	// probeAfter is how long calls go through another process at once before one
 	// tries the own path again first.
 	probeAfter = time.Second
@@ -28,6 +33,8 @@
 	around, resting time.Time
 	// rest is how long the last rest was.
 	rest time.Duration
+	// detouring says that the last answer came through another process.
+	detouring bool
 }
 
 // lost reports whether the own path counts as lost, so that others are asked first.
@@ -44,22 +51,26 @@
 	return !now.Before(p.resting)
 }
 
-// ownAnswered notes that the own path works.
-func (p *path) ownAnswered() {
+// ownAnswered notes that the own path works, and reports whether that is news.
+func (p *path) ownAnswered() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.around, p.resting, p.rest = time.Time{}, time.Time{}, 0
+	was := p.detouring
+	p.around, p.resting, p.rest, p.detouring = time.Time{}, time.Time{}, 0, false
+	return was
 }
 
 // otherAnswered notes that a call got through by another process after the own
-// path had failed.
-func (p *path) otherAnswered(now time.Time) {
+// path had failed, and reports whether that is news.
+func (p *path) otherAnswered(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.rest = 0
+	was := p.detouring
+	p.rest, p.detouring = 0, true
 	if !now.Before(p.around) {
 		p.around = now.Add(probeAfter)
 	}
+	return !was
 }
 
 // othersFailed notes that no other process got through.
