--- a/batch/help_test.go
+++ b/batch/help_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
 	"slices"
 	"testing"
 	"time"
@@ -133,3 +135,68 @@
 		})
 	}
 }
+
+// TestLeavingItemsGoToTheirModelsAgents drains an engine of one model while jobs of
+// two are open: room is asked for, and found, at agents of its own model.
+func TestLeavingItemsGoToTheirModelsAgents(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		rig := newWorkerRig(t, 8)
+		rig.view.SetConfig(&fleet.Config{Version: 2, Services: []fleet.Service{{Name: "svc", Models: []string{"m", "n"}}}})
+		deals := DealModels(addrs(rig.view.Snapshot().OfService("svc")), []string{"m", "n"}, NewDemand())
+		for i := range 16 {
+			rig.engines.lengths[fmt.Sprintf("item-%03d", i)] = 100 // four seconds
+		}
+		for id, model := range map[string]string{"j": "m", "k": "n"} {
+			rig.submit(id, 16, func(j *Job) {
+				j.Model, j.Owners, j.MinVersion = model, deals[model].All(), 1
+				j.Ready = len(j.Owners)
+			})
+		}
+		time.Sleep(time.Second)
+		leaving := deals["m"].All()[0]
+		rig.peers.mu.Lock()
+		clear(rig.peers.pairs)
+		rig.peers.mu.Unlock()
+		rig.list(slices.Index(rig.addrs(), leaving), true)
+		time.Sleep(3 * time.Second)
+		after := DealModels(addrs(rig.view.Snapshot().OfService("svc")), []string{"m", "n"}, NewDemand())["m"]
+		rig.peers.mu.Lock()
+		defer rig.peers.mu.Unlock()
+		asked := 0
+		for pair, n := range rig.peers.pairs {
+			if pair[0] != leaving {
+				continue
+			}
+			asked += n
+			if e := pair[1] + ":80"; !deals["m"].Has(e) && !after.Has(e) {
+				t.Errorf("%d calls to %s, which serves the other model", n, pair[1])
+			}
+		}
+		if asked == 0 {
+			t.Error("nobody was asked")
+		}
+	})
+}
+
+// TestDeadNeighbourIsNoticedBetweenRounds kills the agent after another one in the
+// ring, while rounds that ask all are a minute away.
+func TestDeadNeighbourIsNoticedBetweenRounds(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		const agents = 30
+		rig := newWorkerRig(t, agents)
+		rig.submitLong("j", agents, "item-000")
+		holder := slices.Index(rig.addrs(), rig.runsOf("item-000")[0].engine)
+		sorted := slices.Sorted(slices.Values(rig.addrs()))
+		before := sorted[(slices.Index(sorted, engineAddr(holder))+agents-1)%agents]
+		host, _, _ := net.SplitHostPort(before)
+		rig.kill(holder)
+		never := func() float64 { return 0.99 }
+		h := &helper{Worker: rig.peers.workers[host], lost: newLostRounds(never)}
+		h.lost.due(time.Now(), agents)
+		h.findLost(t.Context(), h.openJobs())
+		time.Sleep(50 * time.Millisecond)
+		if runs := rig.runsOf("item-000"); len(runs) != 2 {
+			t.Errorf("sent %d times, want again right after the neighbour looked", len(runs))
+		}
+	})
+}
--- a/batch/rig_test.go
+++ b/batch/rig_test.go
@@ -188,7 +188,8 @@
 	mu      sync.Mutex
 	workers map[string]*Worker // by host
 	cut     map[string]bool
-	calls   map[string]int // by the caller's engine
+	calls   map[string]int    // by the caller's engine
+	pairs   map[[2]string]int // by the caller's engine and the called one's host
 }
 
 func (p *fakePeers) Call(_ context.Context, addr string, req *PeerRequest) (*PeerReply, error) {
@@ -196,6 +197,7 @@
 	p.mu.Lock()
 	w, cut := p.workers[host], p.cut[host]
 	p.calls[req.From]++
+	p.pairs[[2]string{req.From, host}]++
 	p.mu.Unlock()
 	if w == nil || cut {
 		return nil, errors.New("silent")
@@ -226,7 +228,7 @@
 		t: t, store: s, ways: map[string]*rowstore.Client{}, view: fleet.NewView(), stops: map[string]context.CancelFunc{}, ledger: newLedger(s),
 		engines: &fakeEngines{engines: map[string]*fakeEngine{}, lengths: map[string]int{}},
 		rewards: &fakeRewards{took: 200 * time.Millisecond, answers: map[string][]error{}, always: map[string]error{}},
-		peers:   &fakePeers{workers: map[string]*Worker{}, cut: map[string]bool{}, calls: map[string]int{}},
+		peers:   &fakePeers{workers: map[string]*Worker{}, cut: map[string]bool{}, calls: map[string]int{}, pairs: map[[2]string]int{}},
 	}
 	rig.view.SetConfig(&fleet.Config{Version: 1, Services: []fleet.Service{{Name: "svc", Models: []string{"m"}}}})
 	for i := range n {
