--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -7,8 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"mulberryscale.example/store"
 	"mulberryscale.example/transport/codec"
 )
@@ -17,20 +15,13 @@
 //
 //	batch_jobs     name ID: the Job; name ID/end: the job was ended
 //	batch_items    name ID/000…: the items, CBOR, cut into rows
-//	batch_results_NN  part ID: what was appended, one transaction a batch of results
-//	batch_done     part ID: the ids of the items of each such batch, in the same transaction
-//
-// Results are spread over tables by their jobs, since a feed is of a whole table:
-// whoever reads a job hears of few others. Who only wants to know which items are
-// done reads batch_done, a hundredth of the texts.
 //
-// Saved text has tables of its own, see progress.go.
+// Results and saved text have tables of their own, see results.go and progress.go.
 //
 // Heads and items share one part, so that one transaction accepts a job whole.
 const (
 	TableJobs  = "batch_jobs"
 	tableItems = "batch_items"
-	tableDone  = "batch_done"
 
 	endSuffix = "/end"
 )
@@ -40,11 +31,6 @@
 	// into objects. The store takes 1 MB a transaction, in an encoding that
 	// needs four bytes for three.
 	maxInlineBytes = 640 << 10
-	// maxAppendBytes bounds one append of results for the same reason.
-	maxAppendBytes = 512 << 10
-	// resultTables is the number of tables that results are spread over. The store
-	// takes 100 tables of everybody together; six trainers have a dozen open jobs.
-	resultTables = 48
 	// rowShare keeps a row's value under the store's bound.
 	rowShare = 0.9
 	// writePause is the pause before a write that got no clear answer is sent again.
@@ -209,67 +195,6 @@
 	})
 }
 
-// Append adds results to a job's list. The name must be new for each batch and
-// the same for each repetition of one, so that a batch is appended once.
-func (l *Ledger) Append(ctx context.Context, jobID, name string, results []Result) error {
-	data, err := codec.Marshal(results)
-	if err != nil {
-		return fmt.Errorf("%w: encode results: %v", store.ErrInvalid, err)
-	}
-	done, err := codec.Marshal(idsOf(results))
-	if err != nil {
-		return fmt.Errorf("%w: encode ids: %v", store.ErrInvalid, err)
-	}
-	tx := store.Tx{}
-	for i, piece := range cut(data, l.rowLimit()) {
-		key := store.Key{Table: resultsTable(jobID), Part: jobID, Name: fmt.Sprintf("%s/%03d", name, i)}
-		tx.If = append(tx.If, store.Condition{Key: key})
-		tx.Put = append(tx.Put, store.Row{Key: key, Value: piece})
-	}
-	for i, piece := range cut(done, l.rowLimit()) {
-		key := store.Key{Table: tableDone, Part: jobID, Name: fmt.Sprintf("%s/%03d", name, i)}
-		tx.Put = append(tx.Put, store.Row{Key: key, Value: piece})
-	}
-	return l.commitOnce(ctx, tx)
-}
-
-func idsOf(results []Result) []string {
-	ids := make([]string, len(results))
-	for i := range results {
-		ids[i] = results[i].ID
-	}
-	return ids
-}
-
-// Done reads the ids of the items of a job that have a result.
-func (l *Ledger) Done(ctx context.Context, jobID string) (map[string]bool, error) {
-	s, err := store.ListAll(ctx, l.Store, store.Range{Table: tableDone, Part: jobID})
-	if err != nil {
-		return nil, err
-	}
-	done := map[string]bool{}
-	for _, data := range joinRows(s.Rows) {
-		var ids []string
-		if err := codec.Unmarshal(data, &ids); err != nil {
-			return nil, fmt.Errorf("done items of job %s: %w", jobID, err)
-		}
-		for _, id := range ids {
-			done[id] = true
-		}
-	}
-	return done, nil
-}
-
-// Results reads all results of a job so far, and the version up to which they are whole.
-func (l *Ledger) Results(ctx context.Context, jobID string) (*Listing, error) {
-	s, err := store.ListAll(ctx, l.Store, store.Range{Table: resultsTable(jobID), Part: jobID})
-	if err != nil {
-		return nil, err
-	}
-	listing := NewListing()
-	return listing, listing.Load(s)
-}
-
 // Remove deletes a job, its items and its results.
 func (l *Ledger) Remove(ctx context.Context, job *Job) error {
 	tx := store.Tx{Delete: []store.Key{jobKey(job.ID), jobKey(job.ID + endSuffix)}}
@@ -325,11 +250,6 @@
 	return id, end
 }
 
-// resultsTable is the table of a job's results.
-func resultsTable(jobID string) string {
-	return fmt.Sprintf("batch_results_%02d", xxhash.Sum64String(jobID)%resultTables)
-}
-
 func jobKey(name string) store.Key { return store.Key{Table: TableJobs, Name: name} }
 
 func itemsKey(id string, i int) store.Key {
