Of several rows of an instance in one answer of the feed the last one stands

Traced: side-thimi-hall-6 logged i-77d47f5d11 as known at 22.4847 s (its versions had changed) from an answer that also held the removal of 22.407 s; removals of an answer were applied before its changes, so the instance stayed for good. Two rows of one instance in one answer were rare before the answers gathered changes. Ruled out: late feeds (one answer each 1.35 s all the time, no loss logged). Change: an answer's rows are taken in order and the last word of each id counts; a former incarnation's row says nothing.

--- a/service/node/watch.go
+++ b/service/node/watch.go
@@ -124,39 +124,67 @@
 	gone, replaced []string
 }
 
-// decode sorts rows by what they say; former incarnations say nothing.
+// lastWord is what the latest row of an id says: an instance, or neither.
+type lastWord struct {
+	instance *fleet.Instance
+	gone     bool // no row any more; false with no instance is a row that names none
+}
+
+// decode sorts rows by what they say; former incarnations say nothing. An answer
+// that gathers changes may hold several rows of an id: the last one stands.
 func (w *instanceWatcher) decode(rows []store.Row) listChange {
-	var c listChange
+	words := map[string]lastWord{}
+	var order []string
 	for _, row := range rows {
-		if row.Deleted {
-			delete(w.unusable, row.Name)
-			c.gone = append(c.gone, row.Name)
+		word, ok := w.word(row)
+		if !ok {
 			continue
 		}
-		i, err := operator.DecodeInstance(row.Name, row.Value)
-		if err != nil {
-			w.noteUnusable(row.Name, err.Error())
-			c.replaced = append(c.replaced, row.Name)
-			continue
+		if _, said := words[row.Name]; !said {
+			order = append(order, row.Name)
 		}
-		i.Entry = row.Version
-		switch w.births.Order(i.Incarnation(), time.Now()) {
-		case fleet.BirthOlder:
-			w.log.WithFields(logrus.Fields{"instance": i.ID, "born": i.Born}).Debug("entry of a former incarnation")
-			continue
-		case fleet.BirthUntold:
-			w.noteUnusable(i.ID, "it does not say its birth, as the instance has done before")
-			c.replaced = append(c.replaced, i.ID)
-			continue
-		case fleet.BirthNewer:
-			w.log.WithFields(logrus.Fields{"instance": i.ID, "born": i.Born}).Info("instance started again")
+		words[row.Name] = word
+	}
+	var c listChange
+	for _, id := range order {
+		switch word := words[id]; {
+		case word.instance != nil:
+			c.changed = append(c.changed, *word.instance)
+		case word.gone:
+			c.gone = append(c.gone, id)
+		default:
+			c.replaced = append(c.replaced, id)
 		}
-		w.noteUsable(i.ID)
-		c.changed = append(c.changed, i)
 	}
 	return c
 }
 
+// word is what one row says; false is nothing.
+func (w *instanceWatcher) word(row store.Row) (lastWord, bool) {
+	if row.Deleted {
+		delete(w.unusable, row.Name)
+		return lastWord{gone: true}, true
+	}
+	i, err := operator.DecodeInstance(row.Name, row.Value)
+	if err != nil {
+		w.noteUnusable(row.Name, err.Error())
+		return lastWord{}, true
+	}
+	i.Entry = row.Version
+	switch w.births.Order(i.Incarnation(), time.Now()) {
+	case fleet.BirthOlder:
+		w.log.WithFields(logrus.Fields{"instance": i.ID, "born": i.Born}).Debug("entry of a former incarnation")
+		return lastWord{}, false
+	case fleet.BirthUntold:
+		w.noteUnusable(i.ID, "it does not say its birth, as the instance has done before")
+		return lastWord{}, true
+	case fleet.BirthNewer:
+		w.log.WithFields(logrus.Fields{"instance": i.ID, "born": i.Born}).Info("instance started again")
+	}
+	w.noteUsable(i.ID)
+	return lastWord{instance: &i}, true
+}
+
 // noteUnusable logs that a row names no instance to use, once for each reason.
 func (w *instanceWatcher) noteUnusable(id, reason string) {
 	if w.unusable[id] == reason {
--- a/service/node/watch_test.go
+++ b/service/node/watch_test.go
@@ -295,3 +295,40 @@
 		t.Error("a drain is no news")
 	}
 }
+
+// TestLastWordOfAnAnswerStands gives a beat and what follows it in one answer, as
+// happens when answers gather changes: the later row decides.
+func TestLastWordOfAnAnswerStands(t *testing.T) {
+	const ready = `{"Service":"s","Address":"10.0.0.1:80","Zone":"z","Version":"v1","Slots":4,"State":"ready","ColdLeftMs":0,"Sequence":%d,"born":%d}`
+	beat := func(sequence, born int) store.Row { return rowOf("a", fmt.Sprintf(ready, sequence, born)) }
+	changed := rowOf("a", strings.Replace(fmt.Sprintf(ready, 2, 5), `"Slots":4`, `"Slots":5`, 1))
+	removed := store.Row{Key: operator.InstanceKey("a"), Deleted: true}
+	foreign := rowOf("a", `{"Service":7}`)
+	for name, c := range map[string]struct {
+		rows  []store.Row
+		known bool
+		born  int64
+	}{
+		"beat, then removed":                      {[]store.Row{beat(2, 5), removed}, false, 0},
+		"a change, then removed":                  {[]store.Row{changed, removed}, false, 0},
+		"removed, then registered":                {[]store.Row{removed, beat(2, 5)}, true, 5},
+		"beat, then another writer's":             {[]store.Row{beat(2, 5), foreign}, false, 0},
+		"another writer's, then beat":             {[]store.Row{foreign, beat(2, 5)}, true, 5},
+		"started again, then the former one's":    {[]store.Row{beat(1, 9), beat(3, 5)}, true, 9},
+		"removed, then the former one's last row": {[]store.Row{beat(1, 9), removed, beat(3, 5)}, false, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			view := fleet.NewView()
+			w := newInstanceWatcher(view, observe.Discard())
+			w.Replace(store.Snapshot{Rows: []store.Row{beat(1, 5)}})
+			for i := range c.rows {
+				c.rows[i].Version = uint64(i + 2)
+			}
+			w.Apply(store.Snapshot{Rows: c.rows})
+			i, known := view.Snapshot().Instances["a"]
+			if known != c.known || i.Born != c.born {
+				t.Errorf("known %v, born %d; want %v, %d", known, i.Born, c.known, c.born)
+			}
+		})
+	}
+}
