A request runs under the organisation whose key it bears

Ruled out: checking the owner of a job at each call (each new call could forget it); a scope in the id itself can't be forgotten.

--- a/batch/engine.go
+++ b/batch/engine.go
@@ -24,7 +24,9 @@
 	// Instance is the incarnation that must answer.
 	Instance string
 	Host     string
-	Item     *Item
+	// Organisation is the name of the one whose job it is; empty for none.
+	Organisation string
+	Item         *Item
 	// After is the id of the last event that is known already, 0 for none.
 	After int
 	// Deadline is when the engine may stop.
--- a/batch/intake.go
+++ b/batch/intake.go
@@ -31,14 +31,17 @@
 
 // Submission is a job as it arrives.
 type Submission struct {
-	ID         string
-	Host       string
-	Route      *fleet.Route
-	Model      string
-	Step       int
-	MinVersion uint64
-	Wanted     int
-	Items      []Item
+	// ID is the client's, unique within its organisation.
+	ID string
+	// Organisation is the name of the one that submits it; empty for none.
+	Organisation string
+	Host         string
+	Route        *fleet.Route
+	Model        string
+	Step         int
+	MinVersion   uint64
+	Wanted       int
+	Items        []Item
 	// Deadline is when the client stops waiting; zero if it did not say.
 	Deadline time.Time
 }
@@ -76,7 +79,7 @@
 	err := in.Ledger.Submit(ctx, job, s.Items)
 	took := time.Since(began)
 	log := in.Log.WithFields(logrus.Fields{
-		observe.FieldJob: s.ID, "route": s.Route.Name, "items": len(s.Items), "model": s.Model, "step": s.Step,
+		observe.FieldJob: job.ID, "route": s.Route.Name, "items": len(s.Items), "model": s.Model, "step": s.Step,
 		"min_version": s.MinVersion, "owners": len(job.Owners), "ready": job.Ready, "took_ms": took.Milliseconds(),
 	})
 	if err != nil {
@@ -92,6 +95,9 @@
 	if s.ID == "" {
 		return fmt.Errorf("%w: no id", ErrMalformed)
 	}
+	if !validJobID(s.scoped()) {
+		return fmt.Errorf("%w: the id is %.60q: want at most %d bytes without a slash, less the name of the organisation", ErrMalformed, s.ID, maxJobID)
+	}
 	if len(s.Items) == 0 {
 		return fmt.Errorf("%w: no items", ErrMalformed)
 	}
@@ -156,7 +162,7 @@
 		work += s.Items[i].expected()
 	}
 	return &Job{
-		ID: s.ID, Route: s.Route.Name, Host: s.Host, Service: service, Model: s.Model, Step: s.Step,
+		ID: s.scoped(), Organisation: s.Organisation, Route: s.Route.Name, Host: s.Host, Service: service, Model: s.Model, Step: s.Step,
 		MinVersion: s.MinVersion, SingleVersion: s.Route.SingleVersion, Items: len(s.Items), Wanted: s.Wanted,
 		MaxAttempts: s.Route.MaxAttempts, ItemTTL: s.Route.ItemTTL, Accepted: now, Owners: engines, Ready: ready, Work: work,
 	}
--- a/batch/job.go
+++ b/batch/job.go
@@ -38,6 +38,7 @@
 
 // Job is an accepted job without the contents of its items.
 type Job struct {
+	// ID is its client's id within the scope of its organisation, see Scope.
 	ID      string `cbor:"1,keyasint"`
 	Route   string `cbor:"2,keyasint"`
 	Host    string `cbor:"3,keyasint"`
@@ -66,6 +67,9 @@
 	InObjects bool `cbor:"16,keyasint,omitempty"`
 	// Work is what all items are expected to be, in generated tokens.
 	Work int `cbor:"17,keyasint,omitempty"`
+	// Organisation is the name of the one whose job it is; empty for none. Its
+	// items run under it wherever they are.
+	Organisation string `cbor:"19,keyasint,omitempty"`
 }
 
 // State is how an item ended.
--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -118,6 +118,9 @@
 
 // Job reads a job; found is false if there is none.
 func (l *Ledger) Job(ctx context.Context, id string) (job *Job, ended, found bool, err error) {
+	if !validJobID(id) {
+		return nil, false, false, nil // none is ever accepted
+	}
 	s, err := l.Store.List(ctx, store.Range{Table: TableJobs, From: id, To: id + endSuffix + "\x00"})
 	if err != nil {
 		return nil, false, false, err
--- a/batch/progress.go
+++ b/batch/progress.go
@@ -20,7 +20,7 @@
 // seven seconds and decide when a step is done.
 //
 //	batch_progress   part job:   segments of text, appended
-//	batch_leftovers  part model: the text of items whose job ended before them,
+//	batch_leftovers  part organisation and model: the text of items whose job ended before them,
 //	                 named by the item, for a later job that asks for them again
 const (
 	tableProgress  = "batch_progress"
@@ -269,7 +269,7 @@
 }
 
 func (w *Worker) leftoverKey(j *workJob, item string) store.Key {
-	return store.Key{Table: tableLeftovers, Part: cmp.Or(j.job.Model, j.job.Route), Name: item}
+	return store.Key{Table: tableLeftovers, Part: Scope(j.job.Organisation, cmp.Or(j.job.Model, j.job.Route)), Name: item}
 }
 
 // leftovers reads the text of a job's items that earlier jobs left unfinished.
--- a/batch/rig_test.go
+++ b/batch/rig_test.go
@@ -36,6 +36,7 @@
 	engine, item string
 	after        int
 	at           time.Time
+	organisation string
 }
 
 type fakeEngine struct {
@@ -67,7 +68,7 @@
 		e.fail[r.Item.ID] = list[1:]
 		return nil, list[0]
 	}
-	f.runs = append(f.runs, fakeRun{r.Addr, r.Item.ID, r.After, time.Now()})
+	f.runs = append(f.runs, fakeRun{r.Addr, r.Item.ID, r.After, time.Now(), r.Organisation})
 	length := 10
 	if n, ok := f.lengths[r.Item.ID]; ok {
 		length = n
--- /dev/null
+++ b/batch/scope.go
@@ -0,0 +1,39 @@
+package batch
+
+import (
+	"net/url"
+	"strings"
+)
+
+// scopeMark stands between an organisation and the id of one of its jobs.
+const scopeMark = ":"
+
+// maxJobID bounds a scoped id in bytes: it is part of the names of rows, which
+// the store bounds at 200, and of objects.
+const maxJobID = 180
+
+// Scope is the id of a client's job within its organisation; the empty name is no
+// organisation. Jobs of two organisations never have the same, so that whoever
+// asks under one name finds nothing of another's, and takes no id from it.
+func Scope(organisation, id string) string {
+	if organisation == "" && !strings.Contains(id, scopeMark) {
+		return id
+	}
+	return url.QueryEscape(organisation) + scopeMark + id
+}
+
+// validJobID reports whether a job of a scoped id can be in the store.
+func validJobID(scoped string) bool {
+	return len(scoped) <= maxJobID && !strings.Contains(scoped, "/")
+}
+
+// ClientID is the id by which a job's client knows it.
+func ClientID(scoped string) string {
+	if _, id, ok := strings.Cut(scoped, scopeMark); ok {
+		return id
+	}
+	return scoped
+}
+
+// scoped is the job's id in the store.
+func (s *Submission) scoped() string { return Scope(s.Organisation, s.ID) }
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -59,6 +59,8 @@
 	ItemTTL time.Duration
 	// RunTarget is how long after its submission a batch job should be done.
 	RunTarget time.Duration
+	// Anonymous routes take requests without the key of an organisation.
+	Anonymous bool
 }
 
 // Backend picks the service for a request by the backends' weights; the same
@@ -110,16 +112,21 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Organisations hold the keys that clients bear; none where clients need no key.
+	Organisations []Organisation
 	// UnknownKinds names the routes whose kind is not known here; they are taken
 	// as unsafe.
 	UnknownKinds []string
 
 	byHost map[string][]*Route // the longest prefix first
+	byKey  map[keyDigest]*Organisation
+	byName map[string]*Organisation
 }
 
-// Index prepares the configuration for Match; it is called once, before the
-// configuration is shared.
+// Index prepares the configuration for its searches; it is called once, before
+// the configuration is shared.
 func (c *Config) Index() {
+	c.indexOrganisations()
 	c.byHost = make(map[string][]*Route)
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -133,7 +140,7 @@
 
 // Match returns the route of a host and path, or nil.
 func (c *Config) Match(host, path string) *Route {
-	for _, r := range c.byHost[strings.ToLower(host)] {
+	for _, r := range c.routesOf(host) {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r
 		}
@@ -141,8 +148,8 @@
 	return nil
 }
 
-// Hosts reports whether any route has the host.
-func (c *Config) Hosts(host string) bool { return len(c.byHost[strings.ToLower(host)]) > 0 }
+// routesOf are a host's routes, the longest prefix first.
+func (c *Config) routesOf(host string) []*Route { return c.byHost[strings.ToLower(host)] }
 
 // Names reports whether a service is one of the configuration's.
 func (c *Config) Names(service string) bool { return c.Service(service) != nil }
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -64,6 +65,9 @@
 // View holds the newest snapshot. It is safe for concurrent use.
 type View struct {
 	current atomic.Pointer[Snapshot]
+	// configHeard is when the read began whose answer last told of the operators'
+	// rows, by the wall clock and the monotonic one; nil before the first.
+	configHeard atomic.Pointer[time.Time]
 
 	mu      sync.Mutex // serialises updates
 	changed chan struct{}
@@ -102,6 +106,21 @@
 	return done
 }
 
+// HearConfig notes that a read which began at a moment told all of the operators'
+// rows that was new then.
+func (v *View) HearConfig(asked time.Time) { v.configHeard.Store(&asked) }
+
+// ConfigAge is how long ago the configuration in force was the newest for sure.
+// It goes on while the process stands still: of the monotonic clock, which may
+// stop then, and the wall clock, which may jump, the one that says more counts.
+func (v *View) ConfigAge(now time.Time) time.Duration {
+	heard := v.configHeard.Load()
+	if heard == nil {
+		return time.Duration(math.MaxInt64)
+	}
+	return max(now.Sub(*heard), now.Round(0).Sub(heard.Round(0)))
+}
+
 // UpdateInstances applies changes: instances that are new or changed, and ids that are gone.
 func (v *View) UpdateInstances(changed []Instance, gone []string) {
 	v.update(func(s *Snapshot) {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -18,9 +18,11 @@
 
 // Request is a client's request, read whole.
 type Request struct {
-	ID     string
-	Route  *fleet.Route
-	Method string
+	ID    string
+	Route *fleet.Route
+	// Organisation is the name of the one that sends it; empty for none.
+	Organisation string
+	Method       string
 	// Target is the path with its query as the client sent it.
 	Target string
 	Host   string
@@ -178,7 +180,7 @@
 	f.Counters.Observe(observe.NameForward, r.Route.Name, took)
 	log := f.Log.WithFields(logrus.Fields{
 		observe.FieldRequest: r.ID, "route": r.Route.Name, "attempts": c.sent, "took_ms": took.Milliseconds(),
-		"config": f.View.Snapshot().Config.Version, "engine": c.last.ID,
+		"config": f.View.Snapshot().Config.Version, "engine": c.last.ID, observe.FieldOrganisation: r.Organisation,
 	})
 	if err == nil {
 		log.WithField("status", answer.Status).Info("request answered")
--- a/logstory/logstory.go
+++ b/logstory/logstory.go
@@ -15,6 +15,7 @@
 	"strings"
 	"time"
 
+	"mulberryscale.example/batch"
 	"mulberryscale.example/observe"
 )
 
@@ -141,6 +142,9 @@
 			return true
 		}
 	}
+	if batch.ClientID(l.text(observe.FieldJob)) == id {
+		return true
+	}
 	return job != "" && l.text(observe.FieldJob) == job && l.text(observe.FieldItem) == "" && l.Message != "results appended"
 }
 
--- a/logstory/logstory_test.go
+++ b/logstory/logstory_test.go
@@ -50,6 +50,17 @@
 	}
 }
 
+// TestStoryByTheClientsID asks by the id that an organisation's client knows.
+func TestStoryByTheClientsID(t *testing.T) {
+	lines, _, err := Read(strings.NewReader(strings.ReplaceAll(logs, `"job":"j1"`, `"job":"guthi:j1"`)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s := Tell(lines, "j1"); len(s.Lines) != 5 {
+		t.Errorf("got %v", s.Lines)
+	}
+}
+
 func TestStoryOfARequest(t *testing.T) {
 	if s, _ := tell(t, "r1"); len(s.Lines) != 1 || len(s.Missing) != 0 {
 		t.Errorf("got %v", s)
--- a/observe/fields.go
+++ b/observe/fields.go
@@ -3,17 +3,18 @@
 // Names of the fields of log lines. Log lines carry neither prompt or sample
 // text nor key material.
 const (
-	FieldRequest = "request" // id that the entry gave the request
-	FieldRow     = "row"
-	FieldTrainer = "trainer" // the trainer's row
-	FieldStep    = "step"    // a trainer's step, or the processing step of an error
-	FieldSample  = "sample"
-	FieldEngine  = "engine" // id of the agent beside the engine
-	FieldZone    = "zone"
-	FieldVersion = "version" // of the table or of weights
-	FieldPeer    = "peer"
-	FieldJob     = "job"  // id of a batch job
-	FieldItem    = "item" // id of an item of a batch job
+	FieldRequest      = "request" // id that the entry gave the request
+	FieldRow          = "row"
+	FieldTrainer      = "trainer" // the trainer's row
+	FieldStep         = "step"    // a trainer's step, or the processing step of an error
+	FieldSample       = "sample"
+	FieldEngine       = "engine" // id of the agent beside the engine
+	FieldZone         = "zone"
+	FieldVersion      = "version" // of the table or of weights
+	FieldPeer         = "peer"
+	FieldJob          = "job"          // id of a batch job
+	FieldOrganisation = "organisation" // name of the one that a request or job belongs to
+	FieldItem         = "item"         // id of an item of a batch job
 	// FieldReward is the id of the call that scores an item's text.
 	FieldReward = "reward"
 )
--- a/service/node/entry.go
+++ b/service/node/entry.go
@@ -62,6 +62,9 @@
 		},
 		Reader: e.reader, Log: b.log, Counters: b.counters, Closing: e.stopping.Load,
 	}
+	if settings.FailClosed {
+		e.handler.MaxKeyAge = settings.RevokeTime
+	}
 	return e, nil
 }
 
--- a/service/node/pace.go
+++ b/service/node/pace.go
@@ -45,9 +45,14 @@
 	return store.Pace{BytesPerSecond: instancesBudget, MaxAge: within(s.DrainTime)}
 }
 
-// operatorPace is how configurations and named versions are followed.
+// operatorPace is how configurations, which hold the API keys, and named versions
+// are followed.
 func operatorPace(s *nodefile.Settings) store.Pace {
-	return store.Pace{BytesPerSecond: operatorBudget, MaxAge: within(s.ConfigTime)}
+	bound := s.ConfigTime
+	if s.RevokeTime > 0 {
+		bound = min(bound, s.RevokeTime)
+	}
+	return store.Pace{BytesPerSecond: operatorBudget, MaxAge: within(bound)}
 }
 
 // agentJobsPace is how an agent follows the jobs.
--- a/service/node/watch.go
+++ b/service/node/watch.go
@@ -30,6 +30,7 @@
 }
 
 func (c *configWatcher) Apply(s store.Snapshot) {
+	defer c.view.HearConfig(s.Asked) // after its rows are in force
 	for _, row := range s.Rows {
 		if row.Deleted {
 			continue // nothing that is in force is taken back
--- a/store/follow.go
+++ b/store/follow.go
@@ -93,6 +93,7 @@
 		f.watcher.Regained(time.Since(f.lostAt))
 	}
 	f.failures = 0
+	s.Asked = asked
 	f.version = max(f.version, s.Version)
 	if f.listed {
 		f.watcher.Apply(s)
--- a/store/store.go
+++ b/store/store.go
@@ -54,6 +54,8 @@
 	Now time.Duration
 	// More says that the range holds more rows than were returned.
 	More bool
+	// Asked is when the call began, by this process's clocks. Follow sets it.
+	Asked time.Time
 }
 
 // Condition wants a row to have a version; 0 wants it to be absent.
