Usage is counted at the entries and reported by agents in turn

Ruled out: a leader that renews a lease (a call a second for nothing, and whoever leads is struck on purpose); counting where reports are made (entries do not know of each other). Change: an entry counts what endpoints begin, by organisation and window of true time, and keeps its counts in the store 0.2 s later; a piece of work (a window) is claimed with a new token and decided in one conditional write, sent while the store's clock cannot be past the term, and recorded; the next holder comes when the former one's last send is a lease ago.

--- /dev/null
+++ b/duty/order.go
@@ -0,0 +1,65 @@
+package duty
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Order says who goes first at a piece of work. It protects nothing: two that go
+// at once cost a call each, since the store lets one claim. It keeps all others
+// from asking the store at each piece.
+type Order struct {
+	// Self is this process, Others are all that may hold the duty, as far as it knows.
+	Self   string
+	Others func() []string
+	// Keep lets the last holder go first. Otherwise a holder is drawn anew for each
+	// piece.
+	Keep bool
+}
+
+const (
+	// turnStep is between the turns of two processes: twice the slowest answer of
+	// the store on an ordinary day, so that the second finds what the first has done.
+	turnStep = 250 * time.Millisecond
+	// turns is how many processes look after a piece. If a third of the machines
+	// has no path to the store, one in twenty thousand pieces finds no looker in
+	// its turn; the next piece's lookers do it then.
+	turns = 10
+)
+
+// Turn is how long after a piece is due this process looks after it; false is
+// not at all. held says that this process did the last piece.
+func (o *Order) Turn(piece uint64, held bool) (time.Duration, bool) {
+	if o.Keep && held {
+		return 0, true
+	}
+	rank := o.rank(piece)
+	if rank >= turns {
+		return 0, false
+	}
+	if o.Keep {
+		rank++
+	}
+	return time.Duration(rank) * turnStep, true
+}
+
+// rank is this process's place in an order that is drawn anew for each piece.
+func (o *Order) rank(piece uint64) int {
+	own := weight(piece, o.Self)
+	rank := 0
+	for _, other := range slices.Compact(slices.Sorted(slices.Values(o.Others()))) {
+		if other != o.Self && weight(piece, other) < own {
+			rank++
+		}
+	}
+	return rank
+}
+
+func weight(piece uint64, name string) uint64 {
+	var seed xxhash.Digest
+	seed.ResetWithSeed(piece)
+	_, _ = seed.WriteString(name) // never fails
+	return seed.Sum64()
+}
--- /dev/null
+++ b/duty/seat_test.go
@@ -0,0 +1,139 @@
+package duty
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"mulberryscale.example/internal/standin/rowstore"
+	"mulberryscale.example/store"
+)
+
+// fakeClock has the bounds that a test sets.
+type fakeClock struct {
+	earliest, latest time.Duration
+	unknown          bool
+}
+
+func (c *fakeClock) Bounds() (earliest, latest time.Duration, ok bool) {
+	return c.earliest, c.latest, !c.unknown
+}
+
+func newSeat(rows store.Rows, name string) (*Seat, *fakeClock) {
+	clock := &fakeClock{earliest: 10 * time.Second, latest: 10 * time.Second}
+	return &Seat{Rows: rows, Clock: clock, Subject: "usage", Machine: name, Name: "process on " + name, Lease: testLease}, clock
+}
+
+func claim(t *testing.T, s *Seat, piece uint64, work string) *Held {
+	t.Helper()
+	r, err := s.Read(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	h, err := s.Claim(t.Context(), r, piece, []byte(work))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return h
+}
+
+// TestOneOfTwoClaims: of two that have read the same term one gets the next.
+func TestOneOfTwoClaims(t *testing.T) {
+	rows := rowstore.New()
+	a, _ := newSeat(rows, "a")
+	b, _ := newSeat(rows, "b")
+	read, err := a.Read(t.Context())
+	if err != nil || read.Found {
+		t.Fatalf("got %+v, %v", read, err)
+	}
+	if _, err := a.Claim(t.Context(), read, 7, []byte("counts")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := b.Claim(t.Context(), read, 7, []byte("others")); !errors.Is(err, ErrTaken) {
+		t.Fatalf("got %v", err)
+	}
+	if read, err = b.Read(t.Context()); err != nil || read.Machine != "a" || string(read.Work) != "counts" || read.Fence != (Fence{"process on a", 1}) {
+		t.Fatalf("got %+v, %v", read, err)
+	}
+}
+
+// TestTermsAreJudgedByBothBoundsOfTheClock: the holder takes the store's clock to
+// be as late as it can be, whoever follows as early as it can be.
+func TestTermsAreJudgedByBothBoundsOfTheClock(t *testing.T) {
+	rows := rowstore.New()
+	a, clockA := newSeat(rows, "a")
+	b, clockB := newSeat(rows, "b")
+	clockA.earliest, clockA.latest = 10*time.Second, 11*time.Second
+	h := claim(t, a, 7, "counts")
+	if h.Began != 10*time.Second || !h.Acting() {
+		t.Fatalf("got %+v", h)
+	}
+	clockA.latest = 10*time.Second + ActTime
+	if h.Acting() {
+		t.Error("acts though its term may be over")
+	}
+	clockA.unknown = true
+	if h.Acting() {
+		t.Error("acts without a clock")
+	}
+	read, err := b.Read(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	clockB.earliest, clockB.latest = 10*time.Second+ActTime+testLease, time.Hour
+	if wait, err := b.Wait(read); err != nil || wait != guardTime {
+		t.Errorf("got %s, %v", wait, err)
+	}
+	clockB.earliest += guardTime
+	if wait, err := b.Wait(read); err != nil || wait != 0 {
+		t.Errorf("got %s, %v", wait, err)
+	}
+	clockB.unknown = true
+	if _, err := b.Wait(read); err == nil {
+		t.Error("follows without a clock")
+	}
+	clockA.unknown, clockA.earliest = false, 0
+	if wait, err := a.Wait(read); err != nil || wait != 0 {
+		t.Errorf("the holder itself waits %s, %v", wait, err)
+	}
+}
+
+// TestClaimWithoutAnAnswerIsNotHeld has the store write the row and lose its
+// answer: the process may follow on it, with a token of its own.
+func TestClaimWithoutAnAnswerIsNotHeld(t *testing.T) {
+	rows := rowstore.New()
+	a, _ := newSeat(rows, "a")
+	rows.Next(rowstore.Lost)
+	if _, err := a.Claim(t.Context(), Read{}, 7, nil); !errors.Is(err, store.ErrUnknown) {
+		t.Fatalf("got %v", err)
+	}
+	if h := claim(t, a, 7, "counts"); h.Fence.Token != 2 {
+		t.Errorf("got %+v", h)
+	}
+}
+
+func TestRecordedOnlyByItsHolder(t *testing.T) {
+	rows := rowstore.New()
+	a, _ := newSeat(rows, "a")
+	b, _ := newSeat(rows, "b")
+	h := claim(t, a, 7, "counts")
+	next := claim(t, b, 7, "counts")
+	if err := h.Record(t.Context()); !errors.Is(err, ErrTaken) {
+		t.Errorf("got %v", err)
+	}
+	if err := next.Record(t.Context()); err != nil {
+		t.Error(err)
+	}
+	if r, err := a.Read(t.Context()); err != nil || !r.Done || r.Piece != 7 || r.Machine != "b" {
+		t.Errorf("got %+v, %v", r, err)
+	}
+}
+
+func TestTermThatIsNotReadable(t *testing.T) {
+	rows := rowstore.New()
+	a, _ := newSeat(rows, "a")
+	rows.Put(store.Row{Key: a.key(), Value: []byte("{")})
+	if _, err := a.Read(t.Context()); err == nil {
+		t.Error("want an error")
+	}
+}
--- a/forward/call.go
+++ b/forward/call.go
@@ -125,12 +125,34 @@
 	go func() {
 		began := time.Now()
 		answer, err := c.Sender.Send(ctx, to, c.request, left)
+		if c.Began != nil && ran(answer, err) {
+			c.Began(c.request.Organisation, startOf(answer, began))
+		}
 		c.picker.End(to.Incarnation(), c.outcome(ctx, answer, err, time.Since(began)), time.Now())
 		c.results <- attempt{to: to, answer: answer, err: err}
 	}()
 	return cancel
 }
 
+// ran reports whether an endpoint began to work on a send, as far as is known: a
+// send without an answer counts as begun.
+func ran(answer *Answer, err error) bool {
+	if err != nil {
+		return !errors.Is(err, ErrUnsent)
+	}
+	return !answer.Declined
+}
+
+// startOf is when an endpoint began to work on a request that was sent at a moment:
+// a stream with its first event, anything else when it arrived, a few milliseconds
+// later at most unless it had to wait for a place there.
+func startOf(answer *Answer, sent time.Time) time.Time {
+	if answer != nil && answer.Stream != nil {
+		return time.Now()
+	}
+	return sent
+}
+
 // outcome is what a send tells of its endpoint.
 func (c *call) outcome(ctx context.Context, answer *Answer, err error, took time.Duration) picker.Outcome {
 	o := picker.Outcome{Answered: err == nil || ctx.Err() != nil, Kind: c.request.Route.Name}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -133,6 +133,9 @@
 	Zone     string
 	Log      logrus.FieldLogger
 	Counters *observe.Counters
+	// Began, if set, is told of each run that an endpoint began, with its
+	// organisation. It is set before the first request.
+	Began func(organisation string, at time.Time)
 
 	picker *picker.Picker
 }
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -134,6 +135,76 @@
 	}
 }
 
+// TestRunsThatEndpointsBegan counts what is told of them: a request that was sent
+// twice began twice, one that was declined or never sent did not begin there.
+func TestRunsThatEndpointsBegan(t *testing.T) {
+	ok := answers(200, 20*time.Millisecond)
+	for name, c := range map[string]struct {
+		kind fleet.Kind
+		a, b func(context.Context) (*Answer, error)
+		want []time.Duration // after the request came
+	}{
+		"answered":     {fleet.KindSafe, ok, ok, []time.Duration{0}},
+		"failed":       {fleet.KindUnsafe, answers(500, 0), ok, []time.Duration{0}},
+		"no answer":    {fleet.KindUnsafe, fails(ErrBroken), ok, []time.Duration{0}},
+		"slow":         {fleet.KindSafe, answers(200, time.Second), ok, []time.Duration{90 * time.Millisecond, 0}},
+		"declined":     {fleet.KindSafe, declines, ok, []time.Duration{0}},
+		"unsent":       {fleet.KindSafe, fails(ErrUnsent), ok, []time.Duration{0}},
+		"all declined": {fleet.KindSafe, declines, declines, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, _ := rig(c.a, c.b)
+				var mu sync.Mutex
+				var got []time.Duration
+				came := time.Now()
+				f.Began = func(organisation string, at time.Time) {
+					mu.Lock()
+					defer mu.Unlock()
+					if organisation != "guthi" {
+						t.Errorf("of %q", organisation)
+					}
+					got = append(got, at.Sub(came))
+				}
+				r := request(c.kind)
+				r.Organisation = "guthi"
+				_, _ = f.Do(t.Context(), r) // what it answers is tested elsewhere
+				synctest.Wait()
+				if !slices.Equal(got, c.want) {
+					t.Errorf("got %v, want %v", got, c.want)
+				}
+			})
+		})
+	}
+}
+
+// TestStreamsBeginWithTheirFirstEvent has an endpoint that answers late.
+func TestStreamsBeginWithTheirFirstEvent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, _ := rig(func(context.Context) (*Answer, error) {
+			time.Sleep(300 * time.Millisecond)
+			return &Answer{Status: 200, Stream: noEvents{}}, nil
+		}, hangs)
+		came := time.Now()
+		var at time.Time
+		f.Began = func(_ string, began time.Time) { at = began }
+		answer, err := f.Do(t.Context(), request(fleet.KindStream))
+		if err != nil {
+			t.Fatal(err)
+		}
+		answer.Stream.Close()
+		if after := at.Sub(came); after != 300*time.Millisecond {
+			t.Errorf("began after %s", after)
+		}
+	})
+}
+
+// noEvents is a stream that has ended.
+type noEvents struct{}
+
+func (noEvents) Next() (raw []byte, id string, err error) { return nil, "", io.EOF }
+func (noEvents) Close()                                   {}
+
 func TestClientThatGoesEndsItsRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, sender := rig(hangs, hangs)
--- a/service/node/agent.go
+++ b/service/node/agent.go
@@ -52,6 +52,7 @@
 	defer stop()
 	var wg sync.WaitGroup
 	a.follow(working, &wg)
+	a.reportUsage(working, &wg)
 	wg.Go(func() { a.worker.Run(working) })
 	wg.Go(func() { a.servePeers(working) })
 	<-ctx.Done()
--- a/service/node/entry.go
+++ b/service/node/entry.go
@@ -40,11 +40,12 @@
 // Entry serves clients.
 type Entry struct {
 	*base
-	handler  *ingress.Handler
-	reader   *batch.Reader
-	demand   *batch.Demand
-	stopping atomic.Bool
-	inFlight atomic.Int64
+	handler   *ingress.Handler
+	forwarder *forward.Forwarder
+	reader    *batch.Reader
+	demand    *batch.Demand
+	stopping  atomic.Bool
+	inFlight  atomic.Int64
 }
 
 // NewEntry returns the entry of a settings file.
@@ -53,10 +54,13 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &Entry{base: b, reader: batch.NewReader(b.ledger, b.log), demand: batch.NewDemand()}
+	e := &Entry{
+		base: b, reader: batch.NewReader(b.ledger, b.log), demand: batch.NewDemand(),
+		forwarder: forward.New(b.view, enginehttp.New(), settings.Zone, b.log, b.counters),
+	}
 	e.handler = &ingress.Handler{
 		View:    b.view,
-		Forward: forward.New(b.view, enginehttp.New(), settings.Zone, b.log, b.counters),
+		Forward: e.forwarder,
 		Jobs: &batch.Intake{
 			View: b.view, Ledger: b.ledger, Demand: e.demand, Now: b.store.Now, Log: b.log, Counters: b.counters,
 		},
@@ -75,6 +79,8 @@
 	defer stop()
 	var wg sync.WaitGroup
 	e.follow(working, &wg)
+	var counting sync.WaitGroup
+	e.countUsage(working, &counting)
 	wg.Go(func() { e.reader.Run(working) })
 	collector := &batch.Collector{Ledger: e.ledger, Keep: e.settings.KeepResults, Now: e.store.Now, Log: e.log}
 	jobs := store.Source{Table: batch.TableJobs, Pace: entryJobsPace()}
@@ -95,6 +101,7 @@
 	<-ctx.Done()
 	e.drain(clients)
 	stop()
+	counting.Wait() // counts are written once more
 	e.log.Info("stopped")
 	e.bounded.Close()
 	return nil
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -16,6 +16,7 @@
 	"mulberryscale.example/batch"
 	"mulberryscale.example/fleet"
 	"mulberryscale.example/observe"
+	"mulberryscale.example/platform/duties"
 	"mulberryscale.example/platform/metastore"
 	"mulberryscale.example/platform/nodefile"
 	"mulberryscale.example/platform/operator"
@@ -35,6 +36,7 @@
 	// through agents.
 	store  *metastore.Client
 	rows   store.Store
+	duties *duties.Client
 	peers  *peers
 	view   *fleet.View
 	ledger *batch.Ledger
@@ -55,7 +57,7 @@
 	}
 	b := &base{
 		settings: settings, metricsPort: options.MetricsPort, bounded: observe.Bound(logger), incarnation: newIncarnation(), counters: observe.NewCounters(),
-		store: metastore.New(settings.Store), peers: &peers{}, view: fleet.NewView(),
+		store: metastore.New(settings.Store), duties: duties.New(settings.Duties), peers: &peers{}, view: fleet.NewView(),
 	}
 	b.store.Traffic = b.countTraffic
 	b.log = logger.WithFields(logrus.Fields{observe.FieldProcess: settings.Node, "role": role, "incarnation": b.incarnation})
--- a/service/node/reload.go
+++ b/service/node/reload.go
@@ -15,7 +15,7 @@
 const rereadInterval = 2 * time.Second
 
 // Reload reads the settings again at each hangup, and now and then without
-// one, until ctx ends. The store's address changes at once; what a running
+// one, until ctx ends. The platform's addresses change at once; what a running
 // process cannot change, such as its own addresses, is logged and holds from
 // the next start on. A file that is not readable changes nothing.
 func (b *base) Reload(ctx context.Context, hangups <-chan os.Signal, load func() (*nodefile.Settings, error)) {
@@ -43,15 +43,16 @@
 			continue
 		}
 		b.log.WithFields(logrus.Fields{
-			"signalled": signalled, "store": next.Store, "restart_needed": needsRestart(current, *next),
+			"signalled": signalled, "store": next.Store, "duties": next.Duties, "restart_needed": needsRestart(current, *next),
 		}).Info("settings reloaded")
 		b.store.SetAddr(next.Store)
+		b.duties.SetAddr(next.Duties)
 		current = *next
 	}
 }
 
 // needsRestart reports whether settings changed that hold from the next start only.
 func needsRestart(old, next nodefile.Settings) bool {
-	next.Store = old.Store
+	next.Store, next.Duties = old.Store, old.Duties
 	return !reflect.DeepEqual(old, next)
 }
--- a/service/node/watch_test.go
+++ b/service/node/watch_test.go
@@ -17,6 +17,7 @@
 	"mulberryscale.example/fleet"
 	"mulberryscale.example/internal/standin/rowstore"
 	"mulberryscale.example/observe"
+	"mulberryscale.example/platform/duties"
 	"mulberryscale.example/platform/metastore"
 	"mulberryscale.example/platform/nodefile"
 	"mulberryscale.example/platform/operator"
@@ -147,7 +148,7 @@
 func TestReload(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		old := nodefile.Settings{Node: "n", Store: "10.0.0.1:1"}
-		b := &base{settings: &old, log: logrus.NewEntry(observe.Discard()), store: metastore.New(old.Store)}
+		b := &base{settings: &old, log: logrus.NewEntry(observe.Discard()), store: metastore.New(old.Store), duties: duties.New(old.Duties)}
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		hangups := make(chan os.Signal, 1)
--- /dev/null
+++ b/usage/usage_test.go
@@ -0,0 +1,264 @@
+package usage
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"mulberryscale.example/duty"
+	"mulberryscale.example/internal/standin/rowstore"
+	"mulberryscale.example/observe"
+	"mulberryscale.example/store"
+	"mulberryscale.example/transport/codec"
+)
+
+const (
+	testDue    = 10 * time.Second
+	testMember = 41 // organisations of the load
+)
+
+var testWindows = Windows{Length: 5 * time.Second}
+
+// entry counts and records on its own way to the store.
+type entry struct {
+	counter *Counter
+	way     *rowstore.Client
+	stop    context.CancelFunc
+	done    sync.WaitGroup
+}
+
+func startEntry(s *rowstore.Store, zone, name string) *entry {
+	ctx, stop := context.WithCancel(context.Background())
+	e := &entry{counter: NewCounter(testWindows), way: s.Client(), stop: stop}
+	r := &Recorder{
+		Rows: e.way, Counter: e.counter, Windows: testWindows, Zone: zone, Entry: name, ReportDelay: ReportDelay(testDue), Log: observe.Discard(),
+	}
+	e.done.Go(func() { r.Run(ctx) })
+	return e
+}
+
+func (e *entry) end() {
+	e.stop()
+	e.done.Wait()
+}
+
+func newReporter(rows store.Rows, sink Sink) *Reporter {
+	return &Reporter{
+		Rows: rows, Windows: testWindows, Zones: []string{"y", "z"}, Delay: ReportDelay(testDue), Sink: sink, Log: observe.Discard(),
+	}
+}
+
+// decide is what would be reported of a window now.
+func decide(t *testing.T, rows store.Rows, window uint64) Counts {
+	t.Helper()
+	work, err := newReporter(rows, nil).Decide(t.Context(), window)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var r Report
+	if err := codec.Unmarshal(work, &r); err != nil || r.Window != window {
+		t.Fatalf("got %+v, %v", r, err)
+	}
+	return r.Counts
+}
+
+// TestManySmallCounts has the load of a site with many organisations and few
+// requests: 14 a second of 41 organisations at 6 entries, so that most counts of
+// a window are 0, 1 or 2 and each one matters. Writes fail in all ways meanwhile.
+func TestManySmallCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := rowstore.New()
+		var entries []*entry
+		for i := range 6 {
+			entries = append(entries, startEntry(s, []string{"y", "z"}[i%2], fmt.Sprint("entry-", i)))
+		}
+		began := testWindows.Of(time.Now())
+		truth := map[uint64]Counts{}
+		for i := range 14 * 20 {
+			time.Sleep(71 * time.Millisecond)
+			organisation := fmt.Sprint("o", i*i%testMember)
+			window := testWindows.Of(time.Now())
+			entries[i%len(entries)].counter.Began(organisation, time.Now())
+			if truth[window] == nil {
+				truth[window] = Counts{}
+			}
+			truth[window][organisation]++
+			switch i % 9 {
+			case 2:
+				s.Next(rowstore.Lost)
+			case 4:
+				s.Next(rowstore.Dropped)
+			case 6:
+				s.Next(rowstore.Refused)
+			case 8:
+				s.Next(rowstore.Late)
+			}
+		}
+		time.Sleep(ReportDelay(testDue))
+		for window := began; window < began+4; window++ {
+			if got := decide(t, s, window); !maps.Equal(got, truth[window]) {
+				t.Errorf("window %d: got %v, want %v", window-began, got, truth[window])
+			}
+		}
+		for _, e := range entries {
+			e.end()
+		}
+		time.Sleep(rowstore.LateBy)
+	})
+}
+
+// TestCountsOutliveAnOutage has the store away over the end of a window for as
+// long as a report waits for.
+func TestCountsOutliveAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := rowstore.New()
+		e := startEntry(s, "z", "entry")
+		window := testWindows.Of(time.Now())
+		e.way.Cut(store.ErrUnknown)
+		e.counter.Began("guthi", time.Now())
+		time.Sleep(testWindows.Length + 3*time.Second)
+		e.way.Cut(nil)
+		time.Sleep(time.Second)
+		if got := decide(t, s, window); got["guthi"] != 1 {
+			t.Errorf("got %v", got)
+		}
+		e.end()
+	})
+}
+
+// TestStoppedEntryWritesItsLastCounts ends an entry right after a request.
+func TestStoppedEntryWritesItsLastCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := rowstore.New()
+		e := startEntry(s, "z", "entry")
+		e.counter.Began("guthi", time.Now())
+		synctest.Wait()
+		e.end()
+		if got := decide(t, s, testWindows.Of(time.Now())); got["guthi"] != 1 {
+			t.Errorf("got %v", got)
+		}
+	})
+}
+
+// TestWritesAreBounded: a busy entry writes at most once a second, however many
+// requests it counts; one without requests writes nothing.
+func TestWritesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := rowstore.New()
+		busy, idle := startEntry(s, "z", "busy"), startEntry(s, "z", "idle")
+		for range 5000 {
+			busy.counter.Began("guthi", time.Now())
+			time.Sleep(2 * time.Millisecond)
+		}
+		if n := s.Commits(); n > 10+4 {
+			t.Errorf("%d writes in ten seconds", n)
+		}
+		busy.end()
+		idle.end()
+	})
+}
+
+func TestRequestsOfNoOrganisationAreNotCounted(t *testing.T) {
+	c := NewCounter(testWindows)
+	c.Began("", time.Now())
+	if taken := c.take(); len(taken) != 0 {
+		t.Errorf("got %v", taken)
+	}
+}
+
+func TestWindowsOfTrueTime(t *testing.T) {
+	w := Windows{Length: 5 * time.Second}
+	at := time.Unix(1779205550, 0)
+	if w.Of(at) != 355841110 || w.Of(at.Add(-1)) != 355841109 || !w.End(355841109).Equal(at) {
+		t.Errorf("got %d, %d, %s", w.Of(at), w.Of(at.Add(-1)), w.End(355841109))
+	}
+}
+
+// fakeSink takes reports.
+type fakeSink struct{ reports []Report }
+
+func (s *fakeSink) Report(_ context.Context, _ duty.Fence, acting func() bool, r *Report) error {
+	if !acting() {
+		return errors.New("the term is over")
+	}
+	s.reports = append(s.reports, *r)
+	return nil
+}
+
+// TestReportIsSentAsDecided: rows that change after the decision change nothing.
+func TestReportIsSentAsDecided(t *testing.T) {
+	s, sink := rowstore.New(), &fakeSink{}
+	r := newReporter(s, sink)
+	put := func(zone string, window uint64, entry string, counts Counts) {
+		value, err := codec.Marshal(counts)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Put(store.Row{Key: countsKey(zone, window, entry), Value: value})
+	}
+	put("y", 7, "e1", Counts{"guthi": 2})
+	put("z", 7, "e2", Counts{"guthi": 1, "trust": 4})
+	put("z", 8, "e2", Counts{"guthi": 100})
+	put("z", 6, "e2", Counts{"guthi": 100})
+	work, err := r.Decide(t.Context(), 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	put("y", 7, "e1", Counts{"guthi": 50})
+	acting := true
+	for range 2 {
+		if err := r.Send(t.Context(), duty.Fence{}, func() bool { return acting }, work); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want := Counts{"guthi": 3, "trust": 4}
+	if len(sink.reports) != 2 || sink.reports[0].Window != 7 || !maps.Equal(sink.reports[0].Counts, want) || !maps.Equal(sink.reports[1].Counts, want) {
+		t.Errorf("got %+v", sink.reports)
+	}
+	r.Settled(t.Context(), 7)
+	var left []string
+	for _, row := range s.Rows(TableCounts) {
+		left = append(left, row.Name)
+	}
+	if len(left) != 3 {
+		t.Errorf("rows of earlier windows are removed: got %v", left)
+	}
+	if _, err := r.Decide(t.Context(), 9); err != nil {
+		t.Fatal(err)
+	}
+	s.Put(store.Row{Key: countsKey("z", 9, "e3"), Value: []byte("{")})
+	if _, err := r.Decide(t.Context(), 9); err == nil {
+		t.Error("a row that is not readable must not be left out")
+	}
+}
+
+// TestWindowsInTheirOrder: after a long absence the backlog is bounded; the first
+// report ever is of the last window that is due.
+func TestWindowsInTheirOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newReporter(rowstore.New(), nil)
+		now := testWindows.Of(time.Now())
+		if window, due := r.Next(0, false); window >= now || due.After(time.Now()) || r.due(window+1).Before(time.Now()) {
+			t.Errorf("the first window is %d of %d, due %s", window, now, due)
+		}
+		if window, due := r.Next(now, true); window != now+1 || !due.Equal(testWindows.End(now+1).Add(4500*time.Millisecond)) {
+			t.Errorf("got %d due %s", window, due)
+		}
+		if window, _ := r.Next(now-10000, true); window != now-120 {
+			t.Errorf("goes back to window %d of %d", window, now)
+		}
+		at := time.Now()
+		for range 5 {
+			window, due := r.Coming(at)
+			if !due.After(at) || r.due(window-1).After(at) {
+				t.Errorf("after %s comes window %d at %s", at, window, due)
+			}
+			at = due
+		}
+	})
+}
