The soak withdraws keys and strikes holders of duties

Cause: the soak knew no organisations and no duty calls. Change: its callers bear keys and claim to be somebody else, strangers bear unknown ones, readers pry into another organisation's jobs, each configuration changes a key; a stand-in takes reports from each agent's machine and judges them as the platform does, with its path cut, silenced and reset; at the end withdrawn keys are refused at every entry, each lookup that began is reported once, and no key stands in a log or a row of ours.

--- a/e2e/soak_client_test.go
+++ b/e2e/soak_client_test.go
@@ -25,12 +25,15 @@
 	rng  *rand.Rand
 	http *http.Client
 	next int
+	// organisation is whose key it shows; it claims to be of the other one.
+	organisation string
 }
 
 func (w *soakWorld) client(name string) *soakClient {
 	return &soakClient{
 		w: w, name: name, rng: rand.New(rand.NewPCG(w.seed, hashOf(name))),
-		http: &http.Client{Transport: &http.Transport{DisableCompression: true}},
+		http:         &http.Client{Transport: &http.Transport{DisableCompression: true}},
+		organisation: soakOrganisations[hashOf(name)%uint64(len(soakOrganisations))],
 	}
 }
 
@@ -40,6 +43,9 @@
 // do makes one attempt at an entry.
 func (c *soakClient) do(ctx context.Context, a ingress.Attempt) (*http.Response, error) {
 	a.Host, a.Deadline = soakHost, soakDeadline
+	if a.Key == "" {
+		a.Key, a.Claims = keptKey(c.organisation), otherThan(c.organisation)
+	}
 	req, err := a.Request(ctx)
 	if err != nil {
 		return nil, err
--- a/e2e/soak_config_test.go
+++ b/e2e/soak_config_test.go
@@ -16,7 +16,8 @@
 		Node: m.name, IP: m.ip, Zone: zoneOf(m.ip), PeerPort: portPeers, MetricsPort: portMetrics,
 		Clients: addr(m.ip, portFrontInner), Ready: addr(m.ip, portReady), Engine: addr(m.ip, portEngine), Service: serviceEngines,
 		Store: addr(m.ip, portStore+m.usesLink), RowBytes: 64 << 10, ObjectBytes: 8 << 20, StoreWrites: 800,
-		Grace: 8 * time.Second, KeepResults: 2 * time.Minute,
+		Grace: 8 * time.Second, KeepResults: 2 * time.Minute, Zones: soakZones,
+		Duties: addr(m.ip, portDuties), ReportUsage: true, Lease: soakLease, UsageWindow: soakWindow, UsageDue: soakDue,
 	})
 	if err != nil {
 		w.t.Error(err)
@@ -47,7 +48,8 @@
 // soakConfig is a configuration that sends lookups to one of the desks.
 func soakConfig(version uint64, desk string) *fleetview.Config {
 	c := &fleetview.Config{
-		Version: version,
+		Version:       version,
+		Organisations: organisationsOf(int(version)),
 		Services: []fleetview.Service{
 			{Name: serviceEngines, MaxConns: 200, Models: soakModels}, {Name: serviceDesk, MaxConns: 100}, {Name: serviceDesk2, MaxConns: 100},
 		},
--- a/e2e/soak_faults_test.go
+++ b/e2e/soak_faults_test.go
@@ -45,6 +45,16 @@
 	}},
 	{"engine starts again", func(w *soakWorld, rng *rand.Rand) { w.startAgain(rng, w.engine(rng)) }},
 	{"foreign entry", func(w *soakWorld, rng *rand.Rand) { w.reg.foreign(rng) }},
+	{"duty path", func(w *soakWorld, rng *rand.Rand) {
+		m := w.agents[rng.IntN(len(w.agents))]
+		harm(rng, m.dutyLink)
+		w.duties.excuse(m.name)
+	}},
+	{"duties away", func(w *soakWorld, rng *rand.Rand) {
+		w.duties.set(true)
+		span(rng, 300, 4000)
+		w.duties.set(false)
+	}},
 }
 
 // disturb draws faults of the first so many kinds until the soak's time is over,
@@ -155,7 +165,9 @@
 		}
 		if s == syscall.SIGSTOP {
 			span(rng, 200, 4000)
+			continue
 		}
+		w.duties.excuse(m.name)
 	}
 }
 
--- a/e2e/soak_lookups_test.go
+++ b/e2e/soak_lookups_test.go
@@ -37,7 +37,7 @@
 	if method == http.MethodPost {
 		body = bodyOf(id)
 	}
-	c.w.record.send(id, &request{method: method, target: target, body: body, services: c.w.allowed(target), once: once})
+	c.w.record.send(id, &request{method: method, target: target, body: body, services: c.w.allowed(target), once: once, organisation: c.organisation})
 	ctx, cancel := context.WithTimeout(ctx, soakDeadline)
 	defer cancel()
 	resp, err := c.do(ctx, ingress.Attempt{Entry: entry, ID: id, Method: method, Target: target, Body: body})
@@ -91,7 +91,7 @@
 // requests run once only.
 func (c *soakClient) stream(ctx context.Context, entry, id, target string, once bool) {
 	body := bodyOf(id)
-	c.w.record.send(id, &request{method: http.MethodPost, target: target, body: body, model: soakModels[0], services: []string{serviceEngines}, once: once})
+	c.w.record.send(id, &request{method: http.MethodPost, target: target, body: body, model: soakModels[0], services: []string{serviceEngines}, once: once, organisation: c.organisation})
 	ctx, cancel := context.WithTimeout(ctx, 2*soakDeadline)
 	defer cancel()
 	resp, err := c.do(ctx, ingress.Attempt{Entry: entry, ID: id, Method: http.MethodPost, Target: target, Body: body, Model: soakModels[0]})
--- a/e2e/soak_reader_test.go
+++ b/e2e/soak_reader_test.go
@@ -22,6 +22,7 @@
 	asked := time.Now()
 	status, body := c.call(ctx, ingress.Attempt{
 		Entry: entry, ID: j.id, Method: http.MethodGet, Target: ingress.ResultsTarget(j.id, from), Wait: soakWait,
+		Key: keptKey(j.organisation), Claims: otherThan(j.organisation),
 	})
 	switch status {
 	case http.StatusOK:
@@ -58,6 +59,7 @@
 		j := jobs[c.rng.IntN(len(jobs))]
 		c.page(ctx, c.entry(), j, c.rng.IntN(c.w.record.position(j)+1))
 		c.itemBody(ctx, j, j.items[c.rng.IntN(len(j.items))])
+		c.pry(ctx, j)
 	}
 }
 
@@ -66,7 +68,7 @@
 func (c *soakClient) itemBody(ctx context.Context, j *soakJob, item string) {
 	entry, asked := c.entry(), time.Now()
 	owed := c.w.record.unfinished(item)
-	status, body := c.call(ctx, ingress.Attempt{Entry: entry, ID: j.id, Method: http.MethodGet, Target: ingress.BodyTarget(j.id, item)})
+	status, body := c.call(ctx, ingress.Attempt{Entry: entry, ID: j.id, Method: http.MethodGet, Target: ingress.BodyTarget(j.id, item), Key: keptKey(j.organisation)})
 	accepted, ended := c.w.record.state(j)
 	switch {
 	case status == http.StatusOK && string(body) != bodyOf(item):
--- a/e2e/soak_record_test.go
+++ b/e2e/soak_record_test.go
@@ -17,6 +17,7 @@
 	method, target, body, model string
 	services                    []string // that may run it
 	once                        bool     // may run once only
+	organisation                string   // that it runs under
 }
 
 // sameResult says whether two results are one.
@@ -26,12 +27,13 @@
 
 // soakJob is a batch job and what was read of it.
 type soakJob struct {
-	id         string
-	minVersion uint64
-	items      []string
-	accepted   time.Time // zero until its 202 came
-	ended      bool      // its end was sent
-	listed     []batch.Result
+	id           string
+	organisation string
+	minVersion   uint64
+	items        []string
+	accepted     time.Time // zero until its 202 came
+	ended        bool      // its end was sent
+	listed       []batch.Result
 }
 
 // record is what callers and engines saw, and which promises broke.
@@ -39,6 +41,7 @@
 	mu       sync.Mutex
 	sent     map[string]*request
 	runs     map[string]int
+	lookups  map[string]int              // begun, by organisation
 	made     map[string]map[int][]uint64 // by item and event: the versions that made it
 	failed   map[string]bool
 	rewards  map[string]int  // failures of reward calls, by their ids
@@ -58,7 +61,7 @@
 
 func newRecord() *record {
 	return &record{
-		sent: map[string]*request{}, runs: map[string]int{}, made: map[string]map[int][]uint64{}, failed: map[string]bool{}, rewards: map[string]int{},
+		sent: map[string]*request{}, runs: map[string]int{}, lookups: map[string]int{}, made: map[string]map[int][]uint64{}, failed: map[string]bool{}, rewards: map[string]int{},
 		refused: map[string]bool{}, versions: map[string]uint64{}, orders: map[string]orderer{}, counts: map[string]int{},
 	}
 }
@@ -126,11 +129,16 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.runs[a.ID]++
+	if strings.HasPrefix(a.Target, prefixLook) {
+		r.lookups[a.Organisation]++
+	}
 	q := r.sent[a.ID]
 	switch {
 	case q == nil:
 		r.broke("request %q: run by %s, and nobody sent it", a.ID, service)
 		return
+	case q.organisation != a.Organisation || a.Key != "":
+		r.broke("request %s: sent under %q, run under %q with the key %q", a.ID, q.organisation, a.Organisation, a.Key)
 	case q.method != a.Method || q.target != a.Target || q.body != a.Body || q.model != a.Model:
 		r.broke("request %s: sent as %+v, run as %+v", a.ID, *q, a)
 	case !slices.Contains(q.services, service):
@@ -155,6 +163,13 @@
 	}
 }
 
+// runsOf is how many lookups of an organisation began.
+func (r *record) runsOf(organisation string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lookups[organisation]
+}
+
 // rewardFails notes that a reward call was answered with a failure.
 func (r *record) rewardFails(id string) {
 	r.mu.Lock()
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -66,6 +66,7 @@
 		callers.Go(func() { w.client(fmt.Sprintf("caller-%d", i)).look(ctx) })
 	}
 	callers.Go(func() { w.client("rereader").reread(ctx) })
+	callers.Go(func() { w.client("stranger").strange(ctx) })
 	for _, model := range soakModels {
 		callers.Go(func() { (&soakTrainer{soakClient: w.client("trainer-" + model), model: model}).run(ctx) })
 	}
@@ -73,6 +74,9 @@
 	cancel()
 	callers.Wait()
 	w.settle()
+	w.settleKeys()
+	w.settleUsage()
+	w.checkSecrets()
 	for _, p := range w.record.problems {
 		t.Error(p)
 	}
--- a/e2e/soak_trainer_test.go
+++ b/e2e/soak_trainer_test.go
@@ -44,7 +44,7 @@
 
 // step submits a job, reads it, and ends it.
 func (t *soakTrainer) step(ctx context.Context, step int, minVersion uint64) {
-	j := &soakJob{id: fmt.Sprintf("job-%s-%d", t.model, step), minVersion: minVersion}
+	j := &soakJob{id: fmt.Sprintf("job-%s-%d", t.model, step), organisation: t.organisation, minVersion: minVersion}
 	groups := t.again
 	for g := len(groups); g < soakGroups; g++ {
 		var items []string
@@ -87,6 +87,7 @@
 			s.Items = append(s.Items, item)
 			t.w.record.send(id, &request{
 				method: http.MethodPost, target: item.Path, body: bodyOf(id), model: t.model, services: []string{serviceEngines},
+				organisation: t.organisation,
 			})
 		}
 	}
--- a/e2e/soak_world_test.go
+++ b/e2e/soak_world_test.go
@@ -44,6 +44,8 @@
 	portStore2     = 8104
 	portEngine     = 8105 // through its link
 	portEngineIn   = 8106
+	portDuties     = 8107 // through its link
+	portDutiesIn   = 8108
 	portPeers      = 8110
 	portMetrics    = 8120
 )
@@ -59,6 +61,8 @@
 	front  string
 	link   *link
 	engine *soakEngine
+	// dutyLink is an agent's way to the platform's duty calls.
+	dutyLink *link
 
 	mu     sync.Mutex // held by the one fault that stops or starts the process
 	logged int        // the length of the log at the last start
@@ -76,6 +80,7 @@
 	agents    []*soakInstance
 	desks     []*soakEngine
 	deskLinks []*link
+	duties    *soakDuties
 	record    *record
 	reg       *registry
 	stop      chan struct{}
@@ -125,6 +130,7 @@
 	w := &soakWorld{
 		t: t, seed: seed, dir: t.TempDir(), octet: octet, store: newSoakStore(), record: newRecord(), stop: make(chan struct{}),
 	}
+	w.duties = newSoakDuties(w.record)
 	w.reg = &registry{store: w.store, rng: rand.New(rand.NewPCG(seed, 1)), heard: map[string]time.Time{}}
 	go w.reg.lapse(w.stop)
 	t.Cleanup(w.close)
@@ -177,6 +183,7 @@
 	} else {
 		m.link = w.link(addr(ip, portEngine), addr(ip, portEngineIn))
 		m.engine = w.startEngine(serviceEngines, ip, soakModels)
+		w.openDuties(m)
 	}
 	w.writeSettings(m)
 	m.process = startProcess(w.t, m.name, "mulberry-node", role, "--settings", m.settings, "--log-level", "debug")
@@ -200,6 +207,9 @@
 	return e
 }
 
+// soakZones are the availability zones.
+var soakZones = []string{"zone-0", "zone-1"}
+
 // zoneOf puts every second instance into the other zone.
 func zoneOf(ip string) string { return "zone-" + fmt.Sprint(int(ip[len(ip)-1]-'0')%2) }
 
--- a/internal/standin/rowstore/rowstore.go
+++ b/internal/standin/rowstore/rowstore.go
@@ -120,6 +120,13 @@
 	return list
 }
 
+// All returns the rows of all tables.
+func (s *Store) All() []store.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Values(s.rows))
+}
+
 // Commits is the number of transactions done.
 func (s *Store) Commits() int {
 	s.mu.Lock()
