mulberryctl shows organisations without their keys, and who holds a duty

Cause: operators could not see who holds a duty, or whose a job is. Change: `duties`, organisations in `config` and `jobs`. Tests: three terms, and no key in what is printed.

--- a/cmd/mulberryctl/command.go
+++ b/cmd/mulberryctl/command.go
@@ -67,6 +67,7 @@
 			keysCommand(),
 			explainCommand(),
 			jobsCommand(),
+			dutiesCommand(),
 			enginesCommand(),
 			configCommand(),
 		},
--- a/cmd/mulberryctl/jobs.go
+++ b/cmd/mulberryctl/jobs.go
@@ -17,17 +17,18 @@
 
 // jobLine is the JSON of a job.
 type jobLine struct {
-	ID         string  `json:"id"`
-	Route      string  `json:"route"`
-	Model      string  `json:"model"`
-	Step       int     `json:"step"`
-	MinVersion uint64  `json:"min_version"`
-	AgeSeconds float64 `json:"age_seconds"`
-	Items      int     `json:"items"`
-	Listed     int     `json:"listed"`
-	Failed     int     `json:"failed"`
-	State      string  `json:"state"`
-	Owners     int     `json:"owners"`
+	ID           string  `json:"id"` // as its client knows it
+	Organisation string  `json:"organisation,omitempty"`
+	Route        string  `json:"route"`
+	Model        string  `json:"model"`
+	Step         int     `json:"step"`
+	MinVersion   uint64  `json:"min_version"`
+	AgeSeconds   float64 `json:"age_seconds"`
+	Items        int     `json:"items"`
+	Listed       int     `json:"listed"`
+	Failed       int     `json:"failed"`
+	State        string  `json:"state"`
+	Owners       int     `json:"owners"`
 }
 
 // States of a job, in the order in which they are shown.
@@ -48,10 +49,10 @@
 	if err != nil {
 		return err
 	}
-	out := daemon.Table{Header: []string{"ID", "ROUTE", "MODEL", "STEP", "MIN VERSION", "AGE", "LISTED", "FAILED", "STATE", "OWNERS"}}
+	out := daemon.Table{Header: []string{"ID", "ORGANISATION", "ROUTE", "MODEL", "STEP", "MIN VERSION", "AGE", "LISTED", "FAILED", "STATE", "OWNERS"}}
 	for _, j := range jobs {
 		out.Rows = append(out.Rows, []string{
-			j.ID, j.Route, j.Model, fmt.Sprint(j.Step), fmt.Sprint(j.MinVersion), fmt.Sprintf("%.1fs", j.AgeSeconds),
+			j.ID, cmp.Or(j.Organisation, "-"), j.Route, j.Model, fmt.Sprint(j.Step), fmt.Sprint(j.MinVersion), fmt.Sprintf("%.1fs", j.AgeSeconds),
 			fmt.Sprintf("%d/%d", j.Listed, j.Items), fmt.Sprint(j.Failed), j.State, fmt.Sprint(j.Owners),
 		})
 	}
@@ -101,7 +102,7 @@
 		return jobLine{}, trace.Wrap(err, "read the results of job %s", job.ID)
 	}
 	line := jobLine{
-		ID: job.ID, Route: job.Route, Model: job.Model, Step: job.Step, MinVersion: job.MinVersion,
+		ID: batch.ClientID(job.ID), Organisation: job.Organisation, Route: job.Route, Model: job.Model, Step: job.Step, MinVersion: job.MinVersion,
 		AgeSeconds: (now - job.Accepted).Seconds(), Items: job.Items, Listed: len(listing.Results), Owners: len(job.Owners),
 		State: jobOpen,
 	}
--- a/cmd/mulberryctl/platform.go
+++ b/cmd/mulberryctl/platform.go
@@ -98,6 +98,14 @@
 	Version  uint64            `json:"version"`
 	Routes   []routeLine       `json:"routes"`
 	Versions map[string]uint64 `json:"weight_versions"`
+	// Organisations never show their keys.
+	Organisations []organisationLine `json:"organisations"`
+}
+
+type organisationLine struct {
+	Name     string `json:"name"`
+	Priority int    `json:"priority"`
+	Keys     int    `json:"keys"` // how many it has
 }
 
 type routeLine struct {
@@ -107,6 +115,8 @@
 	Kind     string   `json:"kind"`
 	Services []string `json:"services"`
 	Timeout  string   `json:"timeout"`
+	// Anonymous says that its clients need no key.
+	Anonymous bool `json:"anonymous"`
 }
 
 func showConfig(ctx context.Context, cmd *cli.Command) error {
@@ -121,16 +131,20 @@
 	if config == nil {
 		return trace.NotFound("no configuration stands in the store yet")
 	}
-	result := configResult{Version: config.Version, Versions: named, Routes: []routeLine{}}
+	result := configResult{Version: config.Version, Versions: named, Routes: []routeLine{}, Organisations: []organisationLine{}}
 	out := daemon.Table{Header: []string{"ROUTE", "HOST", "PREFIX", "KIND", "SERVICES", "TIMEOUT"}}
 	for _, r := range config.Routes {
-		line := routeLine{Name: r.Name, Host: r.Host, Prefix: r.Prefix, Kind: string(r.Kind), Timeout: r.Timeout.String(), Services: []string{}}
+		line := routeLine{Name: r.Name, Host: r.Host, Prefix: r.Prefix, Kind: string(r.Kind), Timeout: r.Timeout.String(), Services: []string{}, Anonymous: r.Anonymous}
 		for _, b := range r.Backends {
 			line.Services = append(line.Services, b.Service)
 		}
 		result.Routes = append(result.Routes, line)
 		out.Rows = append(out.Rows, []string{line.Name, line.Host, line.Prefix, line.Kind, strings.Join(line.Services, ","), line.Timeout})
 	}
+	for _, o := range config.Organisations {
+		result.Organisations = append(result.Organisations, organisationLine{Name: o.Name, Priority: o.Priority, Keys: len(o.Keys)})
+		out.Rows = append(out.Rows, []string{fmt.Sprintf("organisation %s, priority %d, keys: %d", o.Name, o.Priority, len(o.Keys))})
+	}
 	out.Rows = append(out.Rows, []string{fmt.Sprintf("configuration %d, weights %s", config.Version, versionsText(named))})
 	return write(cmd, out, result)
 }
--- a/cmd/mulberryctl/platform_test.go
+++ b/cmd/mulberryctl/platform_test.go
@@ -8,11 +8,13 @@
 	"time"
 
 	"mulberryscale.example/batch"
+	"mulberryscale.example/duty"
 	"mulberryscale.example/fleet"
 	"mulberryscale.example/internal/standin/rowstore"
 	"mulberryscale.example/platform/metastore/standin"
 	"mulberryscale.example/platform/operator"
 	"mulberryscale.example/store"
+	"mulberryscale.example/transport/codec"
 )
 
 // platformStore serves a store with a configuration, an engine and two jobs.
@@ -26,7 +28,7 @@
 		}
 		rows.Put(row)
 	}
-	put(operator.ConfigRow(&fleet.Config{Version: 7, Routes: []fleet.Route{{
+	put(operator.ConfigRow(&fleet.Config{Version: 7, Organisations: []fleet.Organisation{{Name: "guthi", Priority: 2, Keys: []fleet.APIKey{"secret-1", "secret-2"}}}, Routes: []fleet.Route{{
 		Name: "look", Host: "a.example", Prefix: "/look/", Kind: fleet.KindSafe, Timeout: 2500 * time.Millisecond,
 		Backends: []fleet.Backend{{Service: "desk", Weight: 1}},
 	}}}))
@@ -36,14 +38,15 @@
 		ID: "i-1", Service: "engines", Addr: "10.1.0.9:80", Zone: "patan", Slots: 8, Versions: map[string]uint64{"guide": 2, "meter": 3},
 	}, 1))
 	ledger := &batch.Ledger{Store: rows, RowBytes: 65536, ObjectBytes: 1 << 20}
-	for _, id := range []string{"job-ended", "job-open"} {
-		job := &batch.Job{ID: id, Route: "train", Model: "guide", Step: 4, MinVersion: 3, Items: 2, ItemTTL: time.Minute, Owners: []string{"10.1.0.9:80"}}
+	open := batch.Scope("guthi", "job-open")
+	for id, organisation := range map[string]string{"job-ended": "", open: "guthi"} {
+		job := &batch.Job{ID: id, Organisation: organisation, Route: "train", Model: "guide", Step: 4, MinVersion: 3, Items: 2, ItemTTL: time.Minute, Owners: []string{"10.1.0.9:80"}}
 		items := []batch.Item{{ID: "a", Path: "/a"}, {ID: "b", Path: "/b"}}
 		if err := ledger.Submit(t.Context(), job, items); err != nil {
 			t.Fatal(err)
 		}
 	}
-	if err := ledger.Append(t.Context(), "job-open", "1", []batch.Result{{ID: "a", State: batch.StateFailed}}); err != nil {
+	if err := ledger.Append(t.Context(), open, "1", []batch.Result{{ID: "a", State: batch.StateFailed}}); err != nil {
 		t.Fatal(err)
 	}
 	if err := ledger.End(t.Context(), "job-ended"); err != nil {
@@ -59,9 +62,35 @@
 	if open := run(t, "", "jobs", "--store", addr); open.status != 0 || strings.Contains(open.out, "job-ended") || !strings.Contains(open.out, "job-open") {
 		t.Errorf("open jobs: %+v", open)
 	}
-	run(t, "", "jobs", "--all", "--store", addr).want(t, 0, "ID ROUTE MODEL STEP MIN VERSION AGE LISTED FAILED STATE OWNERS job-open train guide 4 3", "1/2 1 open 1", "0/2 0 ended 1")
+	run(t, "", "jobs", "--all", "--store", addr).want(t, 0, "ID ORGANISATION ROUTE MODEL STEP MIN VERSION AGE LISTED FAILED STATE OWNERS job-open guthi train guide 4 3", "1/2 1 open 1", "job-ended - train", "0/2 0 ended 1")
 	run(t, "", "engines", "--store", addr).want(t, 0, "i-1 engines 10.1.0.9:80 patan 8 ready guide=2,meter=3 guide")
-	run(t, "", "config", "--store", addr).want(t, 0, "look a.example /look/ safe desk 2.5s", "configuration 7, weights guide=3,meter=3")
+	config := run(t, "", "config", "--store", addr)
+	config.want(t, 0, "look a.example /look/ safe desk 2.5s", "organisation guthi, priority 2, keys: 2", "configuration 7, weights guide=3,meter=3")
+	asJSON := run(t, "", "--output", "json", "config", "--store", addr)
+	if strings.Contains(config.out+asJSON.out, "secret") || !strings.Contains(asJSON.out, "guthi") {
+		t.Errorf("organisations are shown without their keys: got %s and %s", config.out, asJSON.out)
+	}
+}
+
+// TestShowsWhoHoldsADuty has one duty done, one whose holder may still act, and
+// one whose holder can no longer.
+func TestShowsWhoHoldsADuty(t *testing.T) {
+	rows, addr := platformStore(t)
+	now, _ := rows.Now()
+	for name, term := range map[string]duty.Term{
+		"a": {Fence: duty.Fence{Holder: "side-1", Token: 7}, Machine: "10.1.0.9", Began: now, Piece: 12, Done: true},
+		"b": {Fence: duty.Fence{Holder: "side-2", Token: 8}, Machine: "10.1.0.8", Began: now + time.Minute, Piece: 13},
+		"c": {Fence: duty.Fence{Holder: "side-3", Token: 9}, Machine: "10.1.0.7", Began: now - time.Minute, Piece: 14},
+	} {
+		value, err := codec.Marshal(term)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rows.Put(store.Row{Key: store.Key{Table: duty.Table, Name: name}, Value: value})
+	}
+	run(t, "", "duties", "--store", addr).want(t, 0, "a side-1 10.1.0.9 7", "12 done", "b side-2", "13 acting", "c side-3", "14 open")
+	rows.Put(store.Row{Key: store.Key{Table: duty.Table, Name: "odd"}, Value: []byte("{")})
+	run(t, "", "duties", "--store", addr).want(t, 1, "duty odd")
 }
 
 func TestStoreViewsAsJSON(t *testing.T) {
