The halves of a model's engines keep still as its engines come and go

Halves were dealt by turns, so each change of a model's number of engines flipped all after it, and the job that was just accepted changes the demand and so that number. Ruled out: the entry's idea of who is ready (it was right until the job came). Change: halves are cut out of an order that is the model's and the engines' alone.

--- a/batch/deal.go
+++ b/batch/deal.go
@@ -49,7 +49,7 @@
 	deals := make(map[string]Deal, len(models))
 	if len(engines) < len(models) {
 		for _, m := range models {
-			deals[m] = halve(engines)
+			deals[m] = halve(m, engines)
 		}
 		return deals
 	}
@@ -58,6 +58,7 @@
 	for _, m := range models {
 		ranked[m] = byRank(m, engines)
 	}
+	dealt := make(map[string][]string, len(models))
 	taken := make(map[string]bool, len(engines))
 	for i := 0; len(taken) < len(engines) && len(models) > 0; i++ {
 		m := models[i%len(models)]
@@ -68,11 +69,12 @@
 		for taken[ranked[m][0]] {
 			ranked[m] = ranked[m][1:]
 		}
-		d := deals[m]
-		d.add(ranked[m][0])
-		deals[m] = d
+		dealt[m] = append(dealt[m], ranked[m][0])
 		taken[ranked[m][0]] = true
 	}
+	for _, m := range models {
+		deals[m] = halve(m, dealt[m])
+	}
 	return deals
 }
 
@@ -133,21 +135,15 @@
 	return quotas
 }
 
-// add gives an engine to the smaller half.
-func (d *Deal) add(engine string) {
-	half := 0
-	if len(d.Halves[1]) < len(d.Halves[0]) {
-		half = 1
-	}
-	d.Halves[half] = append(d.Halves[half], engine)
-}
-
-func halve(engines []string) Deal {
-	var d Deal
-	for _, e := range engines {
-		d.add(e)
-	}
-	return d
+// halve cuts the engines of a model into halves, in an order that is the model's
+// and theirs alone: an engine that comes or goes moves one other at most into the
+// other half. One that changes its half as a version is named loads the version
+// whose step it was just about to run, and the items that it was dealt wait there
+// for one to three seconds.
+func halve(model string, engines []string) Deal {
+	ordered := byRank("half of "+model, engines)
+	middle := (len(ordered) + 1) / 2
+	return Deal{Halves: [2][]string{ordered[:middle], ordered[middle:]}}
 }
 
 // best is the index of the engine that a key ranks highest (rendezvous hashing).
