Only participants of a job take its items over

Change: whoever is neither an owner nor dealt to the model takes nothing. Test: fails without the change.

--- a/batch/help.go
+++ b/batch/help.go
@@ -75,8 +75,10 @@
 }
 
 // takeWork asks a few agents for items that they have no room for, or run slowly.
+// Whoever is no participant of a job takes nothing of it: those that look for
+// items without a holder would not ask it, and run them a second time.
 func (h *helper) takeWork(ctx context.Context, jobs []*workJob) {
-	jobs = slices.DeleteFunc(slices.Clone(jobs), func(j *workJob) bool { return !h.fresh(j) })
+	jobs = slices.DeleteFunc(slices.Clone(jobs), func(j *workJob) bool { return !h.fresh(j) || !h.partakes(j) })
 	h.mu.Lock()
 	free := h.free()
 	h.mu.Unlock()
@@ -159,6 +161,13 @@
 	return j.job.Model != "" && w.deals(w.View.Snapshot())[j.job.Model].Has(w.Engine)
 }
 
+// partakes is takesPart for callers that do not hold w.mu.
+func (w *Worker) partakes(j *workJob) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.takesPart(j)
+}
+
 // participants are the engines whose agents may hold items of a job.
 func (w *Worker) participants(j *workJob) []string {
 	engines := map[string]bool{}
--- a/batch/help_test.go
+++ b/batch/help_test.go
@@ -200,3 +200,24 @@
 		}
 	})
 }
+
+// TestOnlyParticipantsTakeWork has an idle agent whose engine could run a job that
+// it takes no part in. Whoever looks for items without a holder asks participants
+// only, and would have a second run of what another one holds.
+func TestOnlyParticipantsTakeWork(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		r := newWorkerRig(t, 3)
+		outsider := engineAddr(2)
+		r.submit("job", 60, func(j *Job) {
+			j.Model = ""
+			j.Owners = slices.DeleteFunc(j.Owners, func(e string) bool { return e == outsider })
+			j.Ready = len(j.Owners)
+		})
+		r.whole(r.await("job", 60, 60*time.Second))
+		for _, run := range r.runs() {
+			if run.engine == outsider {
+				t.Fatalf("item %s ran at an engine whose agent takes no part in its job", run.item)
+			}
+		}
+	})
+}
