Endpoints are ordered where the configuration asks for it

Ruled out: reports of each endpoint (remote ones are priced as probes); a leader. Change: processes write the mean places that their requests take or wait for, one row each, while a service is scaled at all; the duty's holder for a place decides each 3 s by a pure policy with hysteresis and orders what changed; the last order stands in the store.

--- a/batch/worker.go
+++ b/batch/worker.go
@@ -151,6 +151,13 @@
 	w.forgetOld(s.Now)
 }
 
+// Load is how many items take a place at the engine or wait for one.
+func (w *Worker) Load() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.waiting) + len(w.running)
+}
+
 // instance is the engine's incarnation, if it is registered and takes work.
 func (w *Worker) instance() (fleet.Instance, bool) {
 	i, ok := w.View.Snapshot().AtAddr(w.Engine)
--- a/duty/order.go
+++ b/duty/order.go
@@ -17,18 +17,29 @@
 	// Keep lets the last holder go first. Otherwise a holder is drawn anew for each
 	// piece.
 	Keep bool
+	// Lookers is how many processes look after a piece; 0 is ManyLookers.
+	Lookers int
 }
 
 const (
 	// turnStep is between the turns of two processes: twice the slowest answer of
 	// the store on an ordinary day, so that the second finds what the first has done.
 	turnStep = 250 * time.Millisecond
-	// turns is how many processes look after a piece. If a third of the machines
-	// has no path to the store, one in twenty thousand pieces finds no looker in
-	// its turn; the next piece's lookers do it then.
-	turns = 10
+	// ManyLookers is for work that must be done in time: if a third of the machines
+	// has no path to the store, one in twenty thousand pieces finds no looker in its
+	// turn; the next piece's lookers do it then.
+	ManyLookers = 10
+	// FewLookers is for work that may wait for the next piece.
+	FewLookers = 3
 )
 
+func (o *Order) lookers() int {
+	if o.Lookers > 0 {
+		return o.Lookers
+	}
+	return ManyLookers
+}
+
 // Turn is how long after a piece is due this process looks after it; false is
 // not at all. held says that this process did the last piece.
 func (o *Order) Turn(piece uint64, held bool) (time.Duration, bool) {
@@ -36,7 +47,7 @@
 		return 0, true
 	}
 	rank := o.rank(piece)
-	if rank >= turns {
+	if rank >= o.lookers() {
 		return 0, false
 	}
 	if o.Keep {
--- a/duty/order_test.go
+++ b/duty/order_test.go
@@ -29,7 +29,7 @@
 					firsts[name]++
 				}
 			}
-			if len(at) != turns {
+			if len(at) != ManyLookers {
 				t.Fatalf("%d processes: %d turns at a piece", n, len(at))
 			}
 		}
--- a/duty/performer.go
+++ b/duty/performer.go
@@ -55,8 +55,9 @@
 	Next(done uint64, found bool) (piece uint64, due time.Time)
 	// Coming is the first piece that falls due after a moment, and when.
 	Coming(after time.Time) (piece uint64, due time.Time)
-	// Decide says what is to be sent.
-	Decide(ctx context.Context, piece uint64) ([]byte, error)
+	// Decide says what is to be sent for a piece, given the work of the last one that
+	// was decided, nil if none was. nil means that there is nothing to do for it.
+	Decide(ctx context.Context, piece uint64, last []byte) ([]byte, error)
 	// Send sends what was decided, once, unless acting says that it may not be sent
 	// any more. nil means that it was accepted.
 	Send(ctx context.Context, f Fence, acting func() bool, work []byte) error
@@ -142,7 +143,7 @@
 
 // nextTurn is when this process's next turn comes.
 func (p *Performer) nextTurn(now time.Time) time.Time {
-	after := now.Add(-turns * turnStep) // of these pieces a turn may still come
+	after := now.Add(-time.Duration(p.Order.lookers()) * turnStep) // of these pieces a turn may still come
 	for {
 		piece, due := p.Work.Coming(after)
 		if delay, mine := p.Order.Turn(piece, p.holder); mine && due.Add(delay).After(now) {
@@ -188,10 +189,13 @@
 func (p *Performer) claim(ctx context.Context) Trigger {
 	work := p.read.Work
 	if !p.read.Found || p.read.Done {
-		decided, err := p.Work.Decide(ctx, p.piece)
+		decided, err := p.Work.Decide(ctx, p.piece, p.read.Work)
 		if err != nil {
 			return p.miss(err, "duty's work not decided")
 		}
+		if decided == nil {
+			return triggerSettled
+		}
 		work = decided
 	}
 	held, err := p.Seat.Claim(ctx, p.read, p.piece, work)
--- a/duty/world_test.go
+++ b/duty/world_test.go
@@ -296,7 +296,7 @@
 }
 
 // Decide gives the piece and a number that no other decision has.
-func (w machineWork) Decide(_ context.Context, piece uint64) ([]byte, error) {
+func (w machineWork) Decide(_ context.Context, piece uint64, _ []byte) ([]byte, error) {
 	w.world.mu.Lock()
 	defer w.world.mu.Unlock()
 	w.world.decided++
@@ -316,7 +316,7 @@
 	}
 	piece := binary.BigEndian.Uint64(work)
 	if w.world.mutation == withoutDecision {
-		work, _ = w.Decide(ctx, piece) // it never fails
+		work, _ = w.Decide(ctx, piece, nil) // it never fails
 	}
 	token := f.Token
 	if w.world.mutation == withoutFence {
--- a/e2e/soak_duties_test.go
+++ b/e2e/soak_duties_test.go
@@ -70,6 +70,10 @@
 		}
 		d.mu.Lock()
 		defer d.mu.Unlock()
+		if call.Report == nil {
+			d.record.problem("%s ordered %+v, and no service is scaled", machine, call.Order)
+			return
+		}
 		d.judge(machine, call)
 		if d.away {
 			panic(http.ErrAbortHandler)
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -96,6 +96,15 @@
 	MaxConns int
 	// Models are the models that its engines serve; none for a plain service.
 	Models []string
+	// Autoscale is set where the system orders how many endpoints there are.
+	Autoscale *Autoscale
+}
+
+// Autoscale bounds the endpoints of a service in one availability zone.
+type Autoscale struct {
+	Min, Max int
+	// Boot is how long a new endpoint needs until it serves.
+	Boot time.Duration
 }
 
 // Limits bound what a client may send and how long it may take.
--- a/forward/call.go
+++ b/forward/call.go
@@ -122,7 +122,12 @@
 	if !c.request.Deadline.IsZero() {
 		left = time.Until(c.request.Deadline)
 	}
+	ended := func() {}
+	if c.Meter != nil {
+		ended = c.Meter(to)
+	}
 	go func() {
+		defer ended()
 		began := time.Now()
 		answer, err := c.Sender.Send(ctx, to, c.request, left)
 		if c.Began != nil && ran(answer, err) {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -136,6 +136,9 @@
 	// Began, if set, is told of each run that an endpoint began, with its
 	// organisation. It is set before the first request.
 	Began func(organisation string, at time.Time)
+	// Meter, if set, is told of each send to an endpoint and, by what it returns, of
+	// its end. It is set before the first request.
+	Meter func(to fleet.Instance) (end func())
 
 	picker *picker.Picker
 }
--- a/service/node/agent.go
+++ b/service/node/agent.go
@@ -53,6 +53,7 @@
 	var wg sync.WaitGroup
 	a.follow(working, &wg)
 	a.reportUsage(working, &wg)
+	a.orderEndpoints(working, &wg)
 	wg.Go(func() { a.worker.Run(working) })
 	wg.Go(func() { a.servePeers(working) })
 	<-ctx.Done()
--- a/service/node/entry.go
+++ b/service/node/entry.go
@@ -16,6 +16,7 @@
 	"mulberryscale.example/platform/enginehttp"
 	"mulberryscale.example/platform/ingress"
 	"mulberryscale.example/platform/nodefile"
+	"mulberryscale.example/scaling"
 	"mulberryscale.example/store"
 )
 
@@ -81,6 +82,11 @@
 	e.follow(working, &wg)
 	var counting sync.WaitGroup
 	e.countUsage(working, &counting)
+	if e.settings.OrderEndpoints {
+		meter := scaling.NewMeter()
+		e.forwarder.Meter = meterSends(meter)
+		e.measure(working, &wg, meter, nil)
+	}
 	wg.Go(func() { e.reader.Run(working) })
 	collector := &batch.Collector{Ledger: e.ledger, Keep: e.settings.KeepResults, Now: e.store.Now, Log: e.log}
 	jobs := store.Source{Table: batch.TableJobs, Pace: entryJobsPace()}
--- a/service/node/usage.go
+++ b/service/node/usage.go
@@ -40,9 +40,7 @@
 		Delay: usage.ReportDelay(a.settings.UsageDue), Sink: a.duties, Log: a.log,
 	}
 	performer := &duty.Performer{
-		Seat: &duty.Seat{
-			Rows: a.store, Clock: a.store, Subject: subjectUsage, Machine: a.settings.IP, Name: a.settings.Node, Lease: a.settings.Lease,
-		},
+		Seat:  a.seat(subjectUsage),
 		Order: &duty.Order{Self: a.settings.IP, Others: a.agents, Keep: true},
 		Work:  reporter, Log: a.log, Counters: a.counters,
 	}
@@ -53,6 +51,13 @@
 	})
 }
 
+// seat is this machine's view of a duty's subject.
+func (a *Agent) seat(subject string) *duty.Seat {
+	return &duty.Seat{
+		Rows: a.store, Clock: a.store, Subject: subject, Machine: a.settings.IP, Name: a.settings.Node, Lease: a.settings.Lease,
+	}
+}
+
 // agents are the machines of agents: those of engines, which alone have weight versions.
 func (a *Agent) agents() []string {
 	var machines []string
--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -74,7 +74,7 @@
 }
 
 // Decide implements duty.Work.
-func (r *Reporter) Decide(ctx context.Context, window uint64) ([]byte, error) {
+func (r *Reporter) Decide(ctx context.Context, window uint64, _ []byte) ([]byte, error) {
 	report := Report{Window: window, Counts: Counts{}}
 	r.before = nil
 	for _, zone := range r.Zones {
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -56,7 +56,7 @@
 // decide is what would be reported of a window now.
 func decide(t *testing.T, rows store.Rows, window uint64) Counts {
 	t.Helper()
-	work, err := newReporter(rows, nil).Decide(t.Context(), window)
+	work, err := newReporter(rows, nil).Decide(t.Context(), window, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -205,7 +205,7 @@
 	put("z", 7, "e2", Counts{"guthi": 1, "trust": 4})
 	put("z", 8, "e2", Counts{"guthi": 100})
 	put("z", 6, "e2", Counts{"guthi": 100})
-	work, err := r.Decide(t.Context(), 7)
+	work, err := r.Decide(t.Context(), 7, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -228,11 +228,11 @@
 	if len(left) != 3 {
 		t.Errorf("rows of earlier windows are removed: got %v", left)
 	}
-	if _, err := r.Decide(t.Context(), 9); err != nil {
+	if _, err := r.Decide(t.Context(), 9, nil); err != nil {
 		t.Fatal(err)
 	}
 	s.Put(store.Row{Key: countsKey("z", 9, "e3"), Value: []byte("{")})
-	if _, err := r.Decide(t.Context(), 9); err == nil {
+	if _, err := r.Decide(t.Context(), 9, nil); err == nil {
 		t.Error("a row that is not readable must not be left out")
 	}
 }
