mulberryctl profile says where the time of steps went

Cause: operators, and we, ask why a step was late. Change: from the logs of all processes, for each step the item that its end waited for and the parts of its time, which add up to it: news, place, floor, slow, moves, append, reading; with medians, 99th percentiles and shares.

--- a/cmd/mulberryctl/command.go
+++ b/cmd/mulberryctl/command.go
@@ -66,6 +66,7 @@
 			drainCommand(),
 			keysCommand(),
 			explainCommand(),
+			profileCommand(),
 			jobsCommand(),
 			dutiesCommand(),
 			enginesCommand(),
--- a/cmd/mulberryctl/explain.go
+++ b/cmd/mulberryctl/explain.go
@@ -10,6 +10,7 @@
 
 	"mulberryscale.example/daemon"
 	"mulberryscale.example/logstory"
+	"mulberryscale.example/stepprofile"
 )
 
 // explainCommand tells the story of an id from logs.
@@ -23,25 +24,50 @@
 			if id == "" {
 				return daemon.Usagef("name the id of a request, a batch job or an item")
 			}
-			return explainID(id, cmd.Args().Tail(), cmd.Root().Writer)
+			return explainID(id, cmd.Args().Tail(), cmd.Root().Reader, cmd.Root().Writer)
 		},
 	}
 }
 
-func explainID(id string, files []string, out io.Writer) error {
+// profileCommand says from logs where the time of steps went.
+func profileCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "profile",
+		Usage:     "say where the time of each step went, from the logs of many processes",
+		ArgsUsage: "[FILE...]   without files, logs are read from standard input",
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			lines, _, err := readLogs(cmd.Args().Slice(), cmd.Root().Reader)
+			if err != nil {
+				return err
+			}
+			steps := stepprofile.Steps(lines)
+			if len(steps) == 0 {
+				return trace.NotFound("no step whose acceptance and end are in the logs")
+			}
+			return stepprofile.Write(cmd.Root().Writer, steps)
+		},
+	}
+}
+
+// readLogs reads files, or in if none is named.
+func readLogs(files []string, in io.Reader) (lines []logstory.Line, unreadable int, err error) {
 	var logs []io.Reader
 	for _, name := range files {
 		f, err := os.Open(name)
 		if err != nil {
-			return trace.Wrap(err, "open a log")
+			return nil, 0, trace.Wrap(err, "open a log")
 		}
 		defer f.Close()
 		logs = append(logs, f)
 	}
 	if len(files) == 0 {
-		logs = append(logs, os.Stdin)
+		logs = append(logs, in)
 	}
-	lines, unreadable, err := logstory.Read(logs...)
+	return logstory.Read(logs...)
+}
+
+func explainID(id string, files []string, in io.Reader, out io.Writer) error {
+	lines, unreadable, err := readLogs(files, in)
 	if err != nil {
 		return err
 	}
--- a/cmd/mulberryctl/platform_test.go
+++ b/cmd/mulberryctl/platform_test.go
@@ -118,3 +118,15 @@
 	rows.Put(broken)
 	run(t, "", "config", "--store", addr).want(t, 1, "decode the configuration")
 }
+
+// TestProfileOfLogs reads the logs of one step from standard input.
+func TestProfileOfLogs(t *testing.T) {
+	const logs = `{"time":"2026-08-13T09:00:44.00Z","msg":"job accepted","process":"front-1","job":"j1","model":"m","step":4,"items":1}
+{"time":"2026-08-13T09:00:44.01Z","msg":"job seen","process":"side-1","job":"j1"}
+{"time":"2026-08-13T09:00:44.02Z","msg":"item sent","process":"side-1","job":"j1","item":"i1","events":0}
+{"time":"2026-08-13T09:00:46.02Z","msg":"item done","process":"side-1","job":"j1","item":"i1","events":40}
+{"time":"2026-08-13T09:00:46.50Z","msg":"job's end","process":"front-2","job":"j1"}
+`
+	run(t, logs, "profile").want(t, 0, "j1 m 4 1 2.500s i1 40 1", "floor 2.000s 2.000s 80.0%")
+	run(t, "{}", "profile").want(t, 1, "no step whose acceptance and end are in the logs")
+}
--- a/logstory/logstory.go
+++ b/logstory/logstory.go
@@ -51,12 +51,18 @@
 	return b.String()
 }
 
-// text is a field as text, empty if it is not there.
-func (l Line) text(name string) string {
+// Text is a field as text, empty if it is not there.
+func (l Line) Text(name string) string {
 	s, _ := l.Fields[name].(string)
 	return s
 }
 
+// Number is a field as a number, 0 if it is not there.
+func (l Line) Number(name string) float64 {
+	n, _ := l.Fields[name].(float64)
+	return n
+}
+
 // Story is what the logs say of an id.
 type Story struct {
 	ID string
@@ -102,8 +108,8 @@
 		return Line{}, false
 	}
 	l := Line{Fields: fields}
-	l.Message, l.Level, l.Process = l.text("msg"), l.text("level"), l.text(observe.FieldProcess)
-	when, err := time.Parse(time.RFC3339Nano, l.text("time"))
+	l.Message, l.Level, l.Process = l.Text("msg"), l.Text("level"), l.Text(observe.FieldProcess)
+	when, err := time.Parse(time.RFC3339Nano, l.Text("time"))
 	l.Time = when
 	return l, err == nil && l.Message != ""
 }
@@ -114,9 +120,9 @@
 	job := ""
 	reward := ""
 	for _, l := range lines {
-		if l.text(observe.FieldItem) == id {
-			job = cmp.Or(job, l.text(observe.FieldJob))
-			reward = cmp.Or(reward, l.text(observe.FieldReward))
+		if l.Text(observe.FieldItem) == id {
+			job = cmp.Or(job, l.Text(observe.FieldJob))
+			reward = cmp.Or(reward, l.Text(observe.FieldReward))
 		}
 	}
 	processes := map[string]bool{}
@@ -138,19 +144,19 @@
 // name no other item are.
 func belongs(l Line, id, job string) bool {
 	for _, name := range []string{observe.FieldRequest, observe.FieldItem, observe.FieldJob, observe.FieldReward} {
-		if l.text(name) == id {
+		if l.Text(name) == id {
 			return true
 		}
 	}
-	if batch.ClientID(l.text(observe.FieldJob)) == id {
+	if batch.ClientID(l.Text(observe.FieldJob)) == id {
 		return true
 	}
-	return job != "" && l.text(observe.FieldJob) == job && l.text(observe.FieldItem) == "" && l.Message != "results appended"
+	return job != "" && l.Text(observe.FieldJob) == job && l.Text(observe.FieldItem) == "" && l.Message != "results appended"
 }
 
 // sendOf reports whether a line is of a send of an item's reward call.
 func sendOf(l Line, reward string) bool {
-	return reward != "" && l.text(observe.FieldRequest) == reward
+	return reward != "" && l.Text(observe.FieldRequest) == reward
 }
 
 // dependencyWords mark the lines of lost and regained dependencies, and of
