A holder is drawn anew for each report where the lease leaves time for it

Ruled out for short windows: a drawn holder must wait until the last one's sends are a lease ago, 4.7 s with a lease of 3 s. Change: drawn where the interval is longer than that, kept else. Conclusion: drawn where it fits.

--- a/duty/order.go
+++ b/duty/order.go
@@ -7,6 +7,16 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// KeepHolder says whether the last holder should go first at work that falls due at
+// an interval. A holder that is drawn anew for each piece is better where it can be:
+// whoever did the last piece may have been struck for it. With each third holder
+// struck, pieces were 12 ms late at most instead of 262, at 15 calls to the store
+// each instead of 17 (TestHoldersThatAreStruck). But another holder may begin only
+// when the last one's sends are a lease ago.
+func KeepHolder(interval, lease time.Duration) bool {
+	return interval < ActTime+lease+guardTime+turnStep
+}
+
 // Order says who goes first at a piece of work. It protects nothing: two that go
 // at once cost a call each, since the store lets one claim. It keeps all others
 // from asking the store at each piece.
--- a/duty/order_test.go
+++ b/duty/order_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 )
 
 // TestEveryPieceHasItsLookers asks all processes of a fleet for their turns at
@@ -41,6 +42,16 @@
 	}
 }
 
+// TestShortIntervalsKeepTheirHolder: a window of 5 s leaves time between two
+// holders with a lease of 3 s, one of 2 s does not.
+func TestShortIntervalsKeepTheirHolder(t *testing.T) {
+	for interval, want := range map[time.Duration]bool{5 * time.Second: false, 2 * time.Second: true} {
+		if got := KeepHolder(interval, 3*time.Second); got != want {
+			t.Errorf("%s: %v", interval, got)
+		}
+	}
+}
+
 func TestTheLastHolderGoesFirst(t *testing.T) {
 	others := func() []string { return []string{"a", "b", "c"} }
 	o := &Order{Self: "a", Others: others, Keep: true}
--- a/duty/world_test.go
+++ b/duty/world_test.go
@@ -126,12 +126,19 @@
 	keep     bool
 	mutation mutation
 	decided  uint64
+	calls    int // to the store
 	mu       sync.Mutex
 	// trapped is how long the next machine that writes to the store stands still as
 	// the answer is on its way to it.
 	trapped time.Duration
 }
 
+func (w *world) count() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.calls++
+}
+
 // trap is how long the machine that has just written stands still.
 func (w *world) trap() time.Duration {
 	w.mu.Lock()
@@ -232,6 +239,7 @@
 type machineRows struct{ *machine }
 
 func (r machineRows) Commit(ctx context.Context, tx store.Tx) (store.Snapshot, error) {
+	r.world.count()
 	r.thaw(ctx)
 	if r.isCut() {
 		return store.Snapshot{}, store.ErrUnknown
@@ -246,6 +254,7 @@
 }
 
 func (r machineRows) List(ctx context.Context, g store.Range) (store.Snapshot, error) {
+	r.world.count()
 	r.thaw(ctx)
 	if r.isCut() {
 		return store.Snapshot{}, store.ErrRefused
--- a/service/node/usage.go
+++ b/service/node/usage.go
@@ -40,9 +40,11 @@
 		Delay: usage.ReportDelay(a.settings.UsageDue), Sink: a.duties, Log: a.log,
 	}
 	performer := &duty.Performer{
-		Seat:  a.seat(subjectUsage),
-		Order: &duty.Order{Self: a.settings.IP, Others: a.agents, Keep: true},
-		Work:  reporter, Log: a.log, Counters: a.counters,
+		Seat: a.seat(subjectUsage),
+		Order: &duty.Order{
+			Self: a.settings.IP, Others: a.agents, Keep: duty.KeepHolder(a.settings.UsageWindow, a.settings.Lease),
+		},
+		Work: reporter, Log: a.log, Counters: a.counters,
 	}
 	wg.Go(func() {
 		if err := performer.Run(ctx); !errors.Is(err, context.Canceled) {
