Slowness is told by others' pace too, and items go to engines that run them now

Ruled out: the list's versions (they are right and say nothing of a load under way). Change: who asks for work tells its pace, who is asked says which jobs its engine runs now.

--- a/batch/peer.go
+++ b/batch/peer.go
@@ -25,7 +25,7 @@
 	}
 	switch {
 	case req.Status != nil:
-		return &PeerReply{Status: w.status(req.Status.Jobs)}
+		return &PeerReply{Status: w.status(req.Status)}
 	case req.Take != nil:
 		return &PeerReply{Handed: w.handOver(req.From, req.Take)}
 	case req.Give != nil:
@@ -36,17 +36,20 @@
 	return &PeerReply{}
 }
 
-func (w *Worker) status(jobs []string) *Status {
+func (w *Worker) status(ask *StatusAsk) *Status {
 	_, registered := w.instance()
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.engine.hearPace(ask.Pace)
 	s := &Status{
 		Up: registered && w.engine.up && !w.stopping, Free: w.free(), Pace: w.engine.pace,
-		Jobs: make(map[string]JobStatus, len(jobs)),
+		Jobs: make(map[string]JobStatus, len(ask.Jobs)),
 	}
-	for _, id := range jobs {
+	for _, id := range ask.Jobs {
 		if j, ok := w.jobs[id]; ok {
-			s.Jobs[id] = j.status()
+			status := j.status()
+			status.Serves = w.engine.serves(j.job)
+			s.Jobs[id] = status
 		}
 	}
 	return s
