--- a/batch/enginestate.go
+++ b/batch/enginestate.go
@@ -54,9 +54,6 @@
 	quickest time.Duration
 	paced    time.Time
 	events   int // that pace is the mean of
-	// others is the least pace that another agent told of its engine, heard when.
-	others time.Duration
-	heard  time.Time
 	// stepped is the newest MinVersion+1 of the jobs seen, by model: the version
 	// whose step has come.
 	stepped map[string]uint64
--- a/batch/help.go
+++ b/batch/help.go
@@ -204,15 +204,12 @@
 	for _, j := range jobs {
 		ids = append(ids, j.job.ID)
 	}
-	w.mu.Lock()
-	pace := w.engine.pace
-	w.mu.Unlock()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	statuses := map[string]*Status{}
 	for _, e := range engines {
 		wg.Go(func() {
-			reply, err := w.call(ctx, e, &PeerRequest{Status: &StatusAsk{Jobs: ids, Pace: pace}})
+			reply, err := w.call(ctx, e, &PeerRequest{Status: &StatusAsk{Jobs: ids}})
 			if err != nil || reply.Status == nil {
 				return
 			}
--- a/batch/messages.go
+++ b/batch/messages.go
@@ -29,9 +29,6 @@
 // StatusAsk asks for the state of jobs.
 type StatusAsk struct {
 	Jobs []string `cbor:"1,keyasint"`
-	// Pace is that of the caller's engine, 0 while unknown: whoever is asked can tell
-	// by it that its own engine is slow.
-	Pace time.Duration `cbor:"2,keyasint,omitempty"`
 }
 
 // Status is what an agent says of itself.
@@ -53,8 +50,6 @@
 	Whole []int `cbor:"4,keyasint,omitempty"`
 	// Done are in the store or on their way there.
 	Done []int `cbor:"3,keyasint,omitempty"`
-	// Serves says that the engine can run items of the job now.
-	Serves bool `cbor:"5,keyasint,omitempty"`
 }
 
 // TakeAsk asks for items to run them at the caller's engine.
--- a/batch/peer.go
+++ b/batch/peer.go
@@ -25,7 +25,7 @@
 	}
 	switch {
 	case req.Status != nil:
-		return &PeerReply{Status: w.status(req.Status)}
+		return &PeerReply{Status: w.status(req.Status.Jobs)}
 	case req.Take != nil:
 		return &PeerReply{Handed: w.handOver(req.From, req.Take)}
 	case req.Give != nil:
@@ -36,20 +36,17 @@
 	return &PeerReply{}
 }
 
-func (w *Worker) status(ask *StatusAsk) *Status {
+func (w *Worker) status(jobs []string) *Status {
 	_, registered := w.instance()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.engine.hearPace(ask.Pace)
 	s := &Status{
 		Up: registered && w.engine.up && !w.stopping, Free: w.free(), Pace: w.engine.pace,
-		Jobs: make(map[string]JobStatus, len(ask.Jobs)),
+		Jobs: make(map[string]JobStatus, len(jobs)),
 	}
-	for _, id := range ask.Jobs {
+	for _, id := range jobs {
 		if j, ok := w.jobs[id]; ok {
-			status := j.status()
-			status.Serves = w.engine.serves(j.job)
-			s.Jobs[id] = status
+			s.Jobs[id] = j.status()
 		}
 	}
 	return s
--- a/batch/slow.go
+++ b/batch/slow.go
@@ -10,31 +10,14 @@
 	// slowMemory is how long an engine counts as slow after its last event. It must
 	// be tried again: slowness ends without a word.
 	slowMemory = 1500 * time.Millisecond
-	// othersMemory is how long the pace of another agent's engine is taken for usual.
-	// Agents without work ask around once a second at least.
-	othersMemory = 3 * time.Second
 	// whySlow is logged with items that leave a slow engine.
 	whySlow = "engine is slow"
 )
 
 // slow reports whether the engine makes events much more slowly than it has done
-// before, or than others do. Company on a full engine costs a twentieth of its pace.
+// before. Company on a full engine costs a twentieth of its pace.
 func (e *engineState) slow(now time.Time) bool {
-	usual := e.quickest
-	if e.others > 0 && now.Sub(e.heard) < othersMemory && (usual == 0 || e.others < usual) {
-		usual = e.others
-	}
-	return usual > 0 && float64(e.pace) > slowRatio*float64(usual) && now.Sub(e.paced) < slowMemory
-}
-
-// hearPace takes what another agent told of its engine's pace; 0 is nothing. Of
-// several within a time the least stands: others may be slow as well.
-func (e *engineState) hearPace(pace time.Duration) {
-	now := time.Now()
-	if pace <= 0 || (e.others > 0 && e.others < pace && now.Sub(e.heard) < othersMemory) {
-		return
-	}
-	e.others, e.heard = pace, now
+	return e.quickest > 0 && float64(e.pace) > slowRatio*float64(e.quickest) && now.Sub(e.paced) < slowMemory
 }
 
 // isSlow is slow for callers that do not hold w.mu.
@@ -65,13 +48,25 @@
 		return
 	}
 	for j, tasks := range h.allButOne() {
-		able := slices.DeleteFunc(slices.Clone(engines), func(e string) bool { return !statuses[e].Jobs[j.job.ID].Serves })
-		if len(able) > 0 {
+		if able := h.able(j, engines); len(able) > 0 {
 			h.giveJob(ctx, j, tasks, able, whySlow)
 		}
 	}
 }
 
+// able are the engines whose weights are recent enough for a job, as far as is known.
+func (w *Worker) able(j *workJob, engines []string) []string {
+	if j.job.Model == "" {
+		return engines
+	}
+	snap := w.View.Snapshot()
+	return slices.DeleteFunc(slices.Clone(engines), func(e string) bool {
+		i, ok := snap.AtAddr(e)
+		version, told := i.Versions[j.job.Model]
+		return !ok || (told && version < j.job.MinVersion)
+	})
+}
+
 // allButOne are the items that wait or run here, but for the one that is expected
 // to have the least to do, by job and with the longest first.
 func (w *Worker) allButOne() map[*workJob][]*task {
