Revert: a slow engine's items are given away, not only taken

The load model lacks what happened there: engines that load while others turn slow, and queues that the given items fill. Conclusion: out; the model must learn loads before it is tried again.

--- a/batch/enginestate.go
+++ b/batch/enginestate.go
@@ -30,8 +30,6 @@
 	orderTimeout = 4 * time.Second
 	// paceWeight is the weight of the newest event in the mean pace.
 	paceWeight = 0.1
-	// paceEvents is after how many events the mean says something.
-	paceEvents = 20
 )
 
 // engineState is what is believed of the engine beside this process. It is
@@ -50,10 +48,6 @@
 	ordered time.Time
 	// pace is the mean time between two events of a run, 0 while unknown.
 	pace time.Duration
-	// quickest is the least pace of this start of the engine, paced when pace last changed.
-	quickest time.Duration
-	paced    time.Time
-	events   int // that pace is the mean of
 	// stepped is the newest MinVersion+1 of the jobs seen, by model: the version
 	// whose step has come.
 	stepped map[string]uint64
@@ -92,16 +86,11 @@
 	if !paced {
 		return
 	}
-	e.paced = time.Now()
 	if e.pace == 0 {
 		e.pace = gap
 		return
 	}
 	e.pace += time.Duration(paceWeight * float64(gap-e.pace))
-	e.events++
-	if e.events >= paceEvents && (e.quickest == 0 || e.pace < e.quickest) {
-		e.quickest = e.pace
-	}
 }
 
 // stalled counts a run that heard nothing; events of others make up for it.
--- a/batch/give.go
+++ b/batch/give.go
@@ -30,7 +30,7 @@
 	}
 	w.mu.Unlock()
 	for j, tasks := range byJob {
-		w.giveJob(ctx, j, tasks, engines, whyUnable)
+		w.giveJob(ctx, j, tasks, engines)
 	}
 }
 
@@ -42,13 +42,9 @@
 	return slices.DeleteFunc(engines, func(e string) bool { return !statuses[e].Up })
 }
 
-// whyUnable is logged with items that leave an engine which takes no work, or at
-// which they broke off again and again.
-const whyUnable = "engine takes no work"
-
 // giveJob deals items of one job out to other agents in turn. What none takes
 // waits here again.
-func (w *Worker) giveJob(ctx context.Context, j *workJob, tasks []*task, engines []string, why string) {
+func (w *Worker) giveJob(ctx context.Context, j *workJob, tasks []*task, engines []string) {
 	for i, e := range engines {
 		share := tasks[i*len(tasks)/len(engines) : (i+1)*len(tasks)/len(engines)]
 		if len(share) == 0 {
@@ -57,7 +53,7 @@
 		w.mu.Lock()
 		stopped := w.detach(share)
 		w.mu.Unlock()
-		handed := w.collect(j, share, stopped, e, why)
+		handed := w.collect(j, share, stopped, e, "engine takes no work")
 		if len(handed.Items) == 0 {
 			continue
 		}
--- a/batch/help.go
+++ b/batch/help.go
@@ -60,8 +60,8 @@
 	h.mu.Lock()
 	held, broken := h.held(), h.broken()
 	h.mu.Unlock()
-	unable, slow := h.unable(), h.isSlow()
-	if held == 0 || (!unable && len(broken) == 0 && (!slow || held == 1)) {
+	unable := h.unable()
+	if held == 0 || (!unable && len(broken) == 0) {
 		return
 	}
 	statuses := h.ask(ctx, jobs, some(h.engines(jobs), askMany))
@@ -70,10 +70,7 @@
 		return
 	}
 	for j, tasks := range broken {
-		h.giveJob(ctx, j, tasks, roomiest(statuses), whyUnable)
-	}
-	if slow {
-		h.giveFromSlow(ctx, statuses)
+		h.giveJob(ctx, j, tasks, roomiest(statuses))
 	}
 }
 
@@ -85,7 +82,7 @@
 	h.mu.Lock()
 	free := h.free()
 	h.mu.Unlock()
-	if free == 0 || len(jobs) == 0 || h.unable() || h.isSlow() {
+	if free == 0 || len(jobs) == 0 || h.unable() {
 		return
 	}
 	if newest := jobs[len(jobs)-1].job.Accepted; newest != h.newest {
