The profile's floor is not taken from items that went on from saved text

Change: the events that it had when it was sent do not count. Test: failed first (10 ms for 2.5 s). No program that runs on the platform changed.

--- a/stepprofile/stepprofile.go
+++ b/stepprofile/stepprofile.go
@@ -143,8 +143,12 @@
 	best := map[string]time.Duration{}
 	for _, j := range jobs {
 		for _, i := range j.items {
-			events := i.done.Number("events")
-			if !i.finished || len(i.sent) != 1 || events < paceEvents {
+			if !i.finished || len(i.sent) != 1 {
+				continue
+			}
+			// It may have gone on from text that an earlier job left.
+			events := i.done.Number("events") - i.sent[0].Number("events")
+			if events < paceEvents {
 				continue
 			}
 			pace := time.Duration(float64(i.done.Time.Sub(i.sent[0].Time)) / events)
--- a/stepprofile/stepprofile_test.go
+++ b/stepprofile/stepprofile_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -68,6 +69,22 @@
 	}
 }
 
+// TestResumedItemsTellNoPaceOfTheirOwn: one that went on from 80 of 100 events in
+// half a second is no measure for the floor of others.
+func TestResumedItemsTellNoPaceOfTheirOwn(t *testing.T) {
+	const resumed = `
+00.000 side-3 item sent|"item":"resumed","events":80
+00.500 side-3 item done|"item":"resumed","events":100
+00.000 side-4 item sent|"item":"nearly whole","events":95
+00.010 side-4 item done|"item":"nearly whole","events":100
+`
+	lines := read(t, resumed+strings.TrimSpace(logs))
+	slices.SortStableFunc(lines, func(a, b logstory.Line) int { return a.Time.Compare(b.Time) })
+	if steps := Steps(lines); len(steps) != 1 || steps[0].Parts[PartFloor] != 2500*time.Millisecond {
+		t.Errorf("got %+v", steps)
+	}
+}
+
 func TestStepsThatTheLogsDoNotTell(t *testing.T) {
 	for name, text := range map[string]string{
 		"not ended": "00.000 front-1 job accepted|\"model\":\"m\"\n00.040 side-2 item sent|\"item\":\"a\",\"events\":0",
