--- a/cmd/mulberryctl/duties.go
+++ b/cmd/mulberryctl/duties.go
@@ -3,13 +3,17 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 
 	"github.com/gravitational/trace"
 	"github.com/urfave/cli/v3"
 
 	"mulberryscale.example/daemon"
 	"mulberryscale.example/duty"
+	"mulberryscale.example/scaling"
 	"mulberryscale.example/store"
+	"mulberryscale.example/transport/codec"
+	"mulberryscale.example/usage"
 )
 
 // dutyLine is the JSON of a subject's term.
@@ -22,6 +26,28 @@
 	Piece      uint64  `json:"piece"`
 	// State is "done", "acting" while its holder may still send, and "open" after that.
 	State string `json:"state"`
+	// Work is what was decided for the piece, in words.
+	Work string `json:"work"`
+}
+
+// workOf says what a term's work is, by the subject that it is about.
+func workOf(subject string, work []byte) (string, error) {
+	if strings.HasPrefix(subject, scaling.SubjectPrefix) {
+		var order scaling.Order
+		if err := codec.Unmarshal(work, &order); err != nil {
+			return "", trace.Wrap(err, "order")
+		}
+		return fmt.Sprintf("%d endpoints", order.Endpoints), nil
+	}
+	var report usage.Report
+	if err := codec.Unmarshal(work, &report); err != nil {
+		return "", trace.Wrap(err, "usage report")
+	}
+	var requests uint64
+	for _, n := range report.Counts {
+		requests += n
+	}
+	return fmt.Sprintf("%d requests of %d organisations", requests, len(report.Counts)), nil
 }
 
 // dutiesCommand shows who holds or last held each duty.
@@ -43,16 +69,20 @@
 		return trace.Wrap(err, "read the duties")
 	}
 	lines := []dutyLine{}
-	out := daemon.Table{Header: []string{"DUTY", "HOLDER", "MACHINE", "TOKEN", "SINCE", "PIECE", "STATE"}}
+	out := daemon.Table{Header: []string{"DUTY", "HOLDER", "MACHINE", "TOKEN", "SINCE", "PIECE", "STATE", "WORK"}}
 	for _, row := range s.Rows {
 		term, err := duty.DecodeTerm(row.Value)
 		if err != nil {
 			return trace.Wrap(err, "duty %s", row.Name)
 		}
+		work, err := workOf(row.Name, term.Work)
+		if err != nil {
+			return trace.Wrap(err, "duty %s", row.Name)
+		}
 		age := s.Now - term.Began
 		line := dutyLine{
 			Subject: row.Name, Holder: term.Fence.Holder, Machine: term.Machine, Token: term.Fence.Token,
-			AgeSeconds: age.Seconds(), Piece: term.Piece, State: "open",
+			AgeSeconds: age.Seconds(), Piece: term.Piece, State: "open", Work: work,
 		}
 		switch {
 		case term.Done:
@@ -62,7 +92,7 @@
 		}
 		lines = append(lines, line)
 		out.Rows = append(out.Rows, []string{
-			line.Subject, line.Holder, line.Machine, fmt.Sprint(line.Token), fmt.Sprintf("%.1fs", line.AgeSeconds), fmt.Sprint(line.Piece), line.State,
+			line.Subject, line.Holder, line.Machine, fmt.Sprint(line.Token), fmt.Sprintf("%.1fs", line.AgeSeconds), fmt.Sprint(line.Piece), line.State, line.Work,
 		})
 	}
 	return write(cmd, out, lines)
--- a/cmd/mulberryctl/platform_test.go
+++ b/cmd/mulberryctl/platform_test.go
@@ -13,8 +13,10 @@
 	"mulberryscale.example/internal/standin/rowstore"
 	"mulberryscale.example/platform/metastore/standin"
 	"mulberryscale.example/platform/operator"
+	"mulberryscale.example/scaling"
 	"mulberryscale.example/store"
 	"mulberryscale.example/transport/codec"
+	"mulberryscale.example/usage"
 )
 
 // platformStore serves a store with a configuration, an engine and two jobs.
@@ -77,10 +79,20 @@
 func TestShowsWhoHoldsADuty(t *testing.T) {
 	rows, addr := platformStore(t)
 	now, _ := rows.Now()
+	encode := func(work any) []byte {
+		value, err := codec.Marshal(work)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return value
+	}
+	report := encode(usage.Report{Window: 12, Counts: usage.Counts{"guthi": 5, "trust": 2}})
+	order := encode(scaling.Order{Endpoints: 6})
+	place := scaling.Subject(scaling.Place{Service: "desk", Zone: "z"})
 	for name, term := range map[string]duty.Term{
-		"a": {Fence: duty.Fence{Holder: "side-1", Token: 7}, Machine: "10.1.0.9", Began: now, Piece: 12, Done: true},
-		"b": {Fence: duty.Fence{Holder: "side-2", Token: 8}, Machine: "10.1.0.8", Began: now + time.Minute, Piece: 13},
-		"c": {Fence: duty.Fence{Holder: "side-3", Token: 9}, Machine: "10.1.0.7", Began: now - time.Minute, Piece: 14},
+		"a":   {Fence: duty.Fence{Holder: "side-1", Token: 7}, Machine: "10.1.0.9", Began: now, Piece: 12, Done: true, Work: report},
+		"b":   {Fence: duty.Fence{Holder: "side-2", Token: 8}, Machine: "10.1.0.8", Began: now + time.Minute, Piece: 13, Work: report},
+		place: {Fence: duty.Fence{Holder: "side-3", Token: 9}, Machine: "10.1.0.7", Began: now - time.Minute, Piece: 14, Work: order},
 	} {
 		value, err := codec.Marshal(term)
 		if err != nil {
@@ -88,7 +100,7 @@
 		}
 		rows.Put(store.Row{Key: store.Key{Table: duty.Table, Name: name}, Value: value})
 	}
-	run(t, "", "duties", "--store", addr).want(t, 0, "a side-1 10.1.0.9 7", "12 done", "b side-2", "13 acting", "c side-3", "14 open")
+	run(t, "", "duties", "--store", addr).want(t, 0, "a side-1 10.1.0.9 7", "12 done 7 requests of 2 organisations", "b side-2", "13 acting", "scale/desk/z side-3", "14 open 6 endpoints")
 	rows.Put(store.Row{Key: store.Key{Table: duty.Table, Name: "odd"}, Value: []byte("{")})
 	run(t, "", "duties", "--store", addr).want(t, 1, "duty odd")
 }
--- a/scaling/orders.go
+++ b/scaling/orders.go
@@ -28,6 +28,12 @@
 	Scale(ctx context.Context, f duty.Fence, acting func() bool, o *Order) error
 }
 
+// SubjectPrefix begins the subjects of orders, each of a service in an availability zone.
+const SubjectPrefix = "scale/"
+
+// Subject is the duty's subject of orders for a place.
+func Subject(p Place) string { return SubjectPrefix + p.Service + "/" + p.Zone }
+
 // decisionTime is between two decisions on a place.
 const decisionTime = 3 * time.Second
 
--- a/service/node/scaling.go
+++ b/service/node/scaling.go
@@ -12,9 +12,6 @@
 	"mulberryscale.example/scaling"
 )
 
-// subjectScale begins the subjects of orders, each of a service in an availability zone.
-const subjectScale = "scale/"
-
 // measure has a process write what its requests take of services whose endpoints
 // are ordered, until ctx ends. extra is what does not go through the meter.
 func (b *base) measure(ctx context.Context, wg *sync.WaitGroup, meter *scaling.Meter, extra func() map[scaling.Place]int) {
@@ -103,7 +100,7 @@
 // performOrders takes turns at the orders for one place.
 func (a *Agent) performOrders(ctx context.Context, p scaling.Place) {
 	performer := &duty.Performer{
-		Seat:  a.seat(subjectScale + p.Service + "/" + p.Zone),
+		Seat:  a.seat(scaling.Subject(p)),
 		Order: &duty.Order{Self: a.settings.IP, Others: a.agents, Keep: true, Lookers: duty.FewLookers},
 		Work: &scaling.Orders{
 			Place: p, Rows: a.store, View: a.view, Zones: a.settings.Zones, Now: a.store.Now, Sink: a.duties, Log: a.log,
