Sight: a send that breaks off says which content it was and whether its endpoint has ended

Cause: of an incident in which endpoints ended under requests our output could not tell whether the request ended them: answers had no trace of their content, a broken send inside an attempt had no line. Ruled out: nothing yet; no logic changes but one connection to an endpoint that has just broken a request off, which it refuses if it has ended (a health check waits for a place and says nothing that this does not). Change: 'send broken off' with endpoint, time and engine_ended; 'content', a digest of organisation, host, method, target and body, on each answer, refusal and broken send; counter forward_broken_sends. claims.Digest is internal/digest now, since both use it.

--- a/claims/claims.go
+++ b/claims/claims.go
@@ -6,17 +6,15 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
 
+	"mulberryscale.example/internal/digest"
 	"mulberryscale.example/platform"
 	"mulberryscale.example/retry"
 )
@@ -139,19 +137,10 @@
 // RecordKey is the table service's key of a claim. The caller's key is hashed,
 // since it may hold any characters and any length.
 func RecordKey(row, key string) string {
-	return keyPrefix + row + "/" + Digest(key)
-}
-
-// Digest identifies a request's content.
-func Digest(parts ...string) string {
-	d := sha256.New()
-	for _, p := range parts {
-		fmt.Fprintf(d, "%d:%s", len(p), p)
-	}
-	return hex.EncodeToString(d.Sum(nil))
+	return keyPrefix + row + "/" + digest.Of(key)
 }
 
 // RunKey is the identity of a claimed request at its agent.
 func RunKey(row, key string, generation int) string {
-	return strings.Join([]string{"claim", row, Digest(key), strconv.Itoa(generation)}, "/")
+	return strings.Join([]string{"claim", row, digest.Of(key), strconv.Itoa(generation)}, "/")
 }
--- a/forward/call.go
+++ b/forward/call.go
@@ -6,17 +6,30 @@
 	"net/http"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"mulberryscale.example/fleet"
+	"mulberryscale.example/observe"
 	"mulberryscale.example/picker"
+	"mulberryscale.example/quarantine"
 )
 
 // maxParallel is how many endpoints may work at one request at once.
 const maxParallel = 2
 
+// Rows of the counter of sends that endpoints broke off.
+const (
+	// rowEndpointEnded is for endpoints that refuse connections since,
+	// rowEndpointThere for all others.
+	rowEndpointEnded = "endpoint_ended"
+	rowEndpointThere = "endpoint_there"
+)
+
 // call is one request on its way. Its methods are called by one goroutine.
 type call struct {
 	*Forwarder
 	request *Request
+	subject quarantine.Subject
 	tried   map[fleet.Incarnation]bool
 	results chan attempt
 	pending int
@@ -34,6 +47,9 @@
 	to     fleet.Instance
 	answer *Answer
 	err    error
+	took   time.Duration
+	// ended says that the endpoint broke off and has ended.
+	ended bool
 }
 
 // run sends the request until an answer is final.
@@ -70,6 +86,7 @@
 			}
 		case a := <-c.results:
 			c.pending--
+			c.tell(a)
 			reason := c.judge(a)
 			if reason == "" {
 				if a.answer.Stream != nil {
@@ -133,12 +150,19 @@
 		if c.Began != nil && ran(answer, err) {
 			c.Began(c.request.Organisation, startOf(answer, began))
 		}
-		c.picker.End(to.Incarnation(), c.outcome(ctx, answer, err, time.Since(began)), time.Now())
-		c.results <- attempt{to: to, answer: answer, err: err}
+		took := time.Since(began)
+		c.picker.End(to.Incarnation(), c.outcome(ctx, answer, err, took), time.Now())
+		c.results <- attempt{to: to, answer: answer, err: err, took: took, ended: c.hasEnded(ctx, to, err)}
 	}()
 	return cancel
 }
 
+// hasEnded reports whether an endpoint broke a request off, which was not given up
+// from here, and has ended.
+func (c *call) hasEnded(ctx context.Context, to fleet.Instance, err error) bool {
+	return errors.Is(err, ErrBroken) && ctx.Err() == nil && c.Prober != nil && c.Prober.Refuses(ctx, to.Addr)
+}
+
 // ran reports whether an endpoint began to work on a send, as far as is known: a
 // send without an answer counts as begun.
 func ran(answer *Answer, err error) bool {
@@ -170,6 +194,22 @@
 	return o
 }
 
+// tell logs and counts a send that ended without an answer.
+func (c *call) tell(a attempt) {
+	if !errors.Is(a.err, ErrBroken) {
+		return
+	}
+	row := rowEndpointThere
+	if a.ended {
+		row = rowEndpointEnded
+	}
+	c.Counters.Add(observe.NameForwardBroken, row, 1)
+	c.Log.WithError(a.err).WithFields(logrus.Fields{
+		observe.FieldRequest: c.request.ID, observe.FieldContent: c.subject, "route": c.request.Route.Name,
+		"engine": a.to.ID, "addr": a.to.Addr, "attempts": c.sent, "took_ms": a.took.Milliseconds(), "engine_ended": a.ended,
+	}).Warn("send broken off")
+}
+
 // judge says why an attempt is not final; empty says that it is.
 func (c *call) judge(a attempt) string {
 	switch {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -14,6 +14,7 @@
 	"mulberryscale.example/fleet"
 	"mulberryscale.example/observe"
 	"mulberryscale.example/picker"
+	"mulberryscale.example/quarantine"
 )
 
 // Request is a client's request, read whole.
@@ -34,6 +35,11 @@
 	LastEvent string
 }
 
+// subject names the request's content: who asks for what, whatever its id.
+func (r *Request) subject() quarantine.Subject {
+	return quarantine.SubjectOf(r.Organisation, r.Host, r.Method, r.Target, string(r.Body))
+}
+
 // Answer is an endpoint's answer.
 type Answer struct {
 	Status int
@@ -140,6 +146,10 @@
 	// its end. It is set before the first request.
 	Meter func(to fleet.Instance) (end func())
 
+	// Prober, if set, tells whether an endpoint that broke off has ended. It is set
+	// before the first request.
+	Prober quarantine.Prober
+
 	picker *picker.Picker
 }
 
@@ -157,7 +167,7 @@
 		limit = min(limit, time.Until(r.Deadline)-answerSlack)
 	}
 	bounded, cancel := context.WithTimeoutCause(ctx, limit, errTimeout)
-	c := &call{Forwarder: f, request: r, tried: map[fleet.Incarnation]bool{}, results: make(chan attempt, maxParallel)}
+	c := &call{Forwarder: f, request: r, subject: r.subject(), tried: map[fleet.Incarnation]bool{}, results: make(chan attempt, maxParallel)}
 	answer, err := c.run(bounded)
 	if answer != nil && answer.Stream != nil {
 		answer.Stream = &streamEnd{Events: answer.Stream, end: cancel}
@@ -187,6 +197,7 @@
 	log := f.Log.WithFields(logrus.Fields{
 		observe.FieldRequest: r.ID, "route": r.Route.Name, "attempts": c.sent, "took_ms": took.Milliseconds(),
 		"config": f.View.Snapshot().Config.Version, "engine": c.last.ID, observe.FieldOrganisation: r.Organisation,
+		observe.FieldContent: c.subject,
 	})
 	if err == nil {
 		log.WithField("status", answer.Status).Info("request answered")
--- a/observe/fields.go
+++ b/observe/fields.go
@@ -15,6 +15,8 @@
 	FieldJob          = "job"          // id of a batch job
 	FieldOrganisation = "organisation" // name of the one that a request or job belongs to
 	FieldItem         = "item"         // id of an item of a batch job
+	// FieldContent is a digest that is the same for requests of the same content.
+	FieldContent = "content"
 	// FieldReward is the id of the call that scores an item's text.
 	FieldReward = "reward"
 )
--- a/observe/names.go
+++ b/observe/names.go
@@ -100,6 +100,12 @@
 	NameForwardRefusals Name = "forward_refusals"
 )
 
+const (
+	// NameForwardBroken counts sends of forwarded requests that endpoints broke
+	// off, by what became of the endpoint.
+	NameForwardBroken Name = "forward_broken_sends"
+)
+
 const (
 	// NameIngressRefusals counts requests that were refused before they were
 	// forwarded, by reason.
--- /dev/null
+++ b/quarantine/subject.go
@@ -0,0 +1,16 @@
+// Package quarantine keeps requests that end the endpoints which run them away
+// from further endpoints.
+package quarantine
+
+import "mulberryscale.example/internal/digest"
+
+// Subject names a content: requests of one content do the same to the endpoints
+// that run them, whatever their ids and whichever process they come to.
+type Subject string
+
+// subjectLength is 128 bits in hexadecimal digits, so that no two contents of a
+// deployment share a name by chance.
+const subjectLength = 32
+
+// SubjectOf names the content that parts make up, in their order.
+func SubjectOf(parts ...string) Subject { return Subject(digest.Of(parts...)[:subjectLength]) }
--- a/service/entry/claimed.go
+++ b/service/entry/claimed.go
@@ -10,6 +10,7 @@
 
 	"mulberryscale.example/api"
 	"mulberryscale.example/claims"
+	"mulberryscale.example/internal/digest"
 	"mulberryscale.example/membership"
 	"mulberryscale.example/retry"
 	"mulberryscale.example/wire"
@@ -28,7 +29,7 @@
 
 // claimDigest identifies a completion's content.
 func claimDigest(req *api.CompletionRequest) string {
-	return claims.Digest(req.Model, req.Prompt, fmt.Sprint(req.MaxTokens, req.Temperature, req.Seed))
+	return digest.Of(req.Model, req.Prompt, fmt.Sprint(req.MaxTokens, req.Temperature, req.Seed))
 }
 
 // runIdentified runs a call by what its caller said of repeating it.
--- a/service/entry/scoring.go
+++ b/service/entry/scoring.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"mulberryscale.example/api"
-	"mulberryscale.example/claims"
+	"mulberryscale.example/internal/digest"
 	"mulberryscale.example/retry"
 	"mulberryscale.example/routing"
 	"mulberryscale.example/table"
@@ -90,7 +90,7 @@
 	if err != nil {
 		return 0, s.e.refusal(api.CodeInternal, "encoding a scoring call: "+err.Error(), StepScore, 0)
 	}
-	name := row.Name + "/" + sample.ID + "/" + claims.Digest(sample.Text)
+	name := row.Name + "/" + sample.ID + "/" + digest.Of(sample.Text)
 	work := &call{
 		row: service, idempotent: service.Repeatable,
 		route: routing.Request{Service: service.Name, Zone: s.e.cfg.Zone},
@@ -100,7 +100,7 @@
 		}},
 	}
 	id := identity{key: name, nonIdempotent: !service.Repeatable}
-	done, refusal := s.e.runIdentified(ctx, work, id, claims.Digest(name))
+	done, refusal := s.e.runIdentified(ctx, work, id, digest.Of(name))
 	if refusal != nil {
 		return 0, refusal
 	}
--- a/service/entry/services.go
+++ b/service/entry/services.go
@@ -7,7 +7,7 @@
 	"github.com/kataras/iris/v12"
 
 	"mulberryscale.example/api"
-	"mulberryscale.example/claims"
+	"mulberryscale.example/internal/digest"
 	"mulberryscale.example/routing"
 	"mulberryscale.example/table"
 	"mulberryscale.example/wire"
@@ -38,7 +38,7 @@
 	}
 	defer end(0)
 	call := work.work.Call
-	digest := claims.Digest(call.Method, call.Path, string(call.Body))
+	digest := digest.Of(call.Method, call.Path, string(call.Body))
 	done, refusal := e.runIdentified(ctx, work, id, digest)
 	if refusal != nil {
 		e.refuse(c, row.Name, refusal)
--- a/service/node/entry.go
+++ b/service/node/entry.go
@@ -57,8 +57,10 @@
 	}
 	e := &Entry{
 		base: b, reader: batch.NewReader(b.ledger, b.store.Now, b.log), demand: batch.NewDemand(),
-		forwarder: forward.New(b.view, enginehttp.New(), settings.Zone, b.log, b.counters),
 	}
+	engines := enginehttp.New()
+	e.forwarder = forward.New(b.view, engines, settings.Zone, b.log, b.counters)
+	e.forwarder.Prober = engines
 	e.handler = &ingress.Handler{
 		View:    b.view,
 		Forward: e.forwarder,
