Failing test: a request that crashes each endpoint that runs it is sent to endpoint after endpoint

What callers saw: all endpoints of a service end within a quarter of a second, lookups are refused for three seconds, again and again, under one content that comes back under new ids at other entries. Ruled out: endpoints that end by themselves (in this run none does).

--- a/e2e/soak_config_test.go
+++ b/e2e/soak_config_test.go
@@ -52,6 +52,7 @@
 		Organisations: organisationsOf(int(version)),
 		Services: []fleetview.Service{
 			{Name: serviceEngines, MaxConns: 200, Models: soakModels}, {Name: serviceDesk, MaxConns: 100}, {Name: serviceDesk2, MaxConns: 100},
+			{Name: serviceKiosk, MaxConns: 100},
 		},
 		Limits: fleetview.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 4 << 20, HeaderTimeout: 5 * time.Second, IdleTimeout: 10 * time.Second},
 	}
@@ -63,6 +64,7 @@
 	const short, long, aim = 2500 * time.Millisecond, 6 * time.Second, 300 * time.Millisecond
 	add(fleetview.Route{Name: "look", Prefix: prefixLook, Kind: fleetview.KindSafe, Timeout: short, Objective: aim}, desk)
 	add(fleetview.Route{Name: "book", Prefix: prefixBook, Kind: fleetview.KindUnsafe, MaxAttempts: 2, Timeout: short, Objective: aim}, serviceDesk)
+	add(fleetview.Route{Name: "peek", Prefix: prefixPeek, Kind: fleetview.KindSafe, Timeout: short, Objective: aim}, serviceKiosk)
 	add(fleetview.Route{Name: "tell", Prefix: prefixTell, Kind: fleetview.KindStream, Timeout: long, Objective: aim, Resumable: true}, serviceEngines)
 	add(fleetview.Route{Name: "say", Prefix: prefixSay, Kind: fleetview.KindStream, Timeout: long, Objective: aim}, serviceEngines)
 	add(fleetview.Route{Name: "score", Prefix: prefixScore, Kind: fleetview.KindSafe, Timeout: short, Objective: aim, MaxAttempts: soakRewardAttempts}, serviceDesk)
--- a/e2e/soak_engine_test.go
+++ b/e2e/soak_engine_test.go
@@ -234,6 +234,10 @@
 	}
 	defer e.release(life)
 	e.record.began(e.service, a)
+	if strings.HasPrefix(a.Target, prefixCrash) {
+		e.crashUnder(a)
+		w.Break()
+	}
 	w.Accept(stampOf(id, a.ID))
 	kind := kindOf(a.ID)
 	switch {
@@ -243,7 +247,7 @@
 		w.Fail(false)
 	case strings.HasPrefix(a.Target, prefixScore):
 		e.score(ctx, a, w)
-	case strings.HasPrefix(a.Target, prefixLook) || strings.HasPrefix(a.Target, prefixBook):
+	case strings.HasPrefix(a.Target, prefixLook) || strings.HasPrefix(a.Target, prefixBook) || strings.HasPrefix(a.Target, prefixPeek):
 		e.answer(ctx, a, w)
 	default:
 		e.stream(ctx, life, a, w)
--- a/e2e/soak_record_test.go
+++ b/e2e/soak_record_test.go
@@ -46,6 +46,7 @@
 	failed   map[string]bool
 	rewards  map[string]int  // failures of reward calls, by their ids
 	refused  map[string]bool // promised not to run
+	crashes  map[string]int  // endpoints that ended under a target
 	versions map[string]uint64
 	orders   map[string]orderer
 	jobs     []*soakJob
@@ -62,7 +63,7 @@
 func newRecord() *record {
 	return &record{
 		sent: map[string]*request{}, runs: map[string]int{}, lookups: map[string]int{}, made: map[string]map[int][]uint64{}, failed: map[string]bool{}, rewards: map[string]int{},
-		refused: map[string]bool{}, versions: map[string]uint64{}, orders: map[string]orderer{}, counts: map[string]int{},
+		refused: map[string]bool{}, crashes: map[string]int{}, versions: map[string]uint64{}, orders: map[string]orderer{}, counts: map[string]int{},
 	}
 }
 
--- a/e2e/soak_world_test.go
+++ b/e2e/soak_world_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -19,6 +20,7 @@
 	serviceEngines = "engines"
 	serviceDesk    = "desk"
 	serviceDesk2   = "desk-2"
+	serviceKiosk   = "kiosk" // its endpoints crash under some requests
 	soakEntries    = 3
 	soakAgents     = 4 // with an engine and an agent each
 	soakCallers    = 6
@@ -31,6 +33,7 @@
 	prefixTell  = "/tell/"  // a stream that may be resumed
 	prefixScore = "/score/" // scores texts; it may be repeated
 	prefixSay   = "/say/"   // a stream that runs once
+	prefixPeek  = "/peek/"  // may be repeated
 )
 
 var soakModels = []string{"guide", "meter"}
@@ -80,6 +83,7 @@
 	agents    []*soakInstance
 	desks     []*soakEngine
 	deskLinks []*link
+	kiosks    []*soakEngine
 	duties    *soakDuties
 	record    *record
 	reg       *registry
@@ -99,8 +103,11 @@
 
 // allowed are the services that may run a request.
 func (w *soakWorld) allowed(target string) []string {
-	if strings.HasPrefix(target, prefixLook) {
+	switch {
+	case strings.HasPrefix(target, prefixLook):
 		return []string{serviceDesk, serviceDesk2}
+	case strings.HasPrefix(target, prefixPeek):
+		return []string{serviceKiosk}
 	}
 	return []string{serviceDesk}
 }
@@ -145,6 +152,9 @@
 	for i, service := range []string{serviceDesk, serviceDesk, serviceDesk2} {
 		w.startDesk(service, 100+i)
 	}
+	for i := range soakKiosks {
+		w.startKiosk(110 + i)
+	}
 	for _, e := range w.entries {
 		eventually(t, e.name+" is ready", func() error { return ready(e.ip) })
 	}
@@ -197,8 +207,13 @@
 }
 
 func (w *soakWorld) startEngine(service, ip string, models []string) *soakEngine {
+	return w.startAt(service, ip, addr(ip, portEngineIn), addr(ip, portEngine), models)
+}
+
+// startAt starts an engine that listens at one address and tells the store another.
+func (w *soakWorld) startAt(service, ip, listen, told string, models []string) *soakEngine {
 	e := &soakEngine{
-		service: service, zone: zoneOf(ip), listen: addr(ip, portEngineIn), addr: addr(ip, portEngine), models: models,
+		service: service, zone: zoneOf(ip), listen: listen, addr: told, models: models,
 		registry: w.reg, record: w.record,
 	}
 	if err := e.start(false); err != nil {
@@ -207,6 +222,14 @@
 	return e
 }
 
+// startKiosk starts an endpoint without a link: once it has crashed, its port
+// refuses connections.
+func (w *soakWorld) startKiosk(n int) {
+	ip := w.ip(n)
+	at := addr(ip, portEngine)
+	w.kiosks = append(w.kiosks, w.startAt(serviceKiosk, ip, at, at, nil))
+}
+
 // soakZones are the availability zones.
 var soakZones = []string{"zone-0", "zone-1"}
 
@@ -231,8 +254,10 @@
 	for _, m := range w.agents {
 		m.engine.crash()
 	}
-	for _, d := range w.desks {
+	for _, d := range slices.Concat(w.desks, w.kiosks) {
+		d.faulty.Lock() // a fault that still has it starts it again first
 		d.crash()
+		d.faulty.Unlock()
 	}
 	w.server.Close()
 	if w.t.Failed() {
