What a request does to endpoints is remembered by its content, by all processes

What callers saw: all endpoints of a service ended within a quarter of a second under one content of request, again and again, and every other lookup was refused for some three seconds each time. Cause: what a send did was kept with its endpoint only. A retry inside an attempt, the caller's next attempt, another entry and each repeat began with a clean slate, so a content that ends endpoints reached as many as there were. Ruled out: endpoints that end by themselves (each broken send whose endpoint refuses connections bears that content), repeats by the library (arrivals agree with the attempts logged). Change: package quarantine. A content is a digest of organisation, host, method, target and body. A send that broke off counts if its endpoint refuses connections right after; a row for each end stands in the store and all processes follow the table. First end: one endpoint at a time, no second send beside a slow one, and the picker keeps such requests and what is beside them on different endpoints. Second end: 503 at once, with the time to its trial as Retry-After. One process tries it out after 30 s, 5 and 30 minutes, by a conditional write; an answer clears it. mulberryctl quarantine lists and releases. Why it holds: the memory is keyed by what comes back (the content), shared where all processes meet, and written before the caller's next attempt; a request that nobody has seen end an endpoint is treated as before.

--- a/cmd/mulberryctl/command.go
+++ b/cmd/mulberryctl/command.go
@@ -69,6 +69,7 @@
 			profileCommand(),
 			jobsCommand(),
 			dutiesCommand(),
+			quarantineCommand(),
 			enginesCommand(),
 			configCommand(),
 		},
--- a/cmd/mulberryctl/platform_test.go
+++ b/cmd/mulberryctl/platform_test.go
@@ -13,6 +13,7 @@
 	"mulberryscale.example/internal/standin/rowstore"
 	"mulberryscale.example/platform/metastore/standin"
 	"mulberryscale.example/platform/operator"
+	"mulberryscale.example/quarantine"
 	"mulberryscale.example/scaling"
 	"mulberryscale.example/store"
 	"mulberryscale.example/transport/codec"
@@ -105,6 +106,26 @@
 	run(t, "", "duties", "--store", addr).want(t, 1, "duty odd")
 }
 
+// TestShowsAndReleasesTheQuarantine has one content that is held and one suspect.
+func TestShowsAndReleasesTheQuarantine(t *testing.T) {
+	rows, addr := platformStore(t)
+	at, err := codec.Marshal(map[string]time.Duration{"At": 0})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"aa/end/0/i-1", "aa/end/0/i-2", "aa/trial/0", "ab/end/0/i-2"} {
+		rows.Put(store.Row{Key: store.Key{Table: quarantine.Table, Name: name}, Value: at})
+	}
+	run(t, "", "quarantine", "--store", addr).want(t, 0, "aa i-1,i-2 1", "held", "ab i-2 0", "suspect")
+	released := run(t, "", "quarantine", "--store", addr, "--release", "aa")
+	if released.status != 0 || strings.Contains(released.out, "aa ") || !strings.Contains(released.out, "ab ") {
+		t.Errorf("after the release of one: %+v", released)
+	}
+	run(t, "", "quarantine", "--store", addr, "--release", "aa").want(t, 1, "no endpoint has ended under content")
+	rows.Put(store.Row{Key: store.Key{Table: quarantine.Table, Name: "odd"}, Value: []byte("{")})
+	run(t, "", "quarantine", "--store", addr).want(t, 1, "row odd")
+}
+
 func TestStoreViewsAsJSON(t *testing.T) {
 	_, addr := platformStore(t)
 	r := run(t, "", "--output", "json", "jobs", "--all", "--store", addr)
--- a/e2e/crashing_request_test.go
+++ b/e2e/crashing_request_test.go
@@ -18,6 +18,13 @@
 // new ids, at other entries, seconds later. Nine to fourteen endpoints ended under
 // each such content.
 //
+// The cause: an entry remembered what a send did with its endpoint and forgot it with
+// the request. A retry, the caller's next attempt, another entry and the next repeat
+// each began anew, so a content reached as many endpoints as there were. What proved
+// it: in this test's logs each send that broke off, and whose endpoint refused
+// connections from then on, bore one content; with the ends remembered by content two
+// endpoints end where twelve did.
+//
 // How it comes about here: one content crashes each endpoint that begins to run it;
 // the endpoint is back after a second under a new id. A caller sends that content
 // again and again, to all entries in turn, while others look things up.
--- a/forward/call.go
+++ b/forward/call.go
@@ -30,6 +30,8 @@
 	*Forwarder
 	request *Request
 	subject quarantine.Subject
+	// trial says that the content is held and this call tries it out.
+	trial   bool
 	tried   map[fleet.Incarnation]bool
 	results chan attempt
 	pending int
@@ -52,6 +54,20 @@
 	ended bool
 }
 
+// admitAndRun runs the request unless its content is known to end endpoints: such a
+// one is answered at once, so that all of a service's endpoints do not end under it.
+func (c *call) admitAndRun(ctx context.Context) (*Answer, error) {
+	verdict, wait := c.Quarantine.Admit(ctx, c.subject, quarantine.RequestLimit)
+	if verdict == quarantine.Held {
+		c.Quarantine.Refused()
+		refusal := c.refusal(ReasonHeld, nil)
+		refusal.RetryAfter = wait.Round(time.Second)
+		return nil, refusal
+	}
+	c.trial = verdict == quarantine.Due
+	return c.run(ctx)
+}
+
 // run sends the request until an answer is final.
 func (c *call) run(ctx context.Context) (*Answer, error) {
 	// Attempts that lost the race are given up once there is an answer. They are
@@ -81,7 +97,7 @@
 		case <-ctx.Done():
 			return nil, c.ended(ctx)
 		case <-hedge.C:
-			if c.repeatable() && c.pending < maxParallel && start() {
+			if c.repeatable() && c.pending < maxParallel && c.mayEndAnother() && start() {
 				c.Counters.Retry(c.request.Route.Name, ReasonSlow)
 			}
 		case a := <-c.results:
@@ -101,7 +117,7 @@
 			if ctx.Err() != nil {
 				return nil, c.ended(ctx)
 			}
-			if c.again(reason) && start() {
+			if c.again(reason) && c.mayEndAnother() && start() {
 				c.Counters.Retry(c.request.Route.Name, reason)
 				continue
 			}
@@ -134,7 +150,8 @@
 	c.tried[to.Incarnation()], c.last = true, to
 	c.sent++
 	c.pending++
-	c.picker.Begin(to.Incarnation())
+	risky := c.suspected()
+	c.picker.Begin(to.Incarnation(), risky)
 	left := c.request.Route.Timeout
 	if !c.request.Deadline.IsZero() {
 		left = time.Until(c.request.Deadline)
@@ -151,16 +168,36 @@
 			c.Began(c.request.Organisation, startOf(answer, began))
 		}
 		took := time.Since(began)
-		c.picker.End(to.Incarnation(), c.outcome(ctx, answer, err, took), time.Now())
+		c.picker.End(to.Incarnation(), c.outcome(ctx, answer, err, took, risky), time.Now())
 		c.results <- attempt{to: to, answer: answer, err: err, took: took, ended: c.hasEnded(ctx, to, err)}
 	}()
 	return cancel
 }
 
 // hasEnded reports whether an endpoint broke a request off, which was not given up
-// from here, and has ended.
+// from here, and has ended. The quarantine has heard of it then.
 func (c *call) hasEnded(ctx context.Context, to fleet.Instance, err error) bool {
-	return errors.Is(err, ErrBroken) && ctx.Err() == nil && c.Prober != nil && c.Prober.Refuses(ctx, to.Addr)
+	return errors.Is(err, ErrBroken) && ctx.Err() == nil && c.Quarantine.Broken(ctx, c.subject, to)
+}
+
+// suspected reports whether an endpoint has ended under the request's content.
+func (c *call) suspected() bool {
+	verdict, _ := c.Quarantine.Judge(c.subject, quarantine.RequestLimit)
+	return verdict != quarantine.Clear
+}
+
+// mayEndAnother reports whether the request may be sent to one more endpoint: one
+// under which an endpoint has ended goes to one at a time, so that a second end tells
+// before a third endpoint has it.
+func (c *call) mayEndAnother() bool {
+	verdict, _ := c.Quarantine.Judge(c.subject, quarantine.RequestLimit)
+	switch verdict {
+	case quarantine.Clear:
+		return true
+	case quarantine.Suspect:
+		return c.pending == 0
+	}
+	return c.trial && c.pending == 0 && !c.mayHaveRun
 }
 
 // ran reports whether an endpoint began to work on a send, as far as is known: a
@@ -183,8 +220,8 @@
 }
 
 // outcome is what a send tells of its endpoint.
-func (c *call) outcome(ctx context.Context, answer *Answer, err error, took time.Duration) picker.Outcome {
-	o := picker.Outcome{Answered: err == nil || ctx.Err() != nil, Kind: c.request.Route.Name}
+func (c *call) outcome(ctx context.Context, answer *Answer, err error, took time.Duration, risky bool) picker.Outcome {
+	o := picker.Outcome{Answered: err == nil || ctx.Err() != nil, Kind: c.request.Route.Name, Risky: risky}
 	if err != nil {
 		return o
 	}
@@ -224,6 +261,9 @@
 		return ReasonDeclined
 	}
 	c.mayHaveRun = true
+	if a.answer.Stream == nil {
+		c.Quarantine.Served(c.subject)
+	}
 	if a.answer.Status == http.StatusInternalServerError {
 		c.failures++
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -116,6 +116,8 @@
 	ReasonSlow       = "slow"
 	ReasonTimeout    = "timeout"
 	ReasonGone       = "client_gone"
+	// ReasonHeld says that endpoints have ended under the request's content.
+	ReasonHeld = "held"
 )
 
 // Times of a request's attempts.
@@ -146,16 +148,19 @@
 	// its end. It is set before the first request.
 	Meter func(to fleet.Instance) (end func())
 
-	// Prober, if set, tells whether an endpoint that broke off has ended. It is set
-	// before the first request.
-	Prober quarantine.Prober
+	// Quarantine keeps requests that end endpoints away from them. It may be replaced
+	// before the first request by one that tells other processes.
+	Quarantine *quarantine.Keeper
 
 	picker *picker.Picker
 }
 
 // New returns a forwarder.
 func New(view *fleet.View, sender Sender, zone string, log logrus.FieldLogger, counters *observe.Counters) *Forwarder {
-	return &Forwarder{View: view, Sender: sender, Zone: zone, Log: log, Counters: counters, picker: picker.New()}
+	return &Forwarder{
+		View: view, Sender: sender, Zone: zone, Log: log, Counters: counters, picker: picker.New(),
+		Quarantine: quarantine.Local(nil, log, counters),
+	}
 }
 
 // Do forwards a request and returns an endpoint's answer or a *Refusal.
@@ -168,9 +173,9 @@
 	}
 	bounded, cancel := context.WithTimeoutCause(ctx, limit, errTimeout)
 	c := &call{Forwarder: f, request: r, subject: r.subject(), tried: map[fleet.Incarnation]bool{}, results: make(chan attempt, maxParallel)}
-	answer, err := c.run(bounded)
+	answer, err := c.admitAndRun(bounded)
 	if answer != nil && answer.Stream != nil {
-		answer.Stream = &streamEnd{Events: answer.Stream, end: cancel}
+		answer.Stream = &streamEnd{Events: answer.Stream, call: c, ctx: bounded, end: cancel}
 	} else {
 		cancel()
 	}
@@ -180,17 +185,6 @@
 
 var errTimeout = errors.New("forward: route's timeout or client's deadline reached")
 
-// streamEnd releases a stream's context when it is closed.
-type streamEnd struct {
-	Events
-	end context.CancelFunc
-}
-
-func (s *streamEnd) Close() {
-	s.Events.Close()
-	s.end()
-}
-
 // note logs and counts what became of a request.
 func (f *Forwarder) note(r *Request, c *call, answer *Answer, err error, took time.Duration) {
 	f.Counters.Observe(observe.NameForward, r.Route.Name, took)
--- a/internal/loadmodel/model.go
+++ b/internal/loadmodel/model.go
@@ -231,7 +231,7 @@
 			candidates = append(candidates, e.instance)
 		}
 		to, _ := s.picker.Pick(picker.Query{Candidates: candidates, Request: fmt.Sprint(d.ids), Now: d.clock()})
-		s.picker.Begin(to.Incarnation())
+		s.picker.Begin(to.Incarnation(), false)
 		for _, e := range d.endpoints {
 			if e.instance.ID == to.ID {
 				d.after(d.pattern.Hop, func() { d.admit(e, r) })
--- a/observe/names.go
+++ b/observe/names.go
@@ -106,6 +106,12 @@
 	NameForwardBroken Name = "forward_broken_sends"
 )
 
+const (
+	// NameQuarantine counts what became of contents under which endpoints ended, by
+	// event.
+	NameQuarantine Name = "quarantine_events"
+)
+
 const (
 	// NameIngressRefusals counts requests that were refused before they were
 	// forwarded, by reason.
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -43,6 +43,8 @@
 	// that says nothing.
 	Kind string
 	Took time.Duration
+	// Risky is what Begin was told.
+	Risky bool
 }
 
 const (
@@ -64,7 +66,9 @@
 // load is what this process knows of an instance's load.
 type load struct {
 	outstanding int // sent from here and not answered
-	suspect     time.Time
+	// risky counts those of them that may end the instance.
+	risky   int
+	suspect time.Time
 	// times is how many times as long as usual its answers take.
 	times   float64
 	timedAt time.Time
@@ -110,11 +114,15 @@
 	return found
 }
 
-// Begin says that a request is sent to an instance.
-func (p *Picker) Begin(i fleet.Incarnation) {
+// Begin says that a request is sent to an instance; a risky one may end it.
+func (p *Picker) Begin(i fleet.Incarnation, risky bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.of(i).outstanding++
+	entry := p.of(i)
+	entry.outstanding++
+	if risky {
+		entry.risky++
+	}
 }
 
 // End says that a request has ended. An instance that did not answer is suspect
@@ -124,6 +132,9 @@
 	defer p.mu.Unlock()
 	entry := p.of(i)
 	entry.outstanding--
+	if o.Risky {
+		entry.risky--
+	}
 	entry.suspect = time.Time{}
 	if !o.Answered {
 		entry.suspect = now
@@ -170,20 +181,28 @@
 
 // Pick chooses the instance for a request: of those that were not tried and
 // are not suspect, the least loaded, with a preference for the own zone.
+// Instances with a risky request from here come after the others, so that what
+// ends one takes nothing else with it, and two risky requests do not meet twice.
 // Suspects are used when nothing else is left.
 func (p *Picker) Pick(q Query) (fleet.Instance, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var fresh, suspects []fleet.Instance
+	var fresh, atRisk, suspects []fleet.Instance
 	for _, c := range q.Candidates {
+		l := p.of(c.Incarnation())
 		switch {
 		case q.Tried[c.Incarnation()]:
-		case q.Now.Sub(p.of(c.Incarnation()).suspect) < suspectTime:
+		case q.Now.Sub(l.suspect) < suspectTime:
 			suspects = append(suspects, c)
+		case l.risky > 0:
+			atRisk = append(atRisk, c)
 		default:
 			fresh = append(fresh, c)
 		}
 	}
+	if len(fresh) == 0 {
+		fresh = atRisk
+	}
 	if len(fresh) == 0 {
 		fresh = suspects
 	}
--- /dev/null
+++ b/quarantine/book.go
@@ -0,0 +1,91 @@
+package quarantine
+
+import (
+	"time"
+)
+
+// maxSubjects bounds what one process remembers, some 300 bytes each. Beyond it the
+// contents whose last end is the longest ago are forgotten first.
+const maxSubjects = 4096
+
+// book is what a process knows of contents. It is not safe for concurrent use.
+type book struct {
+	subjects map[Subject]*history
+}
+
+func newBook() *book { return &book{subjects: map[Subject]*history{}} }
+
+// judge is the verdict on a content.
+func (b *book) judge(s Subject, limit Limit, now time.Duration) (Verdict, time.Duration) {
+	h, known := b.subjects[s]
+	if !known {
+		return Clear, 0
+	}
+	return h.judge(limit, now)
+}
+
+// note takes an event in and reports whether it was news.
+func (b *book) note(e event) bool {
+	h, known := b.subjects[e.subject]
+	if !known {
+		b.makeRoom()
+		h = newHistory()
+		b.subjects[e.subject] = h
+	}
+	if e.trial >= 0 {
+		_, known = h.trials[e.trial]
+		h.trials[e.trial] = e.mark.At
+		return !known
+	}
+	if _, known = h.ends[e.endpoint]; !known {
+		h.ends[e.endpoint] = e.mark.At
+	}
+	return !known
+}
+
+// undo takes an event out again.
+func (b *book) undo(e event) {
+	h, known := b.subjects[e.subject]
+	if !known {
+		return
+	}
+	if e.trial >= 0 {
+		delete(h.trials, e.trial)
+	} else {
+		delete(h.ends, e.endpoint)
+	}
+	if h.empty() {
+		delete(b.subjects, e.subject)
+	}
+}
+
+// forget forgets a content and returns its history; nil if nothing was known.
+func (b *book) forget(s Subject) *history {
+	h := b.subjects[s]
+	delete(b.subjects, s)
+	return h
+}
+
+// forgotten are the contents whose time is up.
+func (b *book) forgotten(now time.Duration) (list []Subject) {
+	for s, h := range b.subjects {
+		if h.forgotten(now) {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// makeRoom forgets the content that has been quiet the longest if there are too many.
+func (b *book) makeRoom() {
+	if len(b.subjects) < maxSubjects {
+		return
+	}
+	var oldest Subject
+	for s, h := range b.subjects {
+		if oldest == "" || h.last() < b.subjects[oldest].last() {
+			oldest = s
+		}
+	}
+	delete(b.subjects, oldest)
+}
--- /dev/null
+++ b/quarantine/history.go
@@ -0,0 +1,107 @@
+package quarantine
+
+import (
+	"time"
+
+	"mulberryscale.example/fleet"
+)
+
+// Verdict says how a content may be sent.
+type Verdict int
+
+// Verdicts.
+const (
+	// Clear contents are sent as any other.
+	Clear Verdict = iota
+	// Suspect contents have met the end of an endpoint, which may be the endpoint's
+	// own: they go on to one endpoint at a time.
+	Suspect
+	// Held contents are not sent.
+	Held
+	// Due contents are held, and one process may try them out once.
+	Due
+)
+
+// Limit is how many endpoints may end under a content before it is held.
+type Limit int
+
+// Limits of the two kinds of work.
+const (
+	// RequestLimit holds a request at its second end. The end of one endpoint may be
+	// the endpoint's own, and a second send serves those that were beside it; a
+	// service may have no more than three.
+	RequestLimit Limit = 2
+	// ItemLimit holds an item of a batch job at its third: up to a dozen others run
+	// beside it, and some of them meet two ends with it.
+	ItemLimit Limit = 3
+)
+
+// trialPauses are the times without a send before each trial of a held content.
+// There are no more trials: a content that ends endpoints for good costs three more,
+// one whose service was mended is served again. The first pause is short for the
+// sake of contents that were beside another one twice.
+var trialPauses = [...]time.Duration{30 * time.Second, 5 * time.Minute, 30 * time.Minute}
+
+const (
+	// suspectMemory is how long after its last end a suspect is remembered.
+	suspectMemory = 10 * time.Minute
+	// heldMemory is the same for a held content.
+	heldMemory = 24 * time.Hour
+)
+
+// history is what is known of a content. Times are the clock's that all processes
+// share.
+type history struct {
+	// ends are the moments at which endpoints ended under it.
+	ends map[fleet.Incarnation]time.Duration
+	// trials are the moments at which its trials were claimed, by number from 0.
+	trials map[int]time.Duration
+}
+
+func newHistory() *history {
+	return &history{ends: map[fleet.Incarnation]time.Duration{}, trials: map[int]time.Duration{}}
+}
+
+func (h *history) empty() bool { return len(h.ends) == 0 && len(h.trials) == 0 }
+
+// last is the moment of the last end or trial.
+func (h *history) last() time.Duration {
+	var last time.Duration
+	for _, at := range h.ends {
+		last = max(last, at)
+	}
+	for _, at := range h.trials {
+		last = max(last, at)
+	}
+	return last
+}
+
+// judge is the verdict, and for a held content how long it stays held.
+func (h *history) judge(limit Limit, now time.Duration) (verdict Verdict, wait time.Duration) {
+	switch {
+	case len(h.ends) == 0:
+		return Clear, 0
+	case len(h.ends) < int(limit):
+		return Suspect, 0
+	}
+	wait = h.last() + heldMemory - now
+	if n := h.nextTrial(); n < len(trialPauses) {
+		wait = h.last() + trialPauses[n] - now
+	}
+	if wait > 0 {
+		return Held, wait
+	}
+	return Due, 0
+}
+
+// nextTrial is the number of the next trial.
+func (h *history) nextTrial() int { return len(h.trials) }
+
+// forgotten reports whether it is so old that it says nothing any more.
+func (h *history) forgotten(now time.Duration) bool {
+	memory := suspectMemory
+	if len(h.ends) >= int(RequestLimit) {
+		memory = heldMemory
+	}
+	return now > h.last()+memory
+}
--- /dev/null
+++ b/quarantine/keeper.go
@@ -0,0 +1,162 @@
+package quarantine
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"mulberryscale.example/fleet"
+	"mulberryscale.example/observe"
+	"mulberryscale.example/store"
+)
+
+// Rows of the counter of what became of contents.
+const (
+	rowEnded   = "endpoint_ended"
+	rowHeld    = "held"
+	rowTrial   = "trial"
+	rowCleared = "cleared"
+)
+
+// Keeper is a process's part of the quarantine: what it and all others have seen
+// contents do to endpoints. Without rows it keeps to itself what it sees. It is safe
+// for concurrent use.
+type Keeper struct {
+	// Rows are where all processes tell each other; nil is nowhere.
+	Rows store.Rows
+	// Clock is the clock that all processes share; false before it is known.
+	Clock func() (time.Duration, bool)
+	// Prober tells whether an endpoint that broke off has ended.
+	Prober Prober
+	// Process names this one.
+	Process  string
+	Log      logrus.FieldLogger
+	Counters *observe.Counters
+
+	mu     sync.Mutex
+	book   *book
+	outbox outbox
+	listed chan struct{}
+}
+
+// New returns a keeper that knows nothing yet. Its exported fields are set before it
+// is used.
+func New() *Keeper {
+	return &Keeper{book: newBook(), outbox: newOutbox(), listed: make(chan struct{})}
+}
+
+// Local returns a keeper that keeps to itself what it sees.
+func Local(prober Prober, log logrus.FieldLogger, counters *observe.Counters) *Keeper {
+	k := New()
+	began := time.Now()
+	k.Clock = func() (time.Duration, bool) { return time.Since(began), true }
+	k.Prober, k.Log, k.Counters = prober, log, counters
+	return k
+}
+
+// Judge says how a content may be sent, and how long a held one stays held.
+func (k *Keeper) Judge(s Subject, limit Limit) (Verdict, time.Duration) {
+	now, known := k.Clock()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	verdict, wait := k.book.judge(s, limit, now)
+	if verdict == Due && !known {
+		return Held, trialPauses[0]
+	}
+	return verdict, wait
+}
+
+// Admit says whether a content may be sent now, and as what; a held one whose time
+// for a trial has come is claimed for this process. A content that is not admitted
+// may come back after wait.
+func (k *Keeper) Admit(ctx context.Context, s Subject, limit Limit) (verdict Verdict, wait time.Duration) {
+	verdict, wait = k.Judge(s, limit)
+	if verdict != Due || k.claim(ctx, s) {
+		return verdict, wait
+	}
+	return Held, trialPauses[0]
+}
+
+// Broken takes in that an endpoint broke a content off, and reports whether it has
+// ended; only then does it count.
+func (k *Keeper) Broken(ctx context.Context, s Subject, of fleet.Instance) bool {
+	if k.Prober == nil || !k.Prober.Refuses(ctx, of.Addr) {
+		return false
+	}
+	k.Ended(s, of.Incarnation())
+	return true
+}
+
+// Ended takes in that an endpoint ended while it ran a content.
+func (k *Keeper) Ended(s Subject, of fleet.Incarnation) {
+	now, _ := k.Clock()
+	e := event{subject: s, endpoint: of, trial: -1, mark: mark{At: now, By: k.Process}}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.book.note(e) {
+		return
+	}
+	ends := len(k.book.subjects[s].ends)
+	k.Counters.Add(observe.NameQuarantine, rowEnded, 1)
+	k.Log.WithFields(logrus.Fields{observe.FieldContent: s, "engine": of.ID, "ends": ends}).Warn("endpoint ended under a content")
+	if k.Rows != nil {
+		k.outbox.put(endKey(s, of), e.mark)
+	}
+}
+
+// Served takes in that an endpoint answered a content and lived: it is no danger,
+// and what was held against it was another's doing.
+func (k *Keeper) Served(s Subject) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.drop(s) {
+		k.Counters.Add(observe.NameQuarantine, rowCleared, 1)
+		k.Log.WithField(observe.FieldContent, s).Info("content cleared")
+	}
+}
+
+// drop forgets a content here and in the store, and reports whether it was known.
+// It is called with k.mu held.
+func (k *Keeper) drop(s Subject) bool {
+	h := k.book.forget(s)
+	if h == nil || k.Rows == nil {
+		return h != nil
+	}
+	for of := range h.ends {
+		k.outbox.remove(endKey(s, of))
+	}
+	for number := range h.trials {
+		k.outbox.remove(trialKey(s, number))
+	}
+	return true
+}
+
+// claim claims the next trial of a content: of all processes one gets it.
+func (k *Keeper) claim(ctx context.Context, s Subject) bool {
+	now, _ := k.Clock()
+	k.mu.Lock()
+	h, known := k.book.subjects[s]
+	if !known {
+		k.mu.Unlock()
+		return false // it was cleared meanwhile
+	}
+	e := event{subject: s, trial: h.nextTrial(), mark: mark{At: now, By: k.Process}}
+	k.mu.Unlock()
+	if err := k.commitTrial(ctx, e); err != nil {
+		k.Log.WithError(err).WithField(observe.FieldContent, s).Info("trial not claimed")
+		return false
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.book.note(e) {
+		return false // another request of this process was quicker
+	}
+	k.Counters.Add(observe.NameQuarantine, rowTrial, 1)
+	k.Log.WithFields(logrus.Fields{observe.FieldContent: s, "trial": e.trial}).Warn("content is tried out")
+	return true
+}
+
+// Refused counts a request or item that was held.
+func (k *Keeper) Refused() { k.Counters.Add(observe.NameQuarantine, rowHeld, 1) }
--- /dev/null
+++ b/quarantine/keeper_test.go
@@ -0,0 +1,211 @@
+package quarantine
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"mulberryscale.example/fleet"
+	"mulberryscale.example/internal/standin/rowstore"
+	"mulberryscale.example/observe"
+	"mulberryscale.example/store"
+)
+
+// newsAllowance is within what processes may take to hear of each other's ends.
+const newsAllowance = 2 * time.Second
+
+// keepers are processes that share a stand-in store.
+func keepers(t *testing.T, s *rowstore.Store, n int) []*Keeper {
+	list := make([]*Keeper, n)
+	for i := range list {
+		list[i] = keeper(t.Context(), s)
+	}
+	return list
+}
+
+func keeper(ctx context.Context, s *rowstore.Store) *Keeper {
+	k := New()
+	k.Rows, k.Clock, k.Log, k.Counters = s.Client(), s.Now, observe.Discard(), observe.NewCounters()
+	go k.Run(ctx)
+	return k
+}
+
+func wantVerdict(t *testing.T, k *Keeper, s Subject, want Verdict) {
+	t.Helper()
+	if got, _ := k.Judge(s, RequestLimit); got != want {
+		t.Fatalf("verdict %v, want %v", got, want)
+	}
+}
+
+const subject = Subject("content")
+
+func TestEndsAreKnownToAllProcesses(t *testing.T) {
+	for name, outcomes := range map[string][]rowstore.Outcome{
+		"written":         nil,
+		"refused once":    {rowstore.Refused},
+		"answer lost":     {rowstore.Lost},
+		"lost altogether": {rowstore.Dropped, rowstore.Dropped},
+		"done late":       {rowstore.Late},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := rowstore.New()
+				k := keepers(t, s, 3)
+				time.Sleep(time.Second)
+				s.Next(outcomes...)
+				k[0].Ended(subject, end(0))
+				k[1].Ended(subject, end(1))
+				k[1].Ended(subject, end(1)) // seen by two sends at once
+				time.Sleep(newsAllowance)
+				for _, each := range k {
+					wantVerdict(t, each, subject, Held)
+				}
+				wantVerdict(t, k[2], Subject("another"), Clear)
+			})
+		})
+	}
+}
+
+func TestProcessThatStartsKnowsWhatOthersHaveSeen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := rowstore.New()
+		k := keeper(t.Context(), s)
+		k.Ended(subject, end(0))
+		k.Ended(subject, end(1))
+		time.Sleep(newsAllowance)
+		late := keeper(t.Context(), s)
+		<-late.Listed()
+		wantVerdict(t, late, subject, Held)
+	})
+}
+
+// What a process has seen and could not write yet outlives a new reading of the table.
+func TestUnwrittenEndsOutliveALostHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := rowstore.New()
+		k := keeper(t.Context(), s)
+		time.Sleep(time.Second)
+		s.Next(rowstore.Refused, rowstore.Refused, rowstore.Refused, rowstore.Refused, rowstore.Refused)
+		k.Ended(subject, end(0))
+		k.Ended(subject, end(1))
+		s.Forget()
+		for range 10 {
+			time.Sleep(100 * time.Millisecond)
+			wantVerdict(t, k, subject, Held)
+		}
+	})
+}
+
+func TestAnswerClearsAContentEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := rowstore.New()
+		k := keepers(t, s, 2)
+		k[0].Ended(subject, end(0))
+		time.Sleep(newsAllowance)
+		wantVerdict(t, k[1], subject, Suspect)
+		k[1].Served(subject)
+		time.Sleep(newsAllowance)
+		wantVerdict(t, k[0], subject, Clear)
+		if rows := s.Rows(Table); len(rows) != 0 {
+			t.Fatalf("%d rows left", len(rows))
+		}
+	})
+}
+
+// Of all processes one tries a held content out, once.
+func TestTrialIsClaimedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := rowstore.New()
+		k := keepers(t, s, 5)
+		k[0].Ended(subject, end(0))
+		k[0].Ended(subject, end(1))
+		time.Sleep(newsAllowance + trialPauses[0])
+		claims := make(chan Verdict, 2*len(k))
+		for _, each := range k {
+			for range 2 {
+				go func() {
+					verdict, _ := each.Admit(t.Context(), subject, RequestLimit)
+					claims <- verdict
+				}()
+			}
+		}
+		tried := 0
+		for range 2 * len(k) {
+			if <-claims == Due {
+				tried++
+			}
+		}
+		if tried != 1 {
+			t.Fatalf("tried out by %d", tried)
+		}
+		time.Sleep(newsAllowance)
+		for _, each := range k {
+			wantVerdict(t, each, subject, Held)
+		}
+	})
+}
+
+// A claim whose outcome nobody knows is no claim.
+func TestTrialWithoutAnAnswerIsNotMade(t *testing.T) {
+	for _, outcome := range []rowstore.Outcome{rowstore.Refused, rowstore.Lost, rowstore.Dropped, rowstore.Late} {
+		synctest.Test(t, func(t *testing.T) {
+			s := rowstore.New()
+			k := keeper(t.Context(), s)
+			k.Ended(subject, end(0))
+			k.Ended(subject, end(1))
+			time.Sleep(newsAllowance + trialPauses[0])
+			s.Next(outcome)
+			if verdict, wait := k.Admit(t.Context(), subject, RequestLimit); verdict != Held || wait <= 0 {
+				t.Fatalf("outcome %v: verdict %v, wait %v", outcome, verdict, wait)
+			}
+		})
+	}
+}
+
+func TestOldRowsAreRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := rowstore.New()
+		k := keepers(t, s, 3)
+		k[0].Ended(subject, end(0))
+		time.Sleep(suspectMemory + 3*expiryInterval)
+		if rows := s.Rows(Table); len(rows) != 0 {
+			t.Fatalf("%d rows left", len(rows))
+		}
+		for _, each := range k {
+			wantVerdict(t, each, subject, Clear)
+		}
+	})
+}
+
+func TestUnreadableRowsChangeNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := rowstore.New()
+		k := keeper(t.Context(), s)
+		for _, name := range []string{"", "x", "x/odd/1", "x/trial/-1", "x/trial/one", "x/end/", "x/end/a/b", "x/end/7/i-1"} {
+			key := store.Key{Table: Table, Name: name}
+			if _, err := s.Commit(t.Context(), store.Tx{Put: []store.Row{{Key: key, Value: []byte{0xff}}}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(newsAllowance)
+		wantVerdict(t, k, Subject("x"), Clear)
+	})
+}
+
+// refusing is a prober by address.
+type refusing map[string]bool
+
+func (r refusing) Refuses(_ context.Context, addr string) bool { return r[addr] }
+
+func TestOnlyTheEndOfAnEndpointCounts(t *testing.T) {
+	k := Local(refusing{"gone:1": true}, observe.Discard(), observe.NewCounters())
+	if k.Broken(t.Context(), subject, fleet.Instance{ID: "a", Addr: "there:1"}) {
+		t.Error("a lost connection counts as an end")
+	}
+	wantVerdict(t, k, subject, Clear)
+	if !k.Broken(t.Context(), subject, fleet.Instance{ID: "b", Addr: "gone:1"}) {
+		t.Error("an end does not count")
+	}
+	wantVerdict(t, k, subject, Suspect)
+}
--- a/service/node/agent.go
+++ b/service/node/agent.go
@@ -34,7 +34,7 @@
 	a := &Agent{base: b}
 	engines := enginehttp.New()
 	forwarder := forward.New(b.view, engines, settings.Zone, b.log, b.counters)
-	forwarder.Prober = engines
+	forwarder.Quarantine = b.keepQuarantine(engines)
 	a.worker = batch.NewWorker(batch.WorkerConfig{
 		Node: settings.Node, Incarnation: b.incarnation, Engine: settings.Engine, Service: settings.Service,
 		PeerPort: settings.PeerPort, View: b.view, Ledger: b.ledger, Direct: b.store, Demand: batch.NewDemand(), Engines: engines, Peers: a.peers,
--- a/service/node/entry.go
+++ b/service/node/entry.go
@@ -34,6 +34,8 @@
 	unreadyTime = 3500 * time.Millisecond
 	// keyDelay is the time after its start at which an entry asks for keys.
 	keyDelay = 2 * time.Second
+	// quarantineTime is how long an entry that has all else waits for the quarantine.
+	quarantineTime = 500 * time.Millisecond
 	// stopSlack is kept free before the platform kills the process.
 	stopSlack = 1200 * time.Millisecond
 )
@@ -60,7 +62,7 @@
 	}
 	engines := enginehttp.New()
 	e.forwarder = forward.New(b.view, engines, settings.Zone, b.log, b.counters)
-	e.forwarder.Prober = engines
+	e.forwarder.Quarantine = b.keepQuarantine(engines)
 	e.handler = &ingress.Handler{
 		View:    b.view,
 		Forward: e.forwarder,
@@ -101,6 +103,7 @@
 	}
 	defer ready.Close()
 	e.awaitConfig(ctx)
+	e.awaitQuarantine(ctx)
 	clients, err := e.listenClients(working)
 	if err != nil {
 		return err
@@ -146,6 +149,17 @@
 	}
 }
 
+// awaitQuarantine waits for what other processes have seen requests do to endpoints,
+// for a short time: a store that serves all but that table holds up nobody.
+func (e *Entry) awaitQuarantine(ctx context.Context) {
+	select {
+	case <-e.quarantine.Listed():
+	case <-time.After(quarantineTime):
+		e.log.Warn("serving before the quarantine is known")
+	case <-ctx.Done():
+	}
+}
+
 func (e *Entry) believes() bool {
 	s := e.view.Snapshot()
 	return s.Config != nil && s.Listed
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -20,6 +20,7 @@
 	"mulberryscale.example/platform/metastore"
 	"mulberryscale.example/platform/nodefile"
 	"mulberryscale.example/platform/operator"
+	"mulberryscale.example/quarantine"
 	"mulberryscale.example/store"
 	"mulberryscale.example/store/detour"
 )
@@ -40,6 +41,8 @@
 	peers  *peers
 	view   *fleet.View
 	ledger *batch.Ledger
+	// quarantine is what all processes have seen requests do to endpoints.
+	quarantine *quarantine.Keeper
 }
 
 // Options are settings of our own, beside the platform's.
@@ -70,6 +73,15 @@
 	return b, nil
 }
 
+// keepQuarantine makes the process's part of the quarantine, for which it asks
+// endpoints by a prober.
+func (b *base) keepQuarantine(prober quarantine.Prober) *quarantine.Keeper {
+	k := quarantine.New()
+	k.Rows, k.Clock, k.Prober, k.Process, k.Log, k.Counters = b.rows, b.store.Now, prober, b.settings.Node, b.log, b.counters
+	b.quarantine = k
+	return k
+}
+
 // tellDetour logs that calls to the store begin to go through agents, or end to.
 func (b *base) tellDetour(detouring bool) {
 	log := b.log.WithField("dependency", "store")
@@ -122,6 +134,7 @@
 	instances := newInstanceWatcher(b.view, b.log)
 	wg.Go(func() { b.serveMetrics(ctx, b.metricsPort) })
 	wg.Go(func() { b.tellTraffic(ctx) })
+	wg.Go(func() { b.quarantine.Run(ctx) })
 	wg.Go(func() {
 		store.Follow(ctx, b.rows, store.Source{Table: operator.TableOperator, Pace: operatorPace(b.settings)}, config)
 	})
