Failing test: an item of a batch job that ends each engine that runs it goes to engine after engine

What trainers would see: each end breaks off up to a dozen other items beside it, for as long as the item's time lasts. Ruled out: nothing else in this rig ends engines.

--- a/batch/rig_test.go
+++ b/batch/rig_test.go
@@ -30,6 +30,10 @@
 	lengths map[string]int // events of an item, by id; 10 unless said otherwise
 	// runs are all runs that began, in order.
 	runs []fakeRun
+	// crashing are the items that end each engine that runs them; crashes counts
+	// the engines that ended.
+	crashing map[string]bool
+	crashes  int
 }
 
 type fakeRun struct {
@@ -73,6 +77,14 @@
 	if n, ok := f.lengths[r.Item.ID]; ok {
 		length = n
 	}
+	if f.crashing[r.Item.ID] {
+		length = 1000 // it never ends by itself
+		time.AfterFunc(crashAfter, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.crash(e)
+		})
+	}
 	e.open++
 	s := &fakeStream{ctx: ctx, f: f, e: e, item: r.Item.ID, next: r.After + 1, length: length, cut: -1, born: e.born}
 	if n, ok := e.cutAfter[r.Item.ID]; ok {
