Items of batch jobs that end engines are held as requests are

Cause: the agent put the end of its engine down to the engine alone and handed the item to the next. Change: an agent tells the quarantine of each run whose engine broke off and refuses connections, or started again under it, and of each run that an engine lived through. At the third end (two for requests: up to a dozen items run beside such a one, and some meet two ends with it) its holder keeps it, unsent, until its time is up; then it is listed as failed, which is before a trial would be due. It is not given to agents that ask for work. The content names organisation, host, path, id and body, so an item that comes again in a later job is known. Why it holds: the memory is the content's, not the agent's or the job's, and all agents follow it.

--- a/batch/crash_test.go
+++ b/batch/crash_test.go
@@ -74,6 +74,7 @@
 		// It comes again in a later job, as items of unfinished groups do.
 		rig.submit("k", items, nil)
 		rig.await("k", items-1, 15*time.Second)
+		t.Logf("%d engines ended", rig.crashes())
 		if n := rig.crashes(); n > allowedEnds+allowedTrials {
 			t.Errorf("%d engines ended under one item", n)
 		}
--- /dev/null
+++ b/batch/deadly.go
@@ -0,0 +1,48 @@
+package batch
+
+import (
+	"context"
+	"errors"
+
+	"mulberryscale.example/fleet"
+	"mulberryscale.example/quarantine"
+)
+
+// subjectOf names an item's content; an item that comes again in a later job under
+// its id is the same. It is called with w.mu held.
+func (w *Worker) subjectOf(t *task) quarantine.Subject {
+	if t.subject == "" {
+		t.subject = quarantine.SubjectOf(t.j.job.Organisation, t.j.job.Host, t.item.Path, t.item.ID, string(t.item.Body))
+	}
+	return t.subject
+}
+
+// isHeld reports whether engines have ended under an item. Such a one is not sent
+// any more, so that the others beside it run on: its holder keeps it until its time
+// is up, which is before a trial would be due. It is called with w.mu held.
+func (w *Worker) isHeld(t *task) bool {
+	if w.Quarantine == nil || w.Quarantine.Empty() {
+		return false
+	}
+	verdict, _ := w.Quarantine.Judge(w.subjectOf(t), quarantine.ItemLimit)
+	return verdict == quarantine.Held || verdict == quarantine.Due
+}
+
+// noteEnd tells the quarantine what a run that came to an end did to its engine.
+func (w *Worker) noteEnd(ctx context.Context, t *task, engine fleet.Instance, err error) {
+	if w.Quarantine == nil {
+		return
+	}
+	w.mu.Lock()
+	subject, sentTo := w.subjectOf(t), t.sentTo
+	w.mu.Unlock()
+	switch {
+	case err == nil, errors.Is(err, ErrFailed), errors.Is(err, ErrImpossible):
+		w.Quarantine.Served(subject)
+	case errors.Is(context.Cause(ctx), errReborn):
+		w.Quarantine.Ended(subject, sentTo)
+	case errors.Is(err, ErrBroken) && ctx.Err() == nil:
+		engine.Born = sentTo.Born
+		w.Quarantine.Broken(ctx, subject, engine)
+	}
+}
--- a/batch/enginestate.go
+++ b/batch/enginestate.go
@@ -158,7 +158,7 @@
 	}
 	w.engine.bear(born)
 	for t := range w.running {
-		if t.engineBorn < born {
+		if t.sentTo.Born < born {
 			t.stop(errReborn)
 		}
 	}
--- a/batch/handover.go
+++ b/batch/handover.go
@@ -25,7 +25,7 @@
 func (w *Worker) toGive(j *workJob, to string, ask *TakeAsk) []*task {
 	var give []*task
 	for _, t := range w.waiting {
-		if t.j == j && len(give) < ask.Max && !slices.Contains(t.avoid, to) {
+		if t.j == j && len(give) < ask.Max && !slices.Contains(t.avoid, to) && !w.isHeld(t) {
 			give = append(give, t)
 		}
 	}
--- a/batch/help.go
+++ b/batch/help.go
@@ -112,7 +112,7 @@
 func (w *Worker) broken() map[*workJob][]*task {
 	byJob := map[*workJob][]*task{}
 	for _, t := range w.waiting {
-		if t.breaks >= maxBreaks {
+		if t.breaks >= maxBreaks && !w.isHeld(t) {
 			byJob[t.j] = append(byJob[t.j], t)
 		}
 	}
--- a/batch/rig_test.go
+++ b/batch/rig_test.go
@@ -16,6 +16,7 @@
 	"mulberryscale.example/fleet"
 	"mulberryscale.example/internal/standin/rowstore"
 	"mulberryscale.example/observe"
+	"mulberryscale.example/quarantine"
 	"mulberryscale.example/store"
 	"mulberryscale.example/store/detour"
 )
@@ -268,9 +269,11 @@
 	way := r.store.Client()
 	r.ways[addr] = way
 	reached := &detour.Store{Own: way, Others: &rigOthers{r, addr}}
+	keeper := quarantine.New()
+	keeper.Rows, keeper.Clock, keeper.Prober, keeper.Log, keeper.Counters = reached, r.store.Now, r.engines, observe.Discard(), observe.NewCounters()
 	w := NewWorker(WorkerConfig{
-		Direct: way,
-		Node:   fmt.Sprint("agent-", i), Incarnation: fmt.Sprint(time.Now().UnixNano()), Engine: addr, Service: "svc",
+		Direct: way, Quarantine: keeper,
+		Node: fmt.Sprint("agent-", i), Incarnation: fmt.Sprint(time.Now().UnixNano()), Engine: addr, Service: "svc",
 		PeerPort: 7000, View: r.view, Ledger: newLedger(reached), Demand: NewDemand(), Engines: r.engines, Peers: r.peers, Rewards: r.rewards,
 		Now: r.store.Now, Log: observe.Discard(), Counters: observe.NewCounters(),
 	})
@@ -281,6 +284,7 @@
 	ctx, cancel := context.WithCancel(r.t.Context())
 	r.stops[addr] = cancel
 	go w.Run(ctx)
+	go keeper.Run(ctx)
 	return w
 }
 
--- a/batch/schedule.go
+++ b/batch/schedule.go
@@ -42,7 +42,7 @@
 			i++
 			continue
 		}
-		if !w.engine.serves(t.j.job) {
+		if !w.engine.serves(t.j.job) || w.isHeld(t) {
 			i++
 			continue
 		}
@@ -60,7 +60,7 @@
 		t.restart()
 	}
 	w.running[t] = struct{}{}
-	t.engineBorn = w.engine.born
+	t.sentTo = fleet.Incarnation{ID: instance.ID, Born: w.engine.born}
 	run := Run{
 		Addr: instance.Addr, Instance: instance.ID, Host: t.j.job.Host, Organisation: t.j.job.Organisation, Item: t.item, After: len(t.text),
 		Deadline: w.timeLeft(t.j.job),
@@ -71,6 +71,7 @@
 	go func() {
 		began := time.Now()
 		err := w.stream(ctx, t, run)
+		w.noteEnd(ctx, t, instance, err)
 		w.settle(ctx, t, err, time.Since(began))
 	}()
 }
--- a/batch/task.go
+++ b/batch/task.go
@@ -9,7 +9,9 @@
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
+	"mulberryscale.example/fleet"
 	"mulberryscale.example/observe"
+	"mulberryscale.example/quarantine"
 )
 
 // task is an item that is held here.
@@ -46,8 +48,10 @@
 	cancel context.CancelCauseFunc
 	// stopped is closed when the run or the scoring has ended.
 	stopped chan struct{}
-	// engineBorn is the birth of the engine that it was last sent to.
-	engineBorn int64
+	// sentTo is the incarnation of the engine that it was last sent to.
+	sentTo fleet.Incarnation
+	// subject names its content, empty until it is asked for.
+	subject quarantine.Subject
 	// finished says that the outbox has the result.
 	finished bool
 }
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -9,6 +9,7 @@
 
 	"mulberryscale.example/fleet"
 	"mulberryscale.example/observe"
+	"mulberryscale.example/quarantine"
 	"mulberryscale.example/store"
 )
 
@@ -35,6 +36,8 @@
 	// Rewards scores whole texts; nil where no job has reward calls.
 	Rewards Rewarder
 	Peers   PeerCaller
+	// Quarantine keeps items that end engines away from them; nil keeps none.
+	Quarantine *quarantine.Keeper
 	// Now is the store's clock; false before it is known.
 	Now      func() (time.Duration, bool)
 	Log      logrus.FieldLogger
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -56,6 +56,13 @@
 	return k
 }
 
+// Empty reports whether nothing is known of any content.
+func (k *Keeper) Empty() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.book.subjects) == 0
+}
+
 // Judge says how a content may be sent, and how long a held one stays held.
 func (k *Keeper) Judge(s Subject, limit Limit) (Verdict, time.Duration) {
 	now, known := k.Clock()
--- a/service/node/agent.go
+++ b/service/node/agent.go
@@ -34,11 +34,13 @@
 	a := &Agent{base: b}
 	engines := enginehttp.New()
 	forwarder := forward.New(b.view, engines, settings.Zone, b.log, b.counters)
-	forwarder.Quarantine = b.keepQuarantine(engines)
+	keeper := b.keepQuarantine(engines)
+	forwarder.Quarantine = keeper
 	a.worker = batch.NewWorker(batch.WorkerConfig{
 		Node: settings.Node, Incarnation: b.incarnation, Engine: settings.Engine, Service: settings.Service,
 		PeerPort: settings.PeerPort, View: b.view, Ledger: b.ledger, Direct: b.store, Demand: batch.NewDemand(), Engines: engines, Peers: a.peers,
 		Rewards:     &reward.Caller{View: b.view, Forward: forwarder, Service: settings.Service},
+		Quarantine:  keeper,
 		JobsPace:    agentJobsPace(),
 		StoreWrites: settings.StoreWrites,
 		Now:         b.store.Now, Log: b.log, Counters: b.counters,
