A resumed stream reaches no more endpoints than its route allows

What callers would see: a stream that breaks off again and again, at endpoints that live, is sent on until its deadline. Ruled out: requests that may be repeated (one call counts all their sends), reward calls (each is one call). Change: the request counts the endpoints that it may have reached; Do adds to it, Do and Resume stop at the route's bound.

--- a/forward/call.go
+++ b/forward/call.go
@@ -135,7 +135,7 @@
 // next picks the endpoint of the next send.
 func (c *call) next() (fleet.Instance, bool) {
 	route := c.request.Route
-	if c.sent >= route.MaxAttempts {
+	if c.request.Reached+c.sent >= route.MaxAttempts {
 		return fleet.Instance{}, false
 	}
 	snap := c.View.Snapshot()
--- a/forward/crash_test.go
+++ b/forward/crash_test.go
@@ -367,3 +367,41 @@
 	time.Sleep(200 * time.Millisecond)
 	return r.ask(order[1], id+"-2", target)
 }
+
+// breakingStream gives one event and breaks off; its endpoint lives.
+type breakingStream struct{ given bool }
+
+func (s *breakingStream) Next() (raw []byte, id string, err error) {
+	if s.given {
+		return nil, "", fmt.Errorf("%w: reset", ErrBroken)
+	}
+	s.given = true
+	return []byte("event"), "1", nil
+}
+
+func (s *breakingStream) Close() {}
+
+// A stream that breaks off again and again, though its endpoints live, reaches no
+// more of them than its route allows: what it has reached is remembered with it.
+func TestResumedStreamKeepsItsCountOfEndpoints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		breaks := func(context.Context) (*Answer, error) {
+			return &Answer{Status: 200, Stream: &breakingStream{}}, nil
+		}
+		f, sender := rig(breaks, breaks)
+		q := request(fleet.KindStream)
+		q.Route.MaxAttempts, q.Route.Resumable = 3, true
+		answer, err := f.Do(t.Context(), q)
+		for err == nil && len(sender.sent) < 10 {
+			events := answer.Stream
+			for range 2 {
+				_, _, _ = events.Next() // the second breaks off
+			}
+			events.Close()
+			answer.Stream, err = f.Resume(t.Context(), q, "1")
+		}
+		if len(sender.sent) != q.Route.MaxAttempts {
+			t.Fatalf("sent %d times, its route allows %d", len(sender.sent), q.Route.MaxAttempts)
+		}
+	})
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -33,6 +33,9 @@
 	Deadline time.Time
 	// LastEvent is the last event of a stream that the client has.
 	LastEvent string
+	// Reached is how many endpoints it may have reached so far. Do counts it, so that
+	// a stream which is resumed again and again reaches no more than its route allows.
+	Reached int
 }
 
 // subject names the request's content: who asks for what, whatever its id.
@@ -174,6 +177,7 @@
 	bounded, cancel := context.WithTimeoutCause(ctx, limit, errTimeout)
 	c := &call{Forwarder: f, request: r, subject: r.subject(), tried: map[fleet.Incarnation]bool{}, results: make(chan attempt, maxParallel)}
 	answer, err := c.admitAndRun(bounded)
+	r.Reached += c.sent
 	if answer != nil && answer.Stream != nil {
 		answer.Stream = &streamEnd{Events: answer.Stream, call: c, ctx: bounded, end: cancel}
 	} else {
--- a/forward/resume.go
+++ b/forward/resume.go
@@ -14,7 +14,8 @@
 	}
 	again := *r
 	again.LastEvent = lastEvent
-	for attempts := 1; attempts < r.Route.MaxAttempts; attempts++ {
+	defer func() { r.Reached = again.Reached }()
+	for again.Reached < r.Route.MaxAttempts {
 		if !r.Deadline.IsZero() && time.Until(r.Deadline) <= answerSlack {
 			return nil, errTimeout
 		}
