Ends count when they follow each other; planned ends do not; the soak has such requests

What callers could have seen: a content that many ask for, in flight at two endpoints that lose power together, would have been held for half a minute though it ended nothing. Cause: the mend counted ends, not ends one after the other under the same content. Ruled out: counting by process (the ends may be seen by two entries). Change: a row says how long the run had gone on; overlapping runs count once. An endpoint that says that it leaves ends nothing unexpected. The feed of the quarantine waits 2 s for news instead of 1 s: half the calls of a quiet table. The soak draws requests that crash endpoints and checks at the end that such a content is kept away and others are served.

--- a/batch/deadly.go
+++ b/batch/deadly.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"mulberryscale.example/fleet"
 	"mulberryscale.example/quarantine"
@@ -29,20 +30,19 @@
 }
 
 // noteEnd tells the quarantine what a run that came to an end did to its engine.
-func (w *Worker) noteEnd(ctx context.Context, t *task, engine fleet.Instance, err error) {
+func (w *Worker) noteEnd(ctx context.Context, t *task, engine fleet.Instance, err error, took time.Duration) {
 	if w.Quarantine == nil {
 		return
 	}
 	w.mu.Lock()
-	subject, sentTo := w.subjectOf(t), t.sentTo
+	run := quarantine.Run{Subject: w.subjectOf(t), Endpoint: t.sentTo, Addr: engine.Addr, Took: took}
 	w.mu.Unlock()
 	switch {
 	case err == nil, errors.Is(err, ErrFailed), errors.Is(err, ErrImpossible):
-		w.Quarantine.Served(subject)
+		w.Quarantine.Served(run.Subject)
 	case errors.Is(context.Cause(ctx), errReborn):
-		w.Quarantine.Ended(subject, sentTo)
-	case errors.Is(err, ErrBroken) && ctx.Err() == nil:
-		engine.Born = sentTo.Born
-		w.Quarantine.Broken(ctx, subject, engine)
+		w.Quarantine.Ended(run)
+	case errors.Is(err, ErrBroken) && ctx.Err() == nil && !w.View.Snapshot().Leaves(engine):
+		w.Quarantine.Broken(ctx, run)
 	}
 }
--- a/batch/schedule.go
+++ b/batch/schedule.go
@@ -71,8 +71,9 @@
 	go func() {
 		began := time.Now()
 		err := w.stream(ctx, t, run)
-		w.noteEnd(ctx, t, instance, err)
-		w.settle(ctx, t, err, time.Since(began))
+		took := time.Since(began)
+		w.noteEnd(ctx, t, instance, err, took)
+		w.settle(ctx, t, err, took)
 	}()
 }
 
--- a/e2e/crashing_request_test.go
+++ b/e2e/crashing_request_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"testing"
@@ -85,6 +86,17 @@
 	}
 }
 
+// crashing sends one of a few contents that crash endpoints, as often as a caller
+// would that gets no answer.
+func (w *soakWorld) crashing(rng *rand.Rand) {
+	name := fmt.Sprint("fault-", rng.IntN(3))
+	c := w.client("crasher-" + name + fmt.Sprint("-", rng.Uint32()))
+	for range 2 + rng.IntN(4) {
+		c.crash(w.t.Context(), w.entries[rng.IntN(len(w.entries))].front, prefixCrash+name)
+		span(rng, 50, 600)
+	}
+}
+
 // awaitKiosks waits until each entry serves other requests of the service again.
 func (w *soakWorld) awaitKiosks() {
 	c := w.client("kiosk-watcher")
--- a/e2e/soak_faults_test.go
+++ b/e2e/soak_faults_test.go
@@ -55,6 +55,7 @@
 		span(rng, 300, 4000)
 		w.duties.set(false)
 	}},
+	{"request that crashes endpoints", func(w *soakWorld, rng *rand.Rand) { w.crashing(rng) }},
 }
 
 // disturb draws faults of the first so many kinds until the soak's time is over,
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -76,6 +76,9 @@
 	w.settle()
 	w.settleKeys()
 	w.settleUsage()
+	if kinds == len(soakFaults) {
+		w.settleCrashing("soak")
+	}
 	w.checkSecrets()
 	for _, p := range w.record.problems {
 		t.Error(p)
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -62,6 +62,12 @@
 	return found, ok
 }
 
+// Leaves reports whether an instance that was listed says that it leaves.
+func (s *Snapshot) Leaves(i Instance) bool {
+	now, listed := s.Instances[i.ID]
+	return listed && now.Incarnation() == i.Incarnation() && now.Draining
+}
+
 // View holds the newest snapshot. It is safe for concurrent use.
 type View struct {
 	current atomic.Pointer[Snapshot]
--- a/forward/call.go
+++ b/forward/call.go
@@ -38,6 +38,8 @@
 	// sent counts the endpoints that the request may have reached.
 	sent int
 	last fleet.Instance
+	// lastSent is when it was sent there.
+	lastSent time.Time
 	// failures counts the endpoints' own failures.
 	failures int
 	// mayHaveRun says that an endpoint may have run it.
@@ -147,7 +149,7 @@
 // send sends the request to one endpoint.
 func (c *call) send(ctx context.Context, to fleet.Instance) context.CancelFunc {
 	ctx, cancel := context.WithCancel(ctx)
-	c.tried[to.Incarnation()], c.last = true, to
+	c.tried[to.Incarnation()], c.last, c.lastSent = true, to, time.Now()
 	c.sent++
 	c.pending++
 	risky := c.suspected()
@@ -169,15 +171,19 @@
 		}
 		took := time.Since(began)
 		c.picker.End(to.Incarnation(), c.outcome(ctx, answer, err, took, risky), time.Now())
-		c.results <- attempt{to: to, answer: answer, err: err, took: took, ended: c.hasEnded(ctx, to, err)}
+		c.results <- attempt{to: to, answer: answer, err: err, took: took, ended: c.hasEnded(ctx, to, err, took)}
 	}()
 	return cancel
 }
 
 // hasEnded reports whether an endpoint broke a request off, which was not given up
-// from here, and has ended. The quarantine has heard of it then.
-func (c *call) hasEnded(ctx context.Context, to fleet.Instance, err error) bool {
-	return errors.Is(err, ErrBroken) && ctx.Err() == nil && c.Quarantine.Broken(ctx, c.subject, to)
+// from here, and has ended though it was not leaving. The quarantine has heard of it
+// then.
+func (c *call) hasEnded(ctx context.Context, to fleet.Instance, err error, took time.Duration) bool {
+	if !errors.Is(err, ErrBroken) || ctx.Err() != nil || c.View.Snapshot().Leaves(to) {
+		return false
+	}
+	return c.Quarantine.Broken(ctx, quarantine.Run{Subject: c.subject, Endpoint: to.Incarnation(), Addr: to.Addr, Took: took})
 }
 
 // suspected reports whether an endpoint has ended under the request's content.
--- a/forward/crash_test.go
+++ b/forward/crash_test.go
@@ -241,7 +241,7 @@
 		r := newCrashRig(t, 1, 3, true)
 		q := request(fleet.KindSafe)
 		q.Target = crashTarget
-		r.entries[0].Quarantine.Ended(q.subject(), fleet.Incarnation{ID: "former"})
+		r.entries[0].Quarantine.Ended(quarantine.Run{Subject: q.subject(), Endpoint: fleet.Incarnation{ID: "former"}})
 		q.Route.Objective = 50 * time.Millisecond // a second send is due before the endpoint ends
 		if _, err := r.entries[0].Do(t.Context(), q); err == nil {
 			t.Fatal("served")
@@ -252,12 +252,36 @@
 	})
 }
 
+// A content that many ask for is in flight at endpoints that lose power together; it
+// is not what ended them.
+func TestEndpointsThatEndTogetherHoldNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newCrashRig(t, 6, 3, true)
+		var all sync.WaitGroup
+		for i := range 60 {
+			all.Go(func() { _ = r.ask(i%6, fmt.Sprint("r", i), "/p/popular") }) // may fail
+		}
+		time.Sleep(crashWork / 2)
+		r.mu.Lock()
+		for _, addr := range []string{"10.0.0.1:1", "10.0.0.2:1"} {
+			r.crash(addr, r.alive[addr])
+		}
+		r.mu.Unlock()
+		all.Wait()
+		for i := range 6 {
+			if err := r.ask(i, fmt.Sprint("after", i), "/p/popular"); err != nil {
+				t.Errorf("entry %d: %v", i, err)
+			}
+		}
+	})
+}
+
 // An answer shows that the request was not what ended the endpoint before.
 func TestAnswerClearsASuspect(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newCrashRig(t, 2, 3, true)
 		q := request(fleet.KindSafe)
-		r.entries[0].Quarantine.Ended(q.subject(), fleet.Incarnation{ID: "former"})
+		r.entries[0].Quarantine.Ended(quarantine.Run{Subject: q.subject(), Endpoint: fleet.Incarnation{ID: "former"}})
 		if _, err := r.entries[1].Do(t.Context(), q); err != nil {
 			t.Fatal(err)
 		}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"time"
 )
 
 // streamEnd sees how a stream ends, and releases its context when it is closed.
@@ -22,8 +23,8 @@
 	case errors.Is(err, io.EOF):
 		s.call.Quarantine.Served(s.call.subject)
 	default:
-		a := attempt{to: s.call.last, err: err}
-		a.ended = s.call.hasEnded(s.ctx, a.to, a.err)
+		a := attempt{to: s.call.last, err: err, took: time.Since(s.call.lastSent)}
+		a.ended = s.call.hasEnded(s.ctx, a.to, a.err, a.took)
 		s.call.tell(a)
 	}
 	return raw, id, err
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -38,7 +38,7 @@
 		return !known
 	}
 	if _, known = h.ends[e.endpoint]; !known {
-		h.ends[e.endpoint] = e.mark.At
+		h.ends[e.endpoint] = span{began: e.mark.At - e.mark.Ran, ended: e.mark.At}
 	}
 	return !known
 }
--- a/quarantine/follow.go
+++ b/quarantine/follow.go
@@ -18,6 +18,9 @@
 	newsAge    = time.Second
 	// newsSavings keeps the budget of quiet times: the ends of one crash come together.
 	newsSavings = 10 * time.Second
+	// quietWait is how long a call for news may wait: a feed that has gone silent is
+	// noticed within the time in which all processes are to know of an end.
+	quietWait = 2 * time.Second
 	// expiryInterval is how often a process looks for what is to be forgotten. Each
 	// waits up to that long again, so that few remove the same rows.
 	expiryInterval = time.Minute
@@ -28,7 +31,7 @@
 func (k *Keeper) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	pace := store.Pace{BytesPerSecond: newsBudget, MaxAge: newsAge, Savings: newsSavings}
-	wg.Go(func() { store.Follow(ctx, k.Rows, store.Source{Table: Table, Pace: pace}, k) })
+	wg.Go(func() { store.Follow(ctx, k.Rows, store.Source{Table: Table, Pace: pace, Wait: quietWait}, k) })
 	wg.Go(func() { k.write(ctx) })
 	wg.Go(func() { k.expire(ctx) })
 	wg.Wait()
--- a/quarantine/history.go
+++ b/quarantine/history.go
@@ -1,6 +1,9 @@
 package quarantine
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"mulberryscale.example/fleet"
@@ -49,17 +52,20 @@
 	heldMemory = 24 * time.Hour
 )
 
+// span is the time of a run, from its sending to the end of its endpoint.
+type span struct{ began, ended time.Duration }
+
 // history is what is known of a content. Times are the clock's that all processes
 // share.
 type history struct {
-	// ends are the moments at which endpoints ended under it.
-	ends map[fleet.Incarnation]time.Duration
+	// ends are the runs under which endpoints ended.
+	ends map[fleet.Incarnation]span
 	// trials are the moments at which its trials were claimed, by number from 0.
 	trials map[int]time.Duration
 }
 
 func newHistory() *history {
-	return &history{ends: map[fleet.Incarnation]time.Duration{}, trials: map[int]time.Duration{}}
+	return &history{ends: map[fleet.Incarnation]span{}, trials: map[int]time.Duration{}}
 }
 
 func (h *history) empty() bool { return len(h.ends) == 0 && len(h.trials) == 0 }
@@ -67,8 +73,8 @@
 // last is the moment of the last end or trial.
 func (h *history) last() time.Duration {
 	var last time.Duration
-	for _, at := range h.ends {
-		last = max(last, at)
+	for _, run := range h.ends {
+		last = max(last, run.ended)
 	}
 	for _, at := range h.trials {
 		last = max(last, at)
@@ -76,12 +82,25 @@
 	return last
 }
 
+// count is how many endpoints ended under the content one after the other. Ends under
+// runs that overlap count once: endpoints that lose power together end under every
+// content that several callers ask for at that moment.
+func (h *history) count() (n int) {
+	var former time.Duration
+	for _, run := range slices.SortedFunc(maps.Values(h.ends), func(a, b span) int { return cmp.Compare(a.ended, b.ended) }) {
+		if n == 0 || run.began >= former {
+			n, former = n+1, run.ended
+		}
+	}
+	return n
+}
+
 // judge is the verdict, and for a held content how long it stays held.
 func (h *history) judge(limit Limit, now time.Duration) (verdict Verdict, wait time.Duration) {
-	switch {
-	case len(h.ends) == 0:
+	switch n := h.count(); {
+	case n == 0:
 		return Clear, 0
-	case len(h.ends) < int(limit):
+	case n < int(limit):
 		return Suspect, 0
 	}
 	wait = h.last() + heldMemory - now
@@ -100,7 +119,7 @@
 // forgotten reports whether it is so old that it says nothing any more.
 func (h *history) forgotten(now time.Duration) bool {
 	memory := suspectMemory
-	if len(h.ends) >= int(RequestLimit) {
+	if h.count() >= int(RequestLimit) {
 		memory = heldMemory
 	}
 	return now > h.last()+memory
--- a/quarantine/history_test.go
+++ b/quarantine/history_test.go
@@ -12,11 +12,22 @@
 
 func end(n int) fleet.Incarnation { return fleet.Incarnation{ID: fmt.Sprint("i-", n)} }
 
-// ended is the history of a content under which n endpoints ended at a moment.
+// ended is the history of a content under which n endpoints ended one after the
+// other, the last of them at a moment.
 func ended(n int, at time.Duration) *history {
 	h := newHistory()
 	for i := range n {
-		h.ends[end(i)] = at
+		before := time.Duration(n-1-i) * 100 * time.Millisecond
+		h.ends[end(i)] = span{began: at - before - 50*time.Millisecond, ended: at - before}
+	}
+	return h
+}
+
+// together is the history of a content under which n endpoints ended at one moment.
+func together(n int, at time.Duration) *history {
+	h := newHistory()
+	for i := range n {
+		h.ends[end(i)] = span{began: at - time.Duration(i+1)*time.Millisecond, ended: at + time.Duration(i)*time.Microsecond}
 	}
 	return h
 }
@@ -38,6 +49,7 @@
 	}{
 		"nothing known":         {newHistory(), RequestLimit, 0, Clear, 0},
 		"one end":               {ended(1, at), RequestLimit, 0, Suspect, 0},
+		"ends together":         {together(5, at), RequestLimit, 0, Suspect, 0},
 		"two ends":              {ended(2, at), RequestLimit, 10 * time.Second, Held, 20 * time.Second},
 		"two ends of an item":   {ended(2, at), ItemLimit, 0, Suspect, 0},
 		"three ends of an item": {ended(3, at), ItemLimit, 0, Held, 30 * time.Second},
@@ -70,7 +82,7 @@
 			verdict, _ := h.judge(RequestLimit, now)
 			if verdict == Due {
 				h.trials[h.nextTrial()] = now
-				h.ends[fleet.Incarnation{ID: "trial", Born: int64(now)}] = now
+				h.ends[fleet.Incarnation{ID: "trial", Born: int64(now)}] = span{now, now + time.Second}
 				trials++
 			}
 			if verdict != Due && verdict != Held {
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -86,30 +86,45 @@
 	return Held, trialPauses[0]
 }
 
-// Broken takes in that an endpoint broke a content off, and reports whether it has
-// ended; only then does it count.
-func (k *Keeper) Broken(ctx context.Context, s Subject, of fleet.Instance) bool {
-	if k.Prober == nil || !k.Prober.Refuses(ctx, of.Addr) {
+// Run is one that an endpoint broke off.
+type Run struct {
+	Subject  Subject
+	Endpoint fleet.Incarnation
+	Addr     string
+	// Took is the time from its sending to its end.
+	Took time.Duration
+}
+
+// Broken takes in that an endpoint broke a run off just now, and reports whether it
+// has ended; only then does it count.
+func (k *Keeper) Broken(ctx context.Context, r Run) bool {
+	now, _ := k.Clock()
+	if k.Prober == nil || !k.Prober.Refuses(ctx, r.Addr) {
 		return false
 	}
-	k.Ended(s, of.Incarnation())
+	k.ended(r, now)
 	return true
 }
 
-// Ended takes in that an endpoint ended while it ran a content.
-func (k *Keeper) Ended(s Subject, of fleet.Incarnation) {
+// Ended takes in that an endpoint ended just now under a run.
+func (k *Keeper) Ended(r Run) {
 	now, _ := k.Clock()
-	e := event{subject: s, endpoint: of, trial: -1, mark: mark{At: now, By: k.Process}}
+	k.ended(r, now)
+}
+
+func (k *Keeper) ended(r Run, at time.Duration) {
+	e := event{subject: r.Subject, endpoint: r.Endpoint, trial: -1, mark: mark{At: at, Ran: r.Took, By: k.Process}}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if !k.book.note(e) {
 		return
 	}
-	ends := len(k.book.subjects[s].ends)
 	k.Counters.Add(observe.NameQuarantine, rowEnded, 1)
-	k.Log.WithFields(logrus.Fields{observe.FieldContent: s, "engine": of.ID, "ends": ends}).Warn("endpoint ended under a content")
+	k.Log.WithFields(logrus.Fields{
+		observe.FieldContent: r.Subject, "engine": r.Endpoint.ID, "ends": k.book.subjects[r.Subject].count(),
+	}).Warn("endpoint ended under a content")
 	if k.Rows != nil {
-		k.outbox.put(endKey(s, of), e.mark)
+		k.outbox.put(endKey(r.Subject, r.Endpoint), e.mark)
 	}
 }
 
--- a/quarantine/keeper_test.go
+++ b/quarantine/keeper_test.go
@@ -6,7 +6,6 @@
 	"testing/synctest"
 	"time"
 
-	"mulberryscale.example/fleet"
 	"mulberryscale.example/internal/standin/rowstore"
 	"mulberryscale.example/observe"
 	"mulberryscale.example/store"
@@ -40,6 +39,10 @@
 
 const subject = Subject("content")
 
+// run is one of the content that an endpoint broke off. Runs do not overlap, though
+// the tests take them in at one moment.
+func run(n int) Run { return Run{Subject: subject, Endpoint: end(n)} }
+
 func TestEndsAreKnownToAllProcesses(t *testing.T) {
 	for name, outcomes := range map[string][]rowstore.Outcome{
 		"written":         nil,
@@ -54,9 +57,9 @@
 				k := keepers(t, s, 3)
 				time.Sleep(time.Second)
 				s.Next(outcomes...)
-				k[0].Ended(subject, end(0))
-				k[1].Ended(subject, end(1))
-				k[1].Ended(subject, end(1)) // seen by two sends at once
+				k[0].Ended(run(0))
+				k[1].Ended(run(1))
+				k[1].Ended(run(1)) // seen by two sends at once
 				time.Sleep(newsAllowance)
 				for _, each := range k {
 					wantVerdict(t, each, subject, Held)
@@ -71,8 +74,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := rowstore.New()
 		k := keeper(t.Context(), s)
-		k.Ended(subject, end(0))
-		k.Ended(subject, end(1))
+		k.Ended(run(0))
+		k.Ended(run(1))
 		time.Sleep(newsAllowance)
 		late := keeper(t.Context(), s)
 		<-late.Listed()
@@ -87,8 +90,8 @@
 		k := keeper(t.Context(), s)
 		time.Sleep(time.Second)
 		s.Next(rowstore.Refused, rowstore.Refused, rowstore.Refused, rowstore.Refused, rowstore.Refused)
-		k.Ended(subject, end(0))
-		k.Ended(subject, end(1))
+		k.Ended(run(0))
+		k.Ended(run(1))
 		s.Forget()
 		for range 10 {
 			time.Sleep(100 * time.Millisecond)
@@ -101,7 +104,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := rowstore.New()
 		k := keepers(t, s, 2)
-		k[0].Ended(subject, end(0))
+		k[0].Ended(run(0))
 		time.Sleep(newsAllowance)
 		wantVerdict(t, k[1], subject, Suspect)
 		k[1].Served(subject)
@@ -118,8 +121,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := rowstore.New()
 		k := keepers(t, s, 5)
-		k[0].Ended(subject, end(0))
-		k[0].Ended(subject, end(1))
+		k[0].Ended(run(0))
+		k[0].Ended(run(1))
 		time.Sleep(newsAllowance + trialPauses[0])
 		claims := make(chan Verdict, 2*len(k))
 		for _, each := range k {
@@ -152,8 +155,8 @@
 		synctest.Test(t, func(t *testing.T) {
 			s := rowstore.New()
 			k := keeper(t.Context(), s)
-			k.Ended(subject, end(0))
-			k.Ended(subject, end(1))
+			k.Ended(run(0))
+			k.Ended(run(1))
 			time.Sleep(newsAllowance + trialPauses[0])
 			s.Next(outcome)
 			if verdict, wait := k.Admit(t.Context(), subject, RequestLimit); verdict != Held || wait <= 0 {
@@ -167,7 +170,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := rowstore.New()
 		k := keepers(t, s, 3)
-		k[0].Ended(subject, end(0))
+		k[0].Ended(run(0))
 		time.Sleep(suspectMemory + 3*expiryInterval)
 		if rows := s.Rows(Table); len(rows) != 0 {
 			t.Fatalf("%d rows left", len(rows))
@@ -200,11 +203,11 @@
 
 func TestOnlyTheEndOfAnEndpointCounts(t *testing.T) {
 	k := Local(refusing{"gone:1": true}, observe.Discard(), observe.NewCounters())
-	if k.Broken(t.Context(), subject, fleet.Instance{ID: "a", Addr: "there:1"}) {
+	if k.Broken(t.Context(), Run{Subject: subject, Endpoint: end(0), Addr: "there:1"}) {
 		t.Error("a lost connection counts as an end")
 	}
 	wantVerdict(t, k, subject, Clear)
-	if !k.Broken(t.Context(), subject, fleet.Instance{ID: "b", Addr: "gone:1"}) {
+	if !k.Broken(t.Context(), Run{Subject: subject, Endpoint: end(1), Addr: "gone:1"}) {
 		t.Error("an end does not count")
 	}
 	wantVerdict(t, k, subject, Suspect)
--- a/quarantine/rows.go
+++ b/quarantine/rows.go
@@ -23,8 +23,9 @@
 
 // mark is the value of a row.
 type mark struct {
-	// At is the moment by the store's clock.
-	At time.Duration
+	// At is the moment by the store's clock, Ran how long the run had gone on that an
+	// end broke off; 0 for a trial.
+	At, Ran time.Duration
 	// By names the process that wrote it.
 	By string
 }
--- a/store/follow.go
+++ b/store/follow.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -39,18 +40,22 @@
 	Table, Part string
 	// Pace spaces the calls; its zero value makes no pause.
 	Pace Pace
+	// Wait is how long the store may hold a call that has nothing to tell; 0 is
+	// FeedWait. A table that seldom changes costs the fewer calls the longer it is.
+	Wait time.Duration
 }
 
 // errSlow says that a call was answered long after it should have been.
 var errSlow = errors.New("store: the feed's answer came late")
 
-// lateAnswer is above the time that any answered feed call takes, also while
+// lateSlack is above what any answered feed call takes beside its wait, also while
 // the store is slowed down sixty times.
-const lateAnswer = FeedWait + 500*time.Millisecond
+const lateSlack = 500 * time.Millisecond
 
 // Follow keeps a watcher abreast of the rows of one table and part until ctx
 // ends: all of them first, then the feed, then all of them again after a gap.
 func Follow(ctx context.Context, rows Rows, source Source, w Watcher) {
+	source.Wait = cmp.Or(source.Wait, FeedWait)
 	f := &follower{rows: rows, source: source, watcher: w, pacer: newPacer(source.Pace)}
 	for ctx.Err() == nil {
 		f.step(ctx)
@@ -87,7 +92,7 @@
 
 // hear hands an answer to the watcher.
 func (f *follower) hear(s Snapshot, asked time.Time) {
-	if time.Since(asked) > lateAnswer && f.failures == 0 {
+	if time.Since(asked) > f.source.Wait+lateSlack && f.failures == 0 {
 		f.lose(errSlow, asked)
 	}
 	if f.failures > 0 {
@@ -109,7 +114,7 @@
 func (f *follower) lose(err error, asked time.Time) {
 	if f.failures == 0 {
 		f.lostAt = time.Now()
-		if due := asked.Add(FeedWait); due.Before(f.lostAt) {
+		if due := asked.Add(f.source.Wait); due.Before(f.lostAt) {
 			f.lostAt = due
 		}
 		f.watcher.Lost(err)
@@ -121,7 +126,7 @@
 	if !f.listed {
 		return ListAll(ctx, f.rows, Range{Table: f.source.Table, Part: f.source.Part})
 	}
-	return f.rows.Feed(ctx, f.source.Table, f.version, FeedWait)
+	return f.rows.Feed(ctx, f.source.Table, f.version, f.source.Wait)
 }
 
 // sleep waits for d or until ctx ends.
