A second send beside the first counts as a second end; a trial is claimed at once or not at all

What callers could have seen: a content that takes over 90 ms to end its endpoint is sent to a second one beside the first; both ends counted once, so a third endpoint was sent it. While the store is silent, whoever asked for a held content waited for the claim of its trial until the route's timeout. Cause: overlapping runs were taken as one moment; the claim had no bound of its own, and two requests of a process could claim two trials one after the other. Ruled out: counting every overlapping end (endpoints that lose power together end under what many ask for). Change: overlapping runs count once if their ends are within 25 ms; a claim has 100 ms, and is judged anew under the lock. Figures: TestVerdicts 'second send beside', TestNoTrialWhileTheStoreIsSilent (within 100 ms of virtual time).

--- a/quarantine/history.go
+++ b/quarantine/history.go
@@ -48,6 +48,8 @@
 const (
 	// suspectMemory is how long after its last end a suspect is remembered.
 	suspectMemory = 10 * time.Minute
+	// togetherTime is how far apart entries see what happened at one moment.
+	togetherTime = 25 * time.Millisecond
 	// heldMemory is the same for a held content.
 	heldMemory = 24 * time.Hour
 )
@@ -82,15 +84,16 @@
 	return last
 }
 
-// count is how many endpoints ended under the content one after the other. Ends under
-// runs that overlap count once: endpoints that lose power together end under every
-// content that several callers ask for at that moment.
+// count is how many endpoints ended under the content, each by itself. Endpoints that
+// lose power together end under every content that several callers ask for at that
+// moment: ends of overlapping runs within togetherTime count once.
 func (h *history) count() (n int) {
 	var former time.Duration
 	for _, run := range slices.SortedFunc(maps.Values(h.ends), func(a, b span) int { return cmp.Compare(a.ended, b.ended) }) {
-		if n == 0 || run.began >= former {
-			n, former = n+1, run.ended
+		if n == 0 || run.began >= former || run.ended-former > togetherTime {
+			n++
 		}
+		former = run.ended
 	}
 	return n
 }
--- a/quarantine/history_test.go
+++ b/quarantine/history_test.go
@@ -32,6 +32,15 @@
 	return h
 }
 
+// beside is the history of a content that was slow to end its first endpoint, so that
+// a second send was made beside the first.
+func beside(at time.Duration) *history {
+	h := newHistory()
+	h.ends[end(0)] = span{began: at - 160*time.Millisecond, ended: at - 60*time.Millisecond}
+	h.ends[end(1)] = span{began: at - 70*time.Millisecond, ended: at}
+	return h
+}
+
 func TestVerdicts(t *testing.T) {
 	const at = time.Hour
 	tried := func(h *history, moments ...time.Duration) *history {
@@ -50,6 +59,7 @@
 		"nothing known":         {newHistory(), RequestLimit, 0, Clear, 0},
 		"one end":               {ended(1, at), RequestLimit, 0, Suspect, 0},
 		"ends together":         {together(5, at), RequestLimit, 0, Suspect, 0},
+		"second send beside":    {beside(at), RequestLimit, 10 * time.Second, Held, 20 * time.Second},
 		"two ends":              {ended(2, at), RequestLimit, 10 * time.Second, Held, 20 * time.Second},
 		"two ends of an item":   {ended(2, at), ItemLimit, 0, Suspect, 0},
 		"three ends of an item": {ended(3, at), ItemLimit, 0, Held, 30 * time.Second},
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -39,12 +39,14 @@
 	book   *book
 	outbox outbox
 	listed chan struct{}
+	// claiming are the contents for which this process claims a trial now.
+	claiming map[Subject]bool
 }
 
 // New returns a keeper that knows nothing yet. Its exported fields are set before it
 // is used.
 func New() *Keeper {
-	return &Keeper{book: newBook(), outbox: newOutbox(), listed: make(chan struct{})}
+	return &Keeper{book: newBook(), outbox: newOutbox(), listed: make(chan struct{}), claiming: map[Subject]bool{}}
 }
 
 // Local returns a keeper that keeps to itself what it sees.
@@ -80,7 +82,7 @@
 // may come back after wait.
 func (k *Keeper) Admit(ctx context.Context, s Subject, limit Limit) (verdict Verdict, wait time.Duration) {
 	verdict, wait = k.Judge(s, limit)
-	if verdict != Due || k.claim(ctx, s) {
+	if verdict != Due || k.claim(ctx, s, limit) {
 		return verdict, wait
 	}
 	return Held, trialPauses[0]
@@ -155,30 +157,44 @@
 	return true
 }
 
+// claimTimeout bounds a claim. While the store does not answer there are no trials,
+// and whoever asks is told at once.
+const claimTimeout = 100 * time.Millisecond
+
 // claim claims the next trial of a content: of all processes one gets it.
-func (k *Keeper) claim(ctx context.Context, s Subject) bool {
-	now, _ := k.Clock()
-	k.mu.Lock()
-	h, known := k.book.subjects[s]
-	if !known {
-		k.mu.Unlock()
-		return false // it was cleared meanwhile
-	}
-	e := event{subject: s, trial: h.nextTrial(), mark: mark{At: now, By: k.Process}}
-	k.mu.Unlock()
-	if err := k.commitTrial(ctx, e); err != nil {
-		k.Log.WithError(err).WithField(observe.FieldContent, s).Info("trial not claimed")
+func (k *Keeper) claim(ctx context.Context, s Subject, limit Limit) bool {
+	e, ok := k.beginClaim(s, limit)
+	if !ok {
 		return false
 	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	err := k.commitTrial(ctx, e)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.book.note(e) {
-		return false // another request of this process was quicker
+	delete(k.claiming, s)
+	if err != nil {
+		k.Log.WithError(err).WithField(observe.FieldContent, s).Info("trial not claimed")
+		return false
 	}
+	k.book.note(e)
 	k.Counters.Add(observe.NameQuarantine, rowTrial, 1)
 	k.Log.WithFields(logrus.Fields{observe.FieldContent: s, "trial": e.trial}).Warn("content is tried out")
 	return true
 }
 
+// beginClaim returns the trial to claim, unless another request of this process
+// claims it or has, or the content was cleared meanwhile.
+func (k *Keeper) beginClaim(s Subject, limit Limit) (event, bool) {
+	now, _ := k.Clock()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if verdict, _ := k.book.judge(s, limit, now); verdict != Due || k.claiming[s] {
+		return event{}, false
+	}
+	k.claiming[s] = true
+	return event{subject: s, trial: k.book.subjects[s].nextTrial(), mark: mark{At: now, By: k.Process}}, true
+}
+
 // Refused counts a request or item that was held.
 func (k *Keeper) Refused() { k.Counters.Add(observe.NameQuarantine, rowHeld, 1) }
--- a/quarantine/keeper_test.go
+++ b/quarantine/keeper_test.go
@@ -166,6 +166,25 @@
 	}
 }
 
+// While the store does not answer, whoever asks for a held content is told at once.
+func TestNoTrialWhileTheStoreIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := rowstore.New()
+		k := keeper(t.Context(), s)
+		k.Ended(run(0))
+		k.Ended(run(1))
+		time.Sleep(newsAllowance + trialPauses[0])
+		s.Slow(time.Hour)
+		asked := time.Now()
+		if verdict, _ := k.Admit(t.Context(), subject, RequestLimit); verdict != Held {
+			t.Fatalf("verdict %v", verdict)
+		}
+		if took := time.Since(asked); took > claimTimeout {
+			t.Fatalf("told after %v", took)
+		}
+	})
+}
+
 func TestOldRowsAreRemoved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := rowstore.New()
