--- a/batch/crash_test.go
+++ b/batch/crash_test.go
@@ -52,9 +52,9 @@
 
 func TestItemThatCrashesEnginesIsKeptAway(t *testing.T) {
 	bubble(t, func(t *testing.T) {
-		const items, deadly = 24, "item-005"
+		const items, fatal = 24, "item-005"
 		rig := newWorkerRig(t, 6)
-		rig.engines.crashing = map[string]bool{deadly: true}
+		rig.engines.crashing = map[string]bool{fatal: true}
 		rig.submit("j", items, nil)
 		rig.await("j", items-1, 15*time.Second)
 		time.Sleep(10 * time.Second)
@@ -64,7 +64,7 @@
 		l := rig.await("j", items, time.Minute)
 		for _, x := range l.Results {
 			want := StateDone
-			if x.ID == deadly {
+			if x.ID == fatal {
 				want = StateFailed
 			}
 			if x.State != want {
--- a/forward/call.go
+++ b/forward/call.go
@@ -6,10 +6,7 @@
 	"net/http"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"mulberryscale.example/fleet"
-	"mulberryscale.example/observe"
 	"mulberryscale.example/picker"
 	"mulberryscale.example/quarantine"
 )
@@ -17,15 +14,8 @@
 // maxParallel is how many endpoints may work at one request at once.
 const maxParallel = 2
 
-// Rows of the counter of sends that endpoints broke off.
-const (
-	// rowEndpointEnded is for endpoints that refuse connections since,
-	// rowEndpointThere for all others.
-	rowEndpointEnded = "endpoint_ended"
-	rowEndpointThere = "endpoint_there"
-)
-
-// call is one request on its way. Its methods are called by one goroutine.
+// call is one request on its way. Its methods are called by one goroutine, but
+// hasEnded, which reads what does not change.
 type call struct {
 	*Forwarder
 	request *Request
@@ -56,20 +46,6 @@
 	ended bool
 }
 
-// admitAndRun runs the request unless its content is known to end endpoints: such a
-// one is answered at once, so that all of a service's endpoints do not end under it.
-func (c *call) admitAndRun(ctx context.Context) (*Answer, error) {
-	verdict, wait := c.Quarantine.Admit(ctx, c.subject, quarantine.RequestLimit)
-	if verdict == quarantine.Held {
-		c.Quarantine.Refused()
-		refusal := c.refusal(ReasonHeld, nil)
-		refusal.RetryAfter = wait.Round(time.Second)
-		return nil, refusal
-	}
-	c.trial = verdict == quarantine.Due
-	return c.run(ctx)
-}
-
 // run sends the request until an answer is final.
 func (c *call) run(ctx context.Context) (*Answer, error) {
 	// Attempts that lost the race are given up once there is an answer. They are
@@ -176,36 +152,6 @@
 	return cancel
 }
 
-// hasEnded reports whether an endpoint broke a request off, which was not given up
-// from here, and has ended though it was not leaving. The quarantine has heard of it
-// then.
-func (c *call) hasEnded(ctx context.Context, to fleet.Instance, err error, took time.Duration) bool {
-	if !errors.Is(err, ErrBroken) || ctx.Err() != nil || c.View.Snapshot().Leaves(to) {
-		return false
-	}
-	return c.Quarantine.Broken(ctx, quarantine.Run{Subject: c.subject, Endpoint: to.Incarnation(), Addr: to.Addr, Took: took})
-}
-
-// suspected reports whether an endpoint has ended under the request's content.
-func (c *call) suspected() bool {
-	verdict, _ := c.Quarantine.Judge(c.subject, quarantine.RequestLimit)
-	return verdict != quarantine.Clear
-}
-
-// mayEndAnother reports whether the request may be sent to one more endpoint: one
-// under which an endpoint has ended goes to one at a time, so that a second end tells
-// before a third endpoint has it.
-func (c *call) mayEndAnother() bool {
-	verdict, _ := c.Quarantine.Judge(c.subject, quarantine.RequestLimit)
-	switch verdict {
-	case quarantine.Clear:
-		return true
-	case quarantine.Suspect:
-		return c.pending == 0
-	}
-	return c.trial && c.pending == 0 && !c.mayHaveRun
-}
-
 // ran reports whether an endpoint began to work on a send, as far as is known: a
 // send without an answer counts as begun.
 func ran(answer *Answer, err error) bool {
@@ -237,22 +183,6 @@
 	return o
 }
 
-// tell logs and counts a send that ended without an answer.
-func (c *call) tell(a attempt) {
-	if !errors.Is(a.err, ErrBroken) {
-		return
-	}
-	row := rowEndpointThere
-	if a.ended {
-		row = rowEndpointEnded
-	}
-	c.Counters.Add(observe.NameForwardBroken, row, 1)
-	c.Log.WithError(a.err).WithFields(logrus.Fields{
-		observe.FieldRequest: c.request.ID, observe.FieldContent: c.subject, "route": c.request.Route.Name,
-		"engine": a.to.ID, "addr": a.to.Addr, "attempts": c.sent, "took_ms": a.took.Milliseconds(), "engine_ended": a.ended,
-	}).Warn("send broken off")
-}
-
 // judge says why an attempt is not final; empty says that it is.
 func (c *call) judge(a attempt) string {
 	switch {
