--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -18,6 +18,9 @@
 	failedLoads  int
 	lostLoads    int
 	cutNextAfter int
+	// endsUnder are the prompts that end the engine, for how long; ends counts them.
+	endsUnder map[string]time.Duration
+	ends      int
 }
 
 func (f *faults) takeFailedLoad() bool    { return take(&f.failedLoads) }
@@ -45,6 +48,41 @@
 	e.noteLocked()
 }
 
+// EndUnder makes the engine end as soon as it begins to run a prompt. It refuses
+// connections for a while then, and is back with its weights.
+func (e *Engine) EndUnder(prompt string, down time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.endsUnder == nil {
+		e.faults.endsUnder = map[string]time.Duration{}
+	}
+	e.faults.endsUnder[prompt] = down
+}
+
+// Ends is how often the engine ended under a prompt.
+func (e *Engine) Ends() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults.ends
+}
+
+// endUnder ends the engine if a run's prompt does that, and says whether it did.
+func (e *Engine) endUnder(r *run) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	down, ends := e.faults.endsUnder[r.req.Prompt]
+	if !ends || r.hasEnded() {
+		return false
+	}
+	e.faults.ends++
+	e.faults.refuse = true
+	for _, other := range append(slices.Clone(e.waiting), e.running...) {
+		e.endRunLocked(other, ErrConnection)
+	}
+	time.AfterFunc(down, func() { e.RefuseConnections(false) })
+	return true
+}
+
 // Freeze stops the engine as SIGSTOP does: nothing is generated or answered.
 func (e *Engine) Freeze() { e.setFrozen(true) }
 
--- a/internal/standin/engine/run.go
+++ b/internal/standin/engine/run.go
@@ -72,6 +72,16 @@
 	}
 }
 
+// hasEnded says whether the run has ended. It is called with the engine's mutex held.
+func (r *run) hasEnded() bool {
+	select {
+	case <-r.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 func (r *run) signal() {
 	select {
 	case r.more <- struct{}{}:
@@ -97,7 +107,7 @@
 	case <-r.ended:
 		return
 	}
-	if !e.sleep(r, e.prefill(r)) {
+	if !e.sleep(r, e.prefill(r)) || e.endUnder(r) {
 		return
 	}
 	for {
