Calls and samples of the own interface that end endpoints are held, too

Cause: entry and rollout excluded the agent for the rest of one call, or for one attempt, and forgot the content. Change: an agent says in its refusal that its endpoint has ended (it refuses connections after it broke a run off); the entry's quarantine remembers it by row and content. Calls are refused as 'held' from the second end on, with the time to the next trial; samples from the third, for good, so that their step goes on without them. The probe of an address stands once, in internal/httponce; sending a run stands once in service/entry. Open: each entry knows what it has seen itself.

--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -114,6 +114,12 @@
 	Call(ctx context.Context, req ServiceRequest) (ServiceResponse, error)
 }
 
+// Prober is an engine or service that can tell whether it has ended.
+type Prober interface {
+	// Ended reports whether it refuses connections: nothing listens there any more.
+	Ended(ctx context.Context) bool
+}
+
 // NotStartedError wraps an error that proves that the request did not run,
 // such as a refused connection.
 type NotStartedError struct{ Err error }
--- /dev/null
+++ b/endpoint/httpendpoint/probe.go
@@ -0,0 +1,26 @@
+package httpendpoint
+
+import (
+	"context"
+	"net/url"
+
+	"mulberryscale.example/endpoint"
+	"mulberryscale.example/internal/httponce"
+)
+
+var (
+	_ endpoint.Prober = (*Engine)(nil)
+	_ endpoint.Prober = (*Service)(nil)
+)
+
+// Ended implements endpoint.Prober.
+func (e *Engine) Ended(ctx context.Context) bool { return ended(ctx, e.base) }
+
+// Ended implements endpoint.Prober.
+func (s *Service) Ended(ctx context.Context) bool { return ended(ctx, s.base) }
+
+// ended asks the address of a base URL.
+func ended(ctx context.Context, base string) bool {
+	u, err := url.Parse(base)
+	return err == nil && httponce.Refuses(ctx, u.Host)
+}
--- /dev/null
+++ b/internal/httponce/probe.go
@@ -0,0 +1,26 @@
+package httponce
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+)
+
+// probeTimeout bounds a probe: a refusal takes one way there and back, also between
+// regions.
+const probeTimeout = 200 * time.Millisecond
+
+// Refuses reports whether an address refuses connections, by one that is closed at
+// once. An address that does not answer in time refuses nothing.
+func Refuses(ctx context.Context, addr string) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	if err == nil {
+		_ = conn.Close() // nothing was sent on it
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
--- a/platform/enginehttp/probe_test.go
+++ b/internal/httponce/probe_test.go
@@ -1,4 +1,4 @@
-package enginehttp
+package httponce
 
 import (
 	"net"
@@ -11,11 +11,11 @@
 		t.Fatal(err)
 	}
 	addr := l.Addr().String()
-	if New().Refuses(t.Context(), addr) {
+	if Refuses(t.Context(), addr) {
 		t.Error("a listener refuses connections")
 	}
 	l.Close()
-	if !New().Refuses(t.Context(), addr) {
+	if !Refuses(t.Context(), addr) {
 		t.Error("a port without a listener refuses no connections")
 	}
 }
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -59,6 +59,13 @@
 	e.faults.endsUnder[prompt] = down
 }
 
+// Ended implements endpoint.Prober.
+func (e *Engine) Ended(context.Context) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults.refuse
+}
+
 // Ends is how often the engine ended under a prompt.
 func (e *Engine) Ends() int {
 	e.mu.Lock()
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -114,6 +114,11 @@
 	k.ended(r, now)
 }
 
+// EndedBeside is Ended for an endpoint of which only the agent beside it is known.
+func (k *Keeper) EndedBeside(s Subject, agent string, took time.Duration) {
+	k.Ended(Run{Subject: s, Endpoint: fleet.Incarnation{ID: agent, Born: time.Now().UnixMilli()}, Took: took})
+}
+
 func (k *Keeper) ended(r Run, at time.Duration) {
 	e := event{subject: r.Subject, endpoint: r.Endpoint, trial: -1, mark: mark{At: at, Ran: r.Took, By: k.Process}}
 	k.mu.Lock()
--- a/rollout/runner.go
+++ b/rollout/runner.go
@@ -15,6 +15,7 @@
 	"mulberryscale.example/attempt"
 	"mulberryscale.example/membership"
 	"mulberryscale.example/observe"
+	"mulberryscale.example/quarantine"
 	"mulberryscale.example/retry"
 	"mulberryscale.example/routing"
 	"mulberryscale.example/table"
@@ -49,6 +50,8 @@
 	Seed uint64
 	// Policy says how samples are placed and moved.
 	Policy Policy
+	// Quarantine keeps samples that end endpoints away from them.
+	Quarantine *quarantine.Keeper
 }
 
 // Policy says how the samples of a step are placed and moved.
--- a/rollout/task.go
+++ b/rollout/task.go
@@ -100,8 +100,12 @@
 	}
 	delays := retry.NewBackoff(firstDelay, mostDelay)
 	for {
-		before := t.progress.Tokens()
+		if refusal := t.held(); refusal != nil {
+			return nil, refusal
+		}
+		before, began := t.progress.Tokens(), time.Now()
 		done, refusal := t.attempt(ctx)
+		t.noteEnd(refusal, time.Since(began))
 		if refusal == nil && generation.Fresh(done.Spans, t.s.minVersion) {
 			t.s.noteLength(generation.CountTokens(done.Spans))
 			t.s.tokens.Add(int64(generation.CountTokens(done.Spans)))
--- a/service/agent/endpointrun.go
+++ b/service/agent/endpointrun.go
@@ -111,10 +111,22 @@
 		a.wakePoll() // the engine may have failed as a whole
 	}
 	refusal := a.failure(j, err, notRun)
+	refusal.EndpointEnded = notRun != api.NotRunTrue && j.ctx.Err() == nil && a.endpointEnded(j.ctx)
 	a.logRun(j).WithField(observe.FieldStep, refusal.Step).WithError(err).Info("run failed")
 	j.run.Fail(time.Now(), refusal)
 }
 
+// endpointEnded reports whether the endpoint, which has just broken a run off, has
+// ended.
+func (a *Agent) endpointEnded(ctx context.Context) bool {
+	var beside any = a.cfg.Service
+	if a.cfg.Engine != nil {
+		beside = a.cfg.Engine
+	}
+	prober, ok := beside.(endpoint.Prober)
+	return ok && prober.Ended(ctx)
+}
+
 func (a *Agent) failure(j *job, err error, notRun api.NotRun) *api.Refusal {
 	cause := context.Cause(j.ctx)
 	switch {
--- a/service/entry/claimed.go
+++ b/service/entry/claimed.go
@@ -12,6 +12,7 @@
 	"mulberryscale.example/claims"
 	"mulberryscale.example/internal/digest"
 	"mulberryscale.example/membership"
+	"mulberryscale.example/quarantine"
 	"mulberryscale.example/retry"
 	"mulberryscale.example/wire"
 )
@@ -34,6 +35,10 @@
 
 // runIdentified runs a call by what its caller said of repeating it.
 func (e *Entry) runIdentified(ctx context.Context, work *call, id identity, digest string) (*wire.Done, *api.Refusal) {
+	work.subject = quarantine.SubjectOf(work.row.Name, digest)
+	if refusal := e.admitContent(ctx, work); refusal != nil {
+		return nil, refusal
+	}
 	if !id.nonIdempotent || id.key == "" {
 		return e.runCall(ctx, work)
 	}
@@ -62,7 +67,7 @@
 		if refusal == nil {
 			return done, nil
 		}
-		if !mayTakeOver(refusal) || !e.mayRetry(work.row.Name, refusal) {
+		if !e.mayEndAnother(work) || !mayTakeOver(refusal) || !e.mayRetry(work.row.Name, refusal) {
 			return nil, refusal
 		}
 		work.route.Exclude[agent.ID] = mine && refusedBy(agent, refusal)
@@ -132,7 +137,7 @@
 // lost, it asks the same agent for it.
 func (e *Entry) runOwned(ctx context.Context, work *call, key string, claim *claims.Claim, agent *membership.Agent) (*wire.Done, *api.Refusal) {
 	run := e.claimedRun(ctx, work, key, claim)
-	done, refusal := e.sendClaimed(ctx, work, agent, run)
+	done, refusal := e.send(ctx, work, agent, run)
 	switch {
 	case refusal == nil, refusal.NotRun == api.NotRunTrue:
 		return done, refusal
@@ -160,21 +165,6 @@
 	return &run
 }
 
-func (e *Entry) sendClaimed(ctx context.Context, work *call, agent *membership.Agent, run *wire.Run) (*wire.Done, *api.Refusal) {
-	agent.Sends.Begin()
-	defer agent.Sends.End()
-	done, err := e.client.Run(ctx, agent, run, func(chunk *wire.Chunk) {
-		work.progress.Add(chunk)
-		if work.onText != nil {
-			work.onText(&work.progress)
-		}
-	})
-	if err != nil {
-		return nil, e.asRefusal(err, StepRun)
-	}
-	return done, nil
-}
-
 // attach asks the claim's agent for the run, without ever starting it.
 func (e *Entry) attach(ctx context.Context, work *call, key string, claim *claims.Claim) (*wire.Done, *api.Refusal) {
 	agent := e.claimedAgent(claim)
@@ -185,7 +175,7 @@
 		run := e.claimedRun(ctx, work, key, claim)
 		run.AttachOnly = true
 		var done *wire.Done
-		done, refusal = e.sendClaimed(ctx, work, agent, run)
+		done, refusal = e.send(ctx, work, agent, run)
 		if refusal == nil || refusal.Code != api.CodeTransport {
 			return done, refusal
 		}
--- a/service/entry/entry.go
+++ b/service/entry/entry.go
@@ -17,6 +17,7 @@
 	"mulberryscale.example/membership"
 	"mulberryscale.example/observe"
 	"mulberryscale.example/platform"
+	"mulberryscale.example/quarantine"
 	"mulberryscale.example/retry"
 	"mulberryscale.example/rollout"
 	"mulberryscale.example/routing"
@@ -98,14 +99,16 @@
 	limits      *limits.Set
 	interactive *routing.Router
 	budget      *retry.Budget
-	runner      *rollout.Runner
-	sync        *tableSync
-	gossip      *gossip
-	sessions    *sessions
-	handler     http.Handler
-	warm        atomic.Bool // it has been ready
-	unready     atomic.Bool
-	draining    atomic.Bool
+	// quarantine keeps calls and samples that end endpoints away from them.
+	quarantine *quarantine.Keeper
+	runner     *rollout.Runner
+	sync       *tableSync
+	gossip     *gossip
+	sessions   *sessions
+	handler    http.Handler
+	warm       atomic.Bool // it has been ready
+	unready    atomic.Bool
+	draining   atomic.Bool
 	// active counts the calls in progress, which a drain waits for.
 	active sync.WaitGroup
 	// admitting guards draining against active.
@@ -123,6 +126,7 @@
 		limits: limits.NewSet(), interactive: routing.NewInteractive(),
 		budget: retry.NewBudget(DefaultRetryRatio, DefaultRetryBurst), sessions: newSessions(),
 	}
+	e.quarantine = quarantine.Local(nil, cfg.Log, cfg.Counters)
 	e.sync = newTableSync(e)
 	e.gossip = newGossip(e)
 	e.client = &attempt.Client{Dialer: cfg.Dialer, View: e.view, Header: e.header, Observe: e.sync.observe}
@@ -145,7 +149,8 @@
 	return &rollout.Runner{
 		ID: e.cfg.ID, Zone: e.cfg.Zone, Client: e.client, View: e.view,
 		Router: e.cfg.Training, Policy: e.cfg.Policy, Budget: e.budget, Scorer: &scorer{e},
-		Linger: e.cfg.Linger, Counters: e.cfg.Counters, Log: e.cfg.Log, Seed: e.cfg.Seed,
+		Quarantine: e.quarantine,
+		Linger:     e.cfg.Linger, Counters: e.cfg.Counters, Log: e.cfg.Log, Seed: e.cfg.Seed,
 	}
 }
 
--- a/service/entry/run.go
+++ b/service/entry/run.go
@@ -11,6 +11,7 @@
 	"mulberryscale.example/api"
 	"mulberryscale.example/generation"
 	"mulberryscale.example/membership"
+	"mulberryscale.example/quarantine"
 	"mulberryscale.example/retry"
 	"mulberryscale.example/routing"
 	"mulberryscale.example/table"
@@ -40,6 +41,8 @@
 // call is one interactive request on its way to an endpoint.
 type call struct {
 	row *table.Row
+	// subject names its content.
+	subject quarantine.Subject
 	// route says which endpoints can take it.
 	route routing.Request
 	// work is a run without id, identity and budget, which each attempt fills in.
@@ -69,7 +72,7 @@
 			return done, nil
 		}
 		c.ran.note(refusal, c.progress.Tokens())
-		if ctx.Err() != nil || !retry.Repeatable(refusal, c.idempotent) {
+		if ctx.Err() != nil || !retry.Repeatable(refusal, c.idempotent) || !e.mayEndAnother(c) {
 			return nil, c.ran.correct(refusal)
 		}
 		if !e.budget.Take() {
@@ -130,8 +133,6 @@
 
 // attempt sends the call to an agent once.
 func (e *Entry) attempt(ctx context.Context, c *call, agent *membership.Agent) (*wire.Done, *api.Refusal) {
-	agent.Sends.Begin()
-	defer agent.Sends.End()
 	run := c.work
 	run.RunID = uuid.NewString()
 	run.Row = c.row.Name
@@ -141,16 +142,26 @@
 	if c.onText == nil {
 		run.ChunkInterval = wholeAnswerInterval
 	}
-	done, err := e.client.Run(ctx, agent, &run, func(chunk *wire.Chunk) {
+	return e.send(ctx, c, agent, &run)
+}
+
+// send sends a run to an agent once.
+func (e *Entry) send(ctx context.Context, c *call, agent *membership.Agent, run *wire.Run) (*wire.Done, *api.Refusal) {
+	agent.Sends.Begin()
+	defer agent.Sends.End()
+	began := time.Now()
+	done, err := e.client.Run(ctx, agent, run, func(chunk *wire.Chunk) {
 		c.progress.Add(chunk)
 		if c.onText != nil {
 			c.onText(&c.progress)
 		}
 	})
+	var refusal *api.Refusal
 	if err != nil {
-		return nil, e.asRefusal(err, StepRun)
+		done, refusal = nil, e.asRefusal(err, StepRun)
 	}
-	return done, nil
+	e.noteEnd(c, agent.ID, refusal, time.Since(began))
+	return done, refusal
 }
 
 // resumed is a generation that goes on after what was generated.
