Entries of the own interface tell each other under which contents endpoints ended

What callers would have seen: each entry learnt by itself, at the price of two endpoints. Cause: these entries share no store that they follow; the quarantine was each one's own. Ruled out: reading the table service (each entry a read a second, of two thousand for all). Change: ends, trials and clearances of the last 30 s go with the entries' gossip, as ages, since they share no clock either; a clearance stays ahead of older news. What is old counts no more at the moment of judging. Figures: TestLookupThatEndsEnginesIsKeptAway with three entries in turn: two of three engines end.

--- a/internal/deployment/crash_test.go
+++ b/internal/deployment/crash_test.go
@@ -29,7 +29,7 @@
 	crashPrompt  = "the prompt that ends engines"
 	crashDown    = 2 * time.Second
 	// allowedLookupEnds and allowedSampleEnds are the ends after which a prompt is
-	// known, of calls and of samples; one entry sees them all.
+	// known, of calls and of samples; entries have told each other before the next call.
 	allowedLookupEnds = 2
 	allowedSampleEnds = 3
 )
@@ -41,9 +41,12 @@
 	fabric *Memory
 }
 
-func startCrashRig(t *testing.T) *crashRig {
+func startCrashRig(t *testing.T, entries int) *crashRig {
 	fabric := NewMemory()
-	opts := Options{Fabric: fabric, Table: crashTable, Log: observe.Discard(), Seed: 1, Entries: []EntrySpec{{Zone: "patan", ID: "entry-1"}}}
+	opts := Options{Fabric: fabric, Table: crashTable, Log: observe.Discard(), Seed: 1}
+	for i := range entries {
+		opts.Entries = append(opts.Entries, EntrySpec{Zone: "patan", ID: fmt.Sprint("entry-", i)})
+	}
 	for i := range crashEngines {
 		opts.Engines = append(opts.Engines, EngineSpec{Zone: "patan", Options: engine.Options{
 			ID: fmt.Sprint("engine-", i), Slots: 4, Models: map[string]uint64{"guide": 1}, TokenTime: 5 * time.Millisecond,
@@ -74,11 +77,11 @@
 	return n
 }
 
-// ask makes a lookup and returns its status and body.
-func (r *crashRig) ask(prompt string) (int, string) {
+// ask makes a lookup at an entry and returns its status and body.
+func (r *crashRig) ask(entry int, prompt string) (int, string) {
 	r.t.Helper()
 	body := fmt.Sprintf(`{"model":"lookups","prompt":%q,"max_tokens":8}`, prompt)
-	resp, err := r.fabric.Client().Post(r.d.EntryURLs()[0]+"/v1/completions", "application/json", strings.NewReader(body))
+	resp, err := r.fabric.Client().Post(r.d.EntryURLs()[entry]+"/v1/completions", "application/json", strings.NewReader(body))
 	if err != nil {
 		r.t.Fatal(err)
 	}
@@ -92,10 +95,11 @@
 
 func TestLookupThatEndsEnginesIsKeptAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := startCrashRig(t)
+		const entries = 3
+		r := startCrashRig(t, entries)
 		defer r.close()
-		for range 5 {
-			if status, _ := r.ask(crashPrompt); status == http.StatusOK {
+		for i := range 6 {
+			if status, _ := r.ask(i%entries, crashPrompt); status == http.StatusOK {
 				t.Fatal("served")
 			}
 			time.Sleep(2 * crashDown)
@@ -103,18 +107,20 @@
 		if n := r.ends(); n > allowedLookupEnds {
 			t.Errorf("%d engines ended", n)
 		}
-		if status, text := r.ask(crashPrompt); status != http.StatusServiceUnavailable || !strings.Contains(text, `"not_run":true`) {
-			t.Errorf("%d %s", status, text)
-		}
-		if status, text := r.ask("another prompt"); status != http.StatusOK {
-			t.Errorf("another prompt: %d %s", status, text)
+		for i := range entries {
+			if status, text := r.ask(i, crashPrompt); status != http.StatusServiceUnavailable || !strings.Contains(text, `"code":"held"`) {
+				t.Errorf("entry %d: %d %s", i, status, text)
+			}
+			if status, text := r.ask(i, "another prompt"); status != http.StatusOK {
+				t.Errorf("entry %d, another prompt: %d %s", i, status, text)
+			}
 		}
 	})
 }
 
 func TestSampleThatEndsEnginesIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := startCrashRig(t)
+		r := startCrashRig(t, 1)
 		defer r.close()
 		client, err := trainer.New(trainer.Config{Row: "learner", Entries: r.d.EntryURLs(), HTTP: r.fabric.Client(), StalenessBound: 1})
 		if err != nil {
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"time"
 )
 
@@ -11,14 +12,19 @@
 // book is what a process knows of contents. It is not safe for concurrent use.
 type book struct {
 	subjects map[Subject]*history
+	// cleared are contents that an endpoint ran and lived through lately: what is
+	// told of them from before that is old.
+	cleared map[Subject]time.Duration
 }
 
-func newBook() *book { return &book{subjects: map[Subject]*history{}} }
+func newBook() *book {
+	return &book{subjects: map[Subject]*history{}, cleared: map[Subject]time.Duration{}}
+}
 
 // judge is the verdict on a content.
 func (b *book) judge(s Subject, limit Limit, now time.Duration) (Verdict, time.Duration) {
 	h, known := b.subjects[s]
-	if !known {
+	if !known || h.forgotten(now) {
 		return Clear, 0
 	}
 	return h.judge(limit, now)
@@ -26,8 +32,11 @@
 
 // note takes an event in and reports whether it was news.
 func (b *book) note(e event) bool {
+	if at, cleared := b.cleared[e.subject]; cleared && e.mark.At <= at {
+		return false
+	}
 	h, known := b.subjects[e.subject]
-	if !known {
+	if !known || h.forgotten(e.mark.At) {
 		b.makeRoom()
 		h = newHistory()
 		b.subjects[e.subject] = h
@@ -66,6 +75,22 @@
 	return h
 }
 
+// clear forgets what was known of a content up to a moment.
+func (b *book) clear(s Subject, at time.Duration) {
+	if former, known := b.cleared[s]; known && former >= at {
+		return
+	}
+	b.cleared[s] = at
+	if h, known := b.subjects[s]; known && h.last() <= at {
+		delete(b.subjects, s)
+	}
+}
+
+// forgetCleared forgets clearances of which no old news comes any more.
+func (b *book) forgetCleared(now time.Duration) {
+	maps.DeleteFunc(b.cleared, func(_ Subject, at time.Duration) bool { return now-at > 2*newsTime })
+}
+
 // forgotten are the contents whose time is up.
 func (b *book) forgotten(now time.Duration) (list []Subject) {
 	for s, h := range b.subjects {
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -138,12 +138,17 @@
 // Served takes in that an endpoint answered a content and lived: it is no danger,
 // and what was held against it was another's doing.
 func (k *Keeper) Served(s Subject) {
+	now, _ := k.Clock()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.drop(s) {
-		k.Counters.Add(observe.NameQuarantine, rowCleared, 1)
-		k.Log.WithField(observe.FieldContent, s).Info("content cleared")
+	if !k.drop(s) {
+		return
+	}
+	if k.Rows == nil {
+		k.book.clear(s, now)
 	}
+	k.Counters.Add(observe.NameQuarantine, rowCleared, 1)
+	k.Log.WithField(observe.FieldContent, s).Info("content cleared")
 }
 
 // drop forgets a content here and in the store, and reports whether it was known.
--- a/service/entry/gossip.go
+++ b/service/entry/gossip.go
@@ -30,7 +30,7 @@
 )
 
 // gossip shares the rows' limits out between the entries and passes on which
-// instances came.
+// instances came and under which contents endpoints ended.
 type gossip struct {
 	e       *Entry
 	average *limits.Averager
@@ -81,12 +81,14 @@
 	offer := g.average.Offer()
 	offer.Entries = entries
 	offer.Members = g.e.watcher.News()
+	offer.Contents = g.e.contentNews()
 	reply, err := g.exchange(ctx, peer.Addr, offer)
 	if err != nil {
 		g.e.cfg.Log.WithError(err).WithField("peer", peer.ID).Debug("no exchange of demand")
 		return
 	}
 	g.e.watcher.Hear(reply.Members)
+	g.e.hearContents(reply.Contents)
 	g.average.Take(time.Now(), offer, *reply, entries, demand)
 }
 
@@ -120,6 +122,8 @@
 	reply := g.average.Answer(time.Now(), *offer, entries, g.e.limits.Demand())
 	reply.Entries = entries
 	reply.Members = g.e.watcher.News()
+	reply.Contents = g.e.contentNews()
 	g.e.watcher.Hear(offer.Members)
+	g.e.hearContents(offer.Contents)
 	return wire.Reply{Header: g.e.header(), Gossip: &reply}
 }
--- a/service/entry/held.go
+++ b/service/entry/held.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"mulberryscale.example/api"
+	"mulberryscale.example/fleet"
 	"mulberryscale.example/quarantine"
+	"mulberryscale.example/wire"
 )
 
 // admitContent refuses a call under whose content endpoints have ended, at once, so
@@ -34,3 +36,26 @@
 		e.quarantine.EndedBeside(c.subject, agent, took)
 	}
 }
+
+// contentNews is what the quarantine tells other entries.
+func (e *Entry) contentNews() (list []wire.ContentNews) {
+	for _, n := range e.quarantine.News() {
+		list = append(list, wire.ContentNews{
+			Content: string(n.Subject), Kind: int(n.Kind), Agent: n.Endpoint.ID, Born: n.Endpoint.Born,
+			Took: n.Took, Trial: n.Trial, Age: n.Age,
+		})
+	}
+	return list
+}
+
+// hearContents takes in what another entry tells.
+func (e *Entry) hearContents(list []wire.ContentNews) {
+	heard := make([]quarantine.News, 0, len(list))
+	for _, n := range list {
+		heard = append(heard, quarantine.News{
+			Subject: quarantine.Subject(n.Content), Kind: quarantine.NewsKind(n.Kind),
+			Endpoint: fleet.Incarnation{ID: n.Agent, Born: n.Born}, Took: n.Took, Trial: n.Trial, Age: n.Age,
+		})
+	}
+	e.quarantine.Hear(heard)
+}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -295,4 +295,17 @@
 	Entries int         `cbor:"4,keyasint,omitempty"` // entries that the sender believes live
 	// Epoch is the averaging that Demand belongs to; see package limits.
 	Epoch uint64 `cbor:"5,keyasint,omitempty"`
+	// Contents is what has happened lately to contents under which endpoints ended.
+	Contents []ContentNews `cbor:"6,keyasint,omitempty"`
+}
+
+// ContentNews is what happened to a content; see quarantine.News.
+type ContentNews struct {
+	Content string        `cbor:"1,keyasint"`
+	Kind    int           `cbor:"2,keyasint"`
+	Agent   string        `cbor:"3,keyasint,omitempty"` // beside the endpoint that ended
+	Born    int64         `cbor:"4,keyasint,omitempty"` // Unix milliseconds of the end
+	Took    time.Duration `cbor:"5,keyasint,omitempty"` // how long the run had gone on
+	Trial   int           `cbor:"6,keyasint,omitempty"`
+	Age     time.Duration `cbor:"7,keyasint"`
 }
