Ends that a caller's leaving or a timeout hides are told by the list of instances

What callers could have seen: a content whose caller leaves within tens of milliseconds each time ends endpoint after endpoint. Cause: a send that is given up here hears nothing more of its endpoint, so its end counted for nothing. Ruled out: probing the endpoint after each such send (a connection for each caller that leaves; connections are dear). Change: an entry keeps sends without an answer, of requests that failed, for five seconds; if the list drops that incarnation without notice meanwhile, it has ended under them. An endpoint that says that it leaves ends nothing.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -64,8 +64,13 @@
 
 // Leaves reports whether an instance that was listed says that it leaves.
 func (s *Snapshot) Leaves(i Instance) bool {
+	return s.Lists(i) && s.Instances[i.ID].Draining
+}
+
+// Lists reports whether the list has just this incarnation of an instance.
+func (s *Snapshot) Lists(i Instance) bool {
 	now, listed := s.Instances[i.ID]
-	return listed && now.Incarnation() == i.Incarnation() && now.Draining
+	return listed && now.Incarnation() == i.Incarnation()
 }
 
 // View holds the newest snapshot. It is safe for concurrent use.
--- a/forward/call.go
+++ b/forward/call.go
@@ -30,6 +30,9 @@
 	last fleet.Instance
 	// lastSent is when it was sent there.
 	lastSent time.Time
+	// unanswered are the endpoints that have it and gave no answer, with when it was
+	// sent there.
+	unanswered map[fleet.Incarnation]lostSend
 	// failures counts the endpoints' own failures.
 	failures int
 	// mayHaveRun says that an endpoint may have run it.
@@ -81,6 +84,9 @@
 		case a := <-c.results:
 			c.pending--
 			c.tell(a)
+			if a.ended || !errors.Is(a.err, ErrBroken) {
+				delete(c.unanswered, a.to.Incarnation())
+			}
 			reason := c.judge(a)
 			if reason == "" {
 				if a.answer.Stream != nil {
@@ -126,6 +132,7 @@
 func (c *call) send(ctx context.Context, to fleet.Instance) context.CancelFunc {
 	ctx, cancel := context.WithCancel(ctx)
 	c.tried[to.Incarnation()], c.last, c.lastSent = true, to, time.Now()
+	c.unanswered[to.Incarnation()] = lostSend{to: to, sent: c.lastSent}
 	c.sent++
 	c.pending++
 	risky := c.suspected()
--- a/forward/crash_test.go
+++ b/forward/crash_test.go
@@ -72,6 +72,7 @@
 			k.Rows, k.Clock, k.Prober, k.Log, k.Counters = rows.Client(), rows.Now, r, observe.Discard(), f.Counters
 			f.Quarantine = k
 			go k.Run(t.Context())
+			go f.WatchEnds(t.Context())
 		}
 		r.entries = append(r.entries, f)
 	}
@@ -276,6 +277,48 @@
 	})
 }
 
+// A caller that leaves before its answer hears no end; the list of instances tells
+// seconds later that the endpoint has ended under its request.
+func TestCallersThatLeaveEndNoMoreEndpoints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newCrashRig(t, 3, 3, true)
+		for i := range 12 {
+			ctx, cancel := context.WithTimeout(t.Context(), crashAfter-5*time.Millisecond)
+			q := request(fleet.KindSafe)
+			q.ID, q.Target = fmt.Sprint("r", i), crashTarget
+			_, _ = r.entries[i%3].Do(ctx, q) // the caller leaves
+			cancel()
+			time.Sleep(2 * crashDown)
+		}
+		if n := r.endedSoFar(); n > int(quarantine.RequestLimit)+2 { // two trials fall into the time
+			t.Errorf("%d endpoints ended", n)
+		}
+	})
+}
+
+// An endpoint that leaves as planned ends nothing.
+func TestPlannedEndsDoNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newCrashRig(t, 1, 3, true)
+		ctx, cancel := context.WithTimeout(t.Context(), crashWork/2)
+		defer cancel()
+		q := request(fleet.KindSafe)
+		_, _ = r.entries[0].Do(ctx, q) // the caller leaves
+		for _, i := range r.view.Snapshot().Instances {
+			i.Draining = true
+			r.view.UpdateInstances([]fleet.Instance{i}, nil)
+		}
+		time.Sleep(time.Second)
+		for id := range r.view.Snapshot().Instances {
+			r.view.UpdateInstances(nil, []string{id})
+		}
+		time.Sleep(10 * time.Second)
+		if verdict, _ := r.entries[0].Quarantine.Judge(q.subject(), quarantine.RequestLimit); verdict != quarantine.Clear {
+			t.Errorf("verdict %v", verdict)
+		}
+	})
+}
+
 // An answer shows that the request was not what ended the endpoint before.
 func TestAnswerClearsASuspect(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -156,6 +156,7 @@
 	Quarantine *quarantine.Keeper
 
 	picker *picker.Picker
+	lost   lostSends
 }
 
 // New returns a forwarder.
@@ -175,9 +176,12 @@
 		limit = min(limit, time.Until(r.Deadline)-answerSlack)
 	}
 	bounded, cancel := context.WithTimeoutCause(ctx, limit, errTimeout)
-	c := &call{Forwarder: f, request: r, subject: r.subject(), tried: map[fleet.Incarnation]bool{}, results: make(chan attempt, maxParallel)}
+	c := &call{Forwarder: f, request: r, subject: r.subject(), tried: map[fleet.Incarnation]bool{}, unanswered: map[fleet.Incarnation]lostSend{}, results: make(chan attempt, maxParallel)}
 	answer, err := c.admitAndRun(bounded)
 	r.Reached += c.sent
+	if err != nil {
+		c.keepLost()
+	}
 	if answer != nil && answer.Stream != nil {
 		answer.Stream = &streamEnd{Events: answer.Stream, call: c, ctx: bounded, end: cancel}
 	} else {
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -95,6 +95,8 @@
 	Addr     string
 	// Took is the time from its sending to its end.
 	Took time.Duration
+	// Ago is how long ago it ended, for ends that are noticed late.
+	Ago time.Duration
 }
 
 // Broken takes in that an endpoint broke a run off just now, and reports whether it
@@ -108,10 +110,10 @@
 	return true
 }
 
-// Ended takes in that an endpoint ended just now under a run.
+// Ended takes in that an endpoint ended under a run.
 func (k *Keeper) Ended(r Run) {
 	now, _ := k.Clock()
-	k.ended(r, now)
+	k.ended(r, now-r.Ago)
 }
 
 // EndedBeside is Ended for an endpoint of which only the agent beside it is known.
--- a/service/node/agent.go
+++ b/service/node/agent.go
@@ -23,6 +23,8 @@
 type Agent struct {
 	*base
 	worker *batch.Worker
+	// forwarder sends reward calls.
+	forwarder *forward.Forwarder
 }
 
 // NewAgent returns the agent of a settings file.
@@ -33,13 +35,13 @@
 	}
 	a := &Agent{base: b}
 	engines := enginehttp.New()
-	forwarder := forward.New(b.view, engines, settings.Zone, b.log, b.counters)
+	a.forwarder = forward.New(b.view, engines, settings.Zone, b.log, b.counters)
 	keeper := b.keepQuarantine(engines)
-	forwarder.Quarantine = keeper
+	a.forwarder.Quarantine = keeper
 	a.worker = batch.NewWorker(batch.WorkerConfig{
 		Node: settings.Node, Incarnation: b.incarnation, Engine: settings.Engine, Service: settings.Service,
 		PeerPort: settings.PeerPort, View: b.view, Ledger: b.ledger, Direct: b.store, Demand: batch.NewDemand(), Engines: engines, Peers: a.peers,
-		Rewards:     &reward.Caller{View: b.view, Forward: forwarder, Service: settings.Service},
+		Rewards:     &reward.Caller{View: b.view, Forward: a.forwarder, Service: settings.Service},
 		Quarantine:  keeper,
 		JobsPace:    agentJobsPace(),
 		StoreWrites: settings.StoreWrites,
@@ -58,6 +60,7 @@
 	a.reportUsage(working, &wg)
 	a.orderEndpoints(working, &wg)
 	wg.Go(func() { a.worker.Run(working) })
+	wg.Go(func() { a.forwarder.WatchEnds(working) })
 	wg.Go(func() { a.servePeers(working) })
 	<-ctx.Done()
 	a.log.Info("draining")
--- a/service/node/entry.go
+++ b/service/node/entry.go
@@ -92,6 +92,7 @@
 		e.measure(working, &wg, meter, nil)
 	}
 	wg.Go(func() { e.reader.Run(working) })
+	wg.Go(func() { e.forwarder.WatchEnds(working) })
 	collector := &batch.Collector{Ledger: e.ledger, Keep: e.settings.KeepResults, Now: e.store.Now, Log: e.log}
 	jobs := store.Source{Table: batch.TableJobs, Pace: entryJobsPace()}
 	wg.Go(func() { store.Follow(working, e.rows, jobs, e.demand.Watcher(collector, e.log)) })
