--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -95,6 +95,8 @@
 	Addr     string
 	// Took is the time from its sending to its end.
 	Took time.Duration
+	// Ago is how long ago it ended, for ends that are noticed late.
+	Ago time.Duration
 }
 
 // Broken takes in that an endpoint broke a run off just now, and reports whether it
@@ -108,10 +110,15 @@
 	return true
 }
 
-// Ended takes in that an endpoint ended just now under a run.
+// Ended takes in that an endpoint ended under a run.
 func (k *Keeper) Ended(r Run) {
 	now, _ := k.Clock()
-	k.ended(r, now)
+	k.ended(r, now-r.Ago)
+}
+
+// EndedBeside is Ended for an endpoint of which only the agent beside it is known.
+func (k *Keeper) EndedBeside(s Subject, agent string, took time.Duration) {
+	k.Ended(Run{Subject: s, Endpoint: fleet.Incarnation{ID: agent, Born: time.Now().UnixMilli()}, Took: took})
 }
 
 func (k *Keeper) ended(r Run, at time.Duration) {
@@ -133,12 +140,17 @@
 // Served takes in that an endpoint answered a content and lived: it is no danger,
 // and what was held against it was another's doing.
 func (k *Keeper) Served(s Subject) {
+	now, _ := k.Clock()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.drop(s) {
-		k.Counters.Add(observe.NameQuarantine, rowCleared, 1)
-		k.Log.WithField(observe.FieldContent, s).Info("content cleared")
+	if !k.drop(s) {
+		return
+	}
+	if k.Rows == nil {
+		k.book.clear(s, now)
 	}
+	k.Counters.Add(observe.NameQuarantine, rowCleared, 1)
+	k.Log.WithField(observe.FieldContent, s).Info("content cleared")
 }
 
 // drop forgets a content here and in the store, and reports whether it was known.
--- /dev/null
+++ b/service/entry/held.go
@@ -0,0 +1,61 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"mulberryscale.example/api"
+	"mulberryscale.example/fleet"
+	"mulberryscale.example/quarantine"
+	"mulberryscale.example/wire"
+)
+
+// admitContent refuses a call under whose content endpoints have ended, at once, so
+// that all endpoints of its row do not end under it.
+func (e *Entry) admitContent(ctx context.Context, c *call) *api.Refusal {
+	verdict, wait := e.quarantine.Admit(ctx, c.subject, quarantine.RequestLimit)
+	if verdict != quarantine.Held {
+		return nil
+	}
+	e.quarantine.Refused()
+	return e.refusal(api.CodeHeld, "endpoints have ended under this request", StepRoute, wait)
+}
+
+// mayEndAnother reports whether a call that failed may go to one more endpoint.
+func (e *Entry) mayEndAnother(c *call) bool {
+	verdict, _ := e.quarantine.Judge(c.subject, quarantine.RequestLimit)
+	return verdict == quarantine.Clear || verdict == quarantine.Suspect
+}
+
+// noteEnd tells the quarantine what an attempt did to the endpoint beside an agent.
+func (e *Entry) noteEnd(c *call, agent string, refusal *api.Refusal, took time.Duration) {
+	switch {
+	case refusal == nil:
+		e.quarantine.Served(c.subject)
+	case refusal.EndpointEnded:
+		e.quarantine.EndedBeside(c.subject, agent, took)
+	}
+}
+
+// contentNews is what the quarantine tells other entries.
+func (e *Entry) contentNews() (list []wire.ContentNews) {
+	for _, n := range e.quarantine.News() {
+		list = append(list, wire.ContentNews{
+			Content: string(n.Subject), Kind: int(n.Kind), Agent: n.Endpoint.ID, Born: n.Endpoint.Born,
+			Took: n.Took, Trial: n.Trial, Age: n.Age,
+		})
+	}
+	return list
+}
+
+// hearContents takes in what another entry tells.
+func (e *Entry) hearContents(list []wire.ContentNews) {
+	heard := make([]quarantine.News, 0, len(list))
+	for _, n := range list {
+		heard = append(heard, quarantine.News{
+			Subject: quarantine.Subject(n.Content), Kind: quarantine.NewsKind(n.Kind),
+			Endpoint: fleet.Incarnation{ID: n.Agent, Born: n.Born}, Took: n.Took, Trial: n.Trial, Age: n.Age,
+		})
+	}
+	e.quarantine.Hear(heard)
+}
