What was beside a request that ends endpoints waits for its turn instead of meeting it again

What callers could have seen: with more requests broken off together than endpoints left, one of them was sent where the culprit was once more, met its second end and was held itself. Cause: the picker put such requests on different endpoints only while there were enough. Change: a request under which an endpoint has ended looks again each 20 ms, for half a second at most, while every endpoint that is left has another such one from the same entry. Entries do not wait for each other's.

--- a/forward/call.go
+++ b/forward/call.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -33,6 +34,10 @@
 	// unanswered are the endpoints that have it and gave no answer, with when it was
 	// sent there.
 	unanswered map[fleet.Incarnation]lostSend
+	// turn fires when a request that waits for its turn is to try again; waited is
+	// how long it has waited so far.
+	turn   <-chan time.Time
+	waited time.Duration
 	// failures counts the endpoints' own failures.
 	failures int
 	// mayHaveRun says that an endpoint may have run it.
@@ -61,6 +66,7 @@
 	}()
 	var lastErr error
 	var fallback *Answer
+	var lastReason string
 	start := func() bool {
 		to, ok := c.next()
 		if ok {
@@ -68,12 +74,12 @@
 		}
 		return ok
 	}
-	if !start() {
+	if !start() && !c.waits() {
 		return nil, c.refusal(ReasonNoEndpoint, nil)
 	}
 	hedge := time.NewTimer(c.hedgeAfter())
 	defer hedge.Stop()
-	for c.pending > 0 {
+	for c.pending > 0 || c.waits() {
 		select {
 		case <-ctx.Done():
 			return nil, c.ended(ctx)
@@ -81,6 +87,12 @@
 			if c.repeatable() && c.pending < maxParallel && c.mayEndAnother() && start() {
 				c.Counters.Retry(c.request.Route.Name, ReasonSlow)
 			}
+			continue
+		case <-c.turn:
+			c.turn = nil
+			if c.mayEndAnother() && start() {
+				c.countAgain(lastReason)
+			}
 		case a := <-c.results:
 			c.pending--
 			c.tell(a)
@@ -97,35 +109,45 @@
 			if a.answer != nil && !a.answer.Declined {
 				fallback = a.answer
 			}
-			lastErr = a.err
+			lastErr, lastReason = a.err, reason
 			if ctx.Err() != nil {
 				return nil, c.ended(ctx)
 			}
 			if c.again(reason) && c.mayEndAnother() && start() {
-				c.Counters.Retry(c.request.Route.Name, reason)
-				continue
-			}
-			if c.pending == 0 {
-				if fallback != nil {
-					return fallback, nil
-				}
-				return nil, c.refusal(reason, lastErr)
+				c.countAgain(reason)
 			}
 		}
 	}
-	return nil, c.refusal(ReasonNoEndpoint, lastErr)
+	if fallback != nil {
+		return fallback, nil
+	}
+	return nil, c.refusal(cmp.Or(lastReason, ReasonNoEndpoint), lastErr)
 }
 
-// next picks the endpoint of the next send.
+// countAgain counts a send after one that failed; an empty reason is the first.
+func (c *call) countAgain(reason string) {
+	if reason != "" {
+		c.Counters.Retry(c.request.Route.Name, reason)
+	}
+}
+
+// next picks the endpoint of the next send. A request under which an endpoint has
+// ended goes where no other such one from here is, or waits for its turn.
 func (c *call) next() (fleet.Instance, bool) {
 	route := c.request.Route
 	if c.request.Reached+c.sent >= route.MaxAttempts {
 		return fleet.Instance{}, false
 	}
 	snap := c.View.Snapshot()
-	return c.picker.Pick(picker.Query{
+	query := picker.Query{
 		Candidates: snap.OfService(route.Backend(c.request.ID)), Tried: c.tried, Zone: c.Zone, Request: c.request.ID, Now: time.Now(),
-	})
+		Apart: c.suspected() && c.waited < maxTurnWait,
+	}
+	to, ok := c.picker.Pick(query)
+	if !ok && query.Apart {
+		c.awaitTurn(query)
+	}
+	return to, ok
 }
 
 // send sends the request to one endpoint.
--- a/forward/crash_test.go
+++ b/forward/crash_test.go
@@ -25,10 +25,12 @@
 // instances hears late of its end.
 const (
 	crashWork    = 25 * time.Millisecond
+	longWork     = 80 * time.Millisecond // longer than an endpoint lives under the content
 	crashAfter   = 45 * time.Millisecond // from the begin of a run that ends its endpoint
 	crashDown    = 2500 * time.Millisecond
 	crashLapse   = 1500 * time.Millisecond // until the list hears of an end
 	crashTarget  = "/p/crash"
+	longTarget   = "/p/long"
 	crashService = "s"
 )
 
@@ -42,6 +44,8 @@
 	alive   map[string]*crashEndpoint // by address
 	started int
 	ends    int
+	// after is from the begin of a run to the end of its endpoint.
+	after time.Duration
 	// streamAfter makes the content's answer a stream that ends its endpoint after
 	// so many events; -1 makes it a whole answer.
 	streamAfter int
@@ -59,7 +63,7 @@
 // newCrashRig starts entries before endpoints. Entries that share tell each other
 // what they see; those that see nothing have no way to tell that an endpoint ended.
 func newCrashRig(t *testing.T, entries, endpoints int, sees bool) *crashRig {
-	r := &crashRig{t: t, view: fleet.NewView(), alive: map[string]*crashEndpoint{}, streamAfter: -1}
+	r := &crashRig{t: t, view: fleet.NewView(), alive: map[string]*crashEndpoint{}, after: crashAfter, streamAfter: -1}
 	r.view.SetConfig(&fleet.Config{Version: 1, Services: []fleet.Service{{Name: crashService}}})
 	for i := range endpoints {
 		r.start(fmt.Sprintf("10.0.0.%d:1", i+1))
@@ -120,7 +124,7 @@
 	crashes := strings.HasPrefix(q.Target, crashTarget)
 	if e != nil && e.id == to.ID && crashes {
 		r.reached = append(r.reached, e.id)
-		after := crashAfter
+		after := r.after
 		if r.streamAfter >= 0 {
 			after = time.Hour // the stream itself ends it
 		}
@@ -141,8 +145,11 @@
 		return &Answer{Status: 200, Stream: &crashStream{rig: r, addr: to.Addr, e: e, left: r.streamAfter}}, nil
 	}
 	work := crashWork
-	if crashes {
+	switch {
+	case crashes:
 		work = time.Second
+	case strings.HasPrefix(q.Target, longTarget):
+		work = longWork
 	}
 	select {
 	case <-ctx.Done():
@@ -221,10 +228,10 @@
 			r := newCrashRig(t, 1, 3, true)
 			var all sync.WaitGroup
 			all.Go(func() { _ = r.ask(0, "c", crashTarget) }) // fails
-			time.Sleep(crashAfter - crashWork/2)
+			time.Sleep(crashAfter / 2)
 			for i := range 6 {
 				all.Go(func() {
-					if err := r.ask(0, fmt.Sprint(seed, "-", i), fmt.Sprint("/p/beside-", i)); err != nil {
+					if err := r.ask(0, fmt.Sprint(seed, "-", i), fmt.Sprint(longTarget, i)); err != nil {
 						t.Errorf("seed %d, request %d: %v", seed, i, err)
 					}
 				})
@@ -240,6 +247,7 @@
 func TestSuspectGoesToOneEndpointAtATime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newCrashRig(t, 1, 3, true)
+		r.after = 2 * minHedge
 		q := request(fleet.KindSafe)
 		q.Target = crashTarget
 		r.entries[0].Quarantine.Ended(quarantine.Run{Subject: q.subject(), Endpoint: fleet.Incarnation{ID: "former"}})
--- a/forward/held.go
+++ b/forward/held.go
@@ -9,6 +9,7 @@
 
 	"mulberryscale.example/fleet"
 	"mulberryscale.example/observe"
+	"mulberryscale.example/picker"
 	"mulberryscale.example/quarantine"
 )
 
@@ -64,6 +65,29 @@
 	return c.trial && c.pending == 0 && !c.mayHaveRun
 }
 
+const (
+	// turnPause is the pause before a request that waits for its turn looks again,
+	// about the work of one request.
+	turnPause = 20 * time.Millisecond
+	// maxTurnWait bounds the wait where the route's timeout does not: as long as
+	// several such requests take one after the other.
+	maxTurnWait = 500 * time.Millisecond
+)
+
+// awaitTurn has the request wait if all endpoints that are left have another one
+// under which an endpoint has ended: what was beside the culprit would meet it again.
+func (c *call) awaitTurn(q picker.Query) {
+	q.Apart = false
+	if _, left := c.picker.Pick(q); !left {
+		return
+	}
+	c.turn = time.After(turnPause)
+	c.waited += turnPause
+}
+
+// waits reports whether the request waits for its turn.
+func (c *call) waits() bool { return c.turn != nil }
+
 // tell logs and counts a send that ended without an answer.
 func (c *call) tell(a attempt) {
 	if !errors.Is(a.err, ErrBroken) {
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -174,6 +174,8 @@
 	Candidates []fleet.Instance
 	// Tried are passed over.
 	Tried map[fleet.Incarnation]bool
+	// Apart passes over instances that have a risky request from here.
+	Apart bool
 	// Zone is the sender's availability zone, Request the request's id.
 	Zone, Request string
 	Now           time.Time
@@ -200,10 +202,10 @@
 			fresh = append(fresh, c)
 		}
 	}
-	if len(fresh) == 0 {
+	if len(fresh) == 0 && !q.Apart {
 		fresh = atRisk
 	}
-	if len(fresh) == 0 {
+	if len(fresh) == 0 && !(q.Apart && len(atRisk) > 0) {
 		fresh = suspects
 	}
 	if len(fresh) == 0 {
--- a/quarantine/keeper_test.go
+++ b/quarantine/keeper_test.go
@@ -84,19 +84,18 @@
 }
 
 // What a process has seen and could not write yet outlives a new reading of the table.
-func TestUnwrittenEndsOutliveALostHistory(t *testing.T) {
+func TestUnwrittenEndsOutliveANewReading(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := rowstore.New()
 		k := keeper(t.Context(), s)
 		time.Sleep(time.Second)
-		s.Next(rowstore.Refused, rowstore.Refused, rowstore.Refused, rowstore.Refused, rowstore.Refused)
+		s.Next(rowstore.Refused)
 		k.Ended(run(0))
 		k.Ended(run(1))
-		s.Forget()
-		for range 10 {
-			time.Sleep(100 * time.Millisecond)
-			wantVerdict(t, k, subject, Held)
-		}
+		k.Replace(store.Snapshot{}) // read before they stood there
+		wantVerdict(t, k, subject, Held)
+		time.Sleep(newsAllowance)
+		wantVerdict(t, k, subject, Held)
 	})
 }
 
