--- a/e2e/crashing_request_test.go
+++ b/e2e/crashing_request_test.go
@@ -62,13 +62,13 @@
 // checks that it is kept away from them while other requests are served.
 func (w *soakWorld) settleCrashing(name string) {
 	target := prefixCrash + name
-	c := w.client("crasher-" + name)
+	c, watcher := w.client("crasher-"+name), w.client("watcher-"+name)
 	for range allowedCrashes {
 		for _, e := range w.entries {
 			c.crash(w.t.Context(), e.front, target)
 			sleep(w.t.Context(), crashPause)
 		}
-		w.awaitKiosks()
+		w.awaitKiosks(watcher)
 	}
 	sleep(w.t.Context(), newsTime)
 	known := w.record.crashesUnder(target)
@@ -98,8 +98,7 @@
 }
 
 // awaitKiosks waits until each entry serves other requests of the service again.
-func (w *soakWorld) awaitKiosks() {
-	c := w.client("kiosk-watcher")
+func (w *soakWorld) awaitKiosks(c *soakClient) {
 	for _, e := range w.entries {
 		eventually(w.t, e.name+" serves beside crashes", func() error {
 			c.next++
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -130,6 +130,12 @@
 	<-p.ended
 }
 
+// end says how a process ended that was not to.
+func (p *process) end() string {
+	<-p.ended
+	return p.cmd.ProcessState.String()
+}
+
 func (p *process) running() bool {
 	select {
 	case <-p.ended:
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -91,7 +91,7 @@
 func (w *soakWorld) settle() {
 	for _, m := range append(w.entries, w.agents...) {
 		if !m.process.running() {
-			w.record.problem("%s has ended by itself", m.name)
+			w.record.problem("%s has ended by itself: %s", m.name, m.process.end())
 			m.process.start()
 		}
 	}
