--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -169,44 +169,5 @@
 	return true
 }
 
-// claimTimeout bounds a claim. While the store does not answer there are no trials,
-// and whoever asks is told at once.
-const claimTimeout = 100 * time.Millisecond
-
-// claim claims the next trial of a content: of all processes one gets it.
-func (k *Keeper) claim(ctx context.Context, s Subject, limit Limit) bool {
-	e, ok := k.beginClaim(s, limit)
-	if !ok {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
-	defer cancel()
-	err := k.commitTrial(ctx, e)
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	delete(k.claiming, s)
-	if err != nil {
-		k.Log.WithError(err).WithField(observe.FieldContent, s).Info("trial not claimed")
-		return false
-	}
-	k.book.note(e)
-	k.Counters.Add(observe.NameQuarantine, rowTrial, 1)
-	k.Log.WithFields(logrus.Fields{observe.FieldContent: s, "trial": e.trial}).Warn("content is tried out")
-	return true
-}
-
-// beginClaim returns the trial to claim, unless another request of this process
-// claims it or has, or the content was cleared meanwhile.
-func (k *Keeper) beginClaim(s Subject, limit Limit) (event, bool) {
-	now, _ := k.Clock()
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if verdict, _ := k.book.judge(s, limit, now); verdict != Due || k.claiming[s] {
-		return event{}, false
-	}
-	k.claiming[s] = true
-	return event{subject: s, trial: k.book.subjects[s].nextTrial(), mark: mark{At: now, By: k.Process}}, true
-}
-
 // Refused counts a request or item that was held.
 func (k *Keeper) Refused() { k.Counters.Add(observe.NameQuarantine, rowHeld, 1) }
--- a/quarantine/outbox.go
+++ b/quarantine/outbox.go
@@ -129,24 +129,6 @@
 	return err
 }
 
-// commitTrial writes a trial's row unless another process has. One whose outcome is
-// not known counts as another's: it may stand yet.
-func (k *Keeper) commitTrial(ctx context.Context, e event) error {
-	if k.Rows == nil {
-		return nil
-	}
-	value, err := codec.Marshal(e.mark)
-	if err != nil {
-		return err
-	}
-	key := trialKey(e.subject, e.trial)
-	_, err = k.Rows.Commit(ctx, store.Tx{
-		If:  []store.Condition{{Key: key}},
-		Put: []store.Row{{Key: key, Value: value}},
-	})
-	return err
-}
-
 // wait waits for d or until ctx ends.
 func wait(ctx context.Context, d time.Duration) {
 	select {
--- a/quarantine/subject.go
+++ b/quarantine/subject.go
@@ -1,5 +1,3 @@
-// Package quarantine keeps requests that end the endpoints which run them away
-// from further endpoints.
 package quarantine
 
 import "mulberryscale.example/internal/digest"
