An item that is held says so, with its content

Cause: an on-call reader saw an item's runs break off and its time run out, and nothing that says why it was not sent between.

--- a/batch/run.go
+++ b/batch/run.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"mulberryscale.example/observe"
 )
 
 // Causes for which a run is stopped.
@@ -137,6 +139,10 @@
 	}
 	at, _ := slices.BinarySearchFunc(w.waiting, t, compareTasks)
 	w.waiting = slices.Insert(w.waiting, at, t)
+	if w.isHeld(t) {
+		w.Quarantine.Refused()
+		w.Log.WithFields(t.fields()).WithField(observe.FieldContent, t.subject).Warn("item held: engines have ended under it")
+	}
 }
 
 // finish hands a result to the outbox. It is called with w.mu held.
