--- a/batch/crash_test.go
+++ b/batch/crash_test.go
@@ -4,6 +4,10 @@
 	"context"
 	"testing"
 	"time"
+
+	"mulberryscale.example/observe"
+	"mulberryscale.example/quarantine"
+	"mulberryscale.example/store"
 )
 
 // What was seen, and its cause: the same as of requests that end endpoints, on
@@ -37,6 +41,24 @@
 	})
 }
 
+// crashSoon ends an engine a little after it began a run, which never ends by itself,
+// and returns the run's length. It is called with f.mu held.
+func (f *fakeEngines) crashSoon(e *fakeEngine) (length int) {
+	time.AfterFunc(crashAfter, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.crash(e)
+	})
+	return 1000
+}
+
+// keeper is an agent's part of the quarantine.
+func (r *workerRig) keeper(rows store.Store) *quarantine.Keeper {
+	k := quarantine.New()
+	k.Rows, k.Clock, k.Prober, k.Log, k.Counters = rows, r.store.Now, r.engines, observe.Discard(), observe.NewCounters()
+	return k
+}
+
 // Refuses implements quarantine.Prober.
 func (f *fakeEngines) Refuses(_ context.Context, addr string) bool {
 	f.mu.Lock()
--- a/batch/rig_test.go
+++ b/batch/rig_test.go
@@ -16,8 +16,6 @@
 	"mulberryscale.example/fleet"
 	"mulberryscale.example/internal/standin/rowstore"
 	"mulberryscale.example/observe"
-	"mulberryscale.example/quarantine"
-	"mulberryscale.example/store"
 	"mulberryscale.example/store/detour"
 )
 
@@ -79,12 +77,7 @@
 		length = n
 	}
 	if f.crashing[r.Item.ID] {
-		length = 1000 // it never ends by itself
-		time.AfterFunc(crashAfter, func() {
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			f.crash(e)
-		})
+		length = f.crashSoon(e)
 	}
 	e.open++
 	s := &fakeStream{ctx: ctx, f: f, e: e, item: r.Item.ID, next: r.After + 1, length: length, cut: -1, born: e.born}
@@ -269,8 +262,7 @@
 	way := r.store.Client()
 	r.ways[addr] = way
 	reached := &detour.Store{Own: way, Others: &rigOthers{r, addr}}
-	keeper := quarantine.New()
-	keeper.Rows, keeper.Clock, keeper.Prober, keeper.Log, keeper.Counters = reached, r.store.Now, r.engines, observe.Discard(), observe.NewCounters()
+	keeper := r.keeper(reached)
 	w := NewWorker(WorkerConfig{
 		Direct: way, Quarantine: keeper,
 		Node: fmt.Sprint("agent-", i), Incarnation: fmt.Sprint(time.Now().UnixNano()), Engine: addr, Service: "svc",
@@ -288,29 +280,6 @@
 	return w
 }
 
-// rigOthers are the other agents of a rig, as ways to the store.
-type rigOthers struct {
-	rig  *workerRig
-	self string
-}
-
-func (o *rigOthers) Draw() []store.Store {
-	var drawn []store.Store
-	for _, addr := range o.rig.addrs() {
-		if addr == o.self {
-			continue
-		}
-		drawn = append(drawn, detour.Remote{Call: func(ctx context.Context, c *detour.Call) (*detour.Reply, error) {
-			reply, err := o.rig.peers.Call(ctx, addr, &PeerRequest{From: o.self, Store: c})
-			if err != nil {
-				return nil, fmt.Errorf("%w: %v", store.ErrRefused, err)
-			}
-			return reply.Store, nil
-		}})
-	}
-	return drawn
-}
-
 // addrs are the engines' addresses by their numbers.
 func (r *workerRig) addrs() []string {
 	list := make([]string, len(r.engines.engines))
--- /dev/null
+++ b/batch/rigothers_test.go
@@ -0,0 +1,32 @@
+package batch
+
+import (
+	"context"
+	"fmt"
+
+	"mulberryscale.example/store"
+	"mulberryscale.example/store/detour"
+)
+
+// rigOthers are the other agents of a rig, as ways to the store.
+type rigOthers struct {
+	rig  *workerRig
+	self string
+}
+
+func (o *rigOthers) Draw() []store.Store {
+	var drawn []store.Store
+	for _, addr := range o.rig.addrs() {
+		if addr == o.self {
+			continue
+		}
+		drawn = append(drawn, detour.Remote{Call: func(ctx context.Context, c *detour.Call) (*detour.Reply, error) {
+			reply, err := o.rig.peers.Call(ctx, addr, &PeerRequest{From: o.self, Store: c})
+			if err != nil {
+				return nil, fmt.Errorf("%w: %v", store.ErrRefused, err)
+			}
+			return reply.Store, nil
+		}})
+	}
+	return drawn
+}
--- /dev/null
+++ b/forward/crashload_test.go
@@ -0,0 +1,76 @@
+package forward
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"mulberryscale.example/quarantine"
+)
+
+// TestLoadWithAContentThatEndsEndpoints plays a minute of the load of this file. At
+// most two endpoints end before the content is known and one by its trial after half
+// a minute, and every other request is served at its first or second attempt.
+func TestLoadWithAContentThatEndsEndpoints(t *testing.T) {
+	for seed := range uint64(5) {
+		blind := playCrashes(t, seed, false)
+		seeing := playCrashes(t, seed, true)
+		t.Logf("seed %d: %d ended and %d of %d others unserved without the quarantine, %d and %d with it",
+			seed, blind.ends, blind.unserved, blind.others, seeing.ends, seeing.unserved)
+		if seeing.ends > int(quarantine.RequestLimit)+1 || seeing.unserved > 0 {
+			t.Errorf("seed %d: %d endpoints ended, %d of %d others unserved", seed, seeing.ends, seeing.unserved, seeing.others)
+		}
+	}
+}
+
+type crashPlay struct{ ends, others, unserved int }
+
+// playCrashes plays a minute of the load with seven entries and three endpoints.
+func playCrashes(t *testing.T, seed uint64, sees bool) (p crashPlay) {
+	synctest.Test(t, func(t *testing.T) {
+		const entries, length = 7, time.Minute
+		r := newCrashRig(t, entries, 3, sees)
+		rng := rand.New(rand.NewPCG(seed, 0))
+		began := time.Now()
+		var all sync.WaitGroup
+		all.Go(func() {
+			own := rand.New(rand.NewPCG(seed, 1))
+			for n := 0; time.Since(began) < length; n++ {
+				_ = r.askTwice(own, fmt.Sprint("crash-", n), crashTarget) // nobody misses it
+				time.Sleep(2*time.Second + time.Duration(own.Int64N(int64(2*time.Second))))
+			}
+		})
+		var mu sync.Mutex
+		for n := 0; time.Since(began) < length; n++ {
+			own := rand.New(rand.NewPCG(seed, uint64(n+2)))
+			all.Go(func() {
+				err := r.askTwice(own, fmt.Sprint("other-", n), fmt.Sprint("/p/", n))
+				mu.Lock()
+				defer mu.Unlock()
+				p.others++
+				if err != nil {
+					p.unserved++
+				}
+			})
+			time.Sleep(time.Duration(rng.ExpFloat64() * float64(time.Second) / 6))
+		}
+		all.Wait()
+		p.ends = r.endedSoFar()
+		time.Sleep(time.Minute) // timers of the rig
+	})
+	return p
+}
+
+// askTwice asks at one entry and, after a failure, at another a fifth of a second later.
+func (r *crashRig) askTwice(rng *rand.Rand, id, target string) error {
+	order := rng.Perm(len(r.entries))
+	err := r.ask(order[0], id+"-1", target)
+	if err == nil {
+		return nil
+	}
+	time.Sleep(200 * time.Millisecond)
+	return r.ask(order[1], id+"-2", target)
+}
