An entry that closes connections before their answers are written says so

Ruled out: nothing yet; this is the sight for it. Change: the callers' server of mulberry-entry is a type of its own (callers.go, moved out of run.go as it was) that knows which connections carry a call, and warns when it closes some of them. The in-memory listener of internal/deployment is package internal/pipenet, for a test of that server. Behaviour is unchanged.

--- a/cmd/mulberry-entry/run.go
+++ b/cmd/mulberry-entry/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -33,13 +32,13 @@
 	if err != nil {
 		return trace.Wrap(err, "listen on %s", *s.listen)
 	}
-	server := &http.Server{
+	server := newCallersServer(&http.Server{
 		Handler: e.Handler(), ReadHeaderTimeout: *s.headerTimeout, IdleTimeout: *s.idleTimeout,
-	}
+	}, callers, p.Log)
 	program := s.Program(p)
 	program.Routes = []daemon.Route{{Pattern: "GET " + api.PathStatus, Handler: statusHandler(e)}}
 	program.DrainTimeout += *s.unreadyDelay
-	program.Serve = func(ctx context.Context) error { return serve(ctx, e, server, callers) }
+	program.Serve = func(ctx context.Context) error { return server.serve(ctx, e.Run) }
 	program.Drain = func(ctx context.Context) error { return drain(ctx, e, server, *s.unreadyDelay) }
 	program.Ready = e.Ready
 	return daemon.Run(ctx, program)
@@ -54,27 +53,9 @@
 	})
 }
 
-// serve serves callers and our other processes until ctx ends.
-func serve(ctx context.Context, e *entry.Entry, server *http.Server, callers net.Listener) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	served := make(chan error, 1)
-	go func() {
-		err := server.Serve(callers)
-		cancel()
-		if errors.Is(err, http.ErrServerClosed) {
-			err = nil
-		}
-		served <- err
-	}()
-	err := e.Run(ctx)
-	server.Close()
-	return errors.Join(err, <-served)
-}
-
 // drain shows the entry unready until the balancer has noticed, then lets the
 // calls in progress end, then the connections.
-func drain(ctx context.Context, e *entry.Entry, server *http.Server, unreadyDelay time.Duration) error {
+func drain(ctx context.Context, e *entry.Entry, server *callersServer, unreadyDelay time.Duration) error {
 	e.ShowUnready()
 	select {
 	case <-time.After(unreadyDelay):
@@ -84,7 +65,7 @@
 	if err := e.Drain(ctx); err != nil {
 		return err
 	}
-	return server.Shutdown(ctx)
+	return server.shutdown(ctx)
 }
 
 func statusHandler(e *entry.Entry) http.Handler {
--- a/internal/deployment/fabric.go
+++ b/internal/deployment/fabric.go
@@ -11,6 +11,7 @@
 
 	"mulberryscale.example/endpoint"
 	"mulberryscale.example/endpoint/httpendpoint"
+	"mulberryscale.example/internal/pipenet"
 	"mulberryscale.example/internal/standin/engine"
 	"mulberryscale.example/internal/standin/plain"
 	"mulberryscale.example/keys"
@@ -132,12 +133,12 @@
 	client  *http.Client
 	servers httpServers
 	mu      sync.Mutex
-	pipes   map[string]*pipeListener // by host
+	pipes   map[string]*pipenet.Listener // by host
 }
 
 // NewMemory returns a fabric without real connections.
 func NewMemory() *Memory {
-	m := &Memory{Network: memtransport.NewNetwork(), pipes: map[string]*pipeListener{}}
+	m := &Memory{Network: memtransport.NewNetwork(), pipes: map[string]*pipenet.Listener{}}
 	m.client = &http.Client{Transport: &http.Transport{DialContext: m.dial}}
 	return m
 }
@@ -160,7 +161,7 @@
 
 // Serve implements Fabric; the host of the URL is the id.
 func (m *Memory) Serve(id string, h http.Handler) (string, func(), error) {
-	ln := newPipeListener()
+	ln := pipenet.Listen()
 	m.mu.Lock()
 	m.pipes[id] = ln
 	m.mu.Unlock()
@@ -184,7 +185,7 @@
 	if ln == nil {
 		return nil, trace.ConnectionProblem(nil, "nothing listens at %v", addr)
 	}
-	return ln.dial(ctx)
+	return ln.Dial(ctx)
 }
 
 // Client implements Fabric.
