A request is in the usage report of its window, however late its answer comes

Cause: entries counted a request when its answer was known. Evidence: TestLongRequestsAreInTheirReport with the count at its old place: 0 reported of 1 in three of its four cases; with the new place 1 of 1. Change: counted when it is sent; taken back when it is declined or was never sent, at no write if that is known before the counts are written (TestWithdrawnRequestsAreNotReported). Why it works: what is sent is known at once, and a refusal takes back what it must. TestRunsThatEndpointsBegan now takes in withdrawals; what it wants is the same, in order of sends.

--- a/forward/call.go
+++ b/forward/call.go
@@ -170,10 +170,9 @@
 	go func() {
 		defer ended()
 		began := time.Now()
+		settle := c.countRun(began)
 		answer, err := c.Sender.Send(ctx, to, c.request, left)
-		if c.Began != nil && ran(answer, err) {
-			c.Began(c.request.Organisation, startOf(answer, began))
-		}
+		settle(answer, err)
 		took := time.Since(began)
 		c.picker.End(to.Incarnation(), c.outcome(ctx, answer, err, took, risky), time.Now())
 		c.results <- attempt{to: to, answer: answer, err: err, took: took, ended: c.hasEnded(ctx, to, err, took)}
@@ -181,6 +180,29 @@
 	return cancel
 }
 
+// countRun counts a run that is about to be sent as begun, and takes that back by
+// what it returns if the endpoint did not begin it: the answer may come long after
+// the counts of that moment are due. A stream is not counted before its answer,
+// whose first event is when it began.
+func (c *call) countRun(sent time.Time) (settle func(*Answer, error)) {
+	if c.Began == nil {
+		return func(*Answer, error) {}
+	}
+	if c.request.Route.Kind == fleet.KindStream {
+		return func(answer *Answer, err error) {
+			if ran(answer, err) {
+				c.Began(c.request.Organisation, startOf(answer, sent))
+			}
+		}
+	}
+	withdraw := c.Began(c.request.Organisation, sent)
+	return func(answer *Answer, err error) {
+		if !ran(answer, err) {
+			withdraw()
+		}
+	}
+}
+
 // ran reports whether an endpoint began to work on a send, as far as is known: a
 // send without an answer counts as begun.
 func ran(answer *Answer, err error) bool {
@@ -190,9 +212,8 @@
 	return !answer.Declined
 }
 
-// startOf is when an endpoint began to work on a request that was sent at a moment:
-// a stream with its first event, anything else when it arrived, a few milliseconds
-// later at most unless it had to wait for a place there.
+// startOf is when an endpoint began a stream that was sent at a moment: with its
+// first event, or when it was sent if it has none.
 func startOf(answer *Answer, sent time.Time) time.Time {
 	if answer != nil && answer.Stream != nil {
 		return time.Now()
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -144,9 +144,10 @@
 	Zone     string
 	Log      logrus.FieldLogger
 	Counters *observe.Counters
-	// Began, if set, is told of each run that an endpoint began, with its
-	// organisation. It is set before the first request.
-	Began func(organisation string, at time.Time)
+	// Began, if set, is told of each run that an endpoint begins, with its
+	// organisation. What it returns is called if the endpoint turns out not to have
+	// begun it. It is set before the first request.
+	Began func(organisation string, at time.Time) (withdraw func())
 	// Meter, if set, is told of each send to an endpoint and, by what it returns, of
 	// its end. It is set before the first request.
 	Meter func(to fleet.Instance) (end func())
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -147,7 +147,7 @@
 		"answered":     {fleet.KindSafe, ok, ok, []time.Duration{0}},
 		"failed":       {fleet.KindUnsafe, answers(500, 0), ok, []time.Duration{0}},
 		"no answer":    {fleet.KindUnsafe, fails(ErrBroken), ok, []time.Duration{0}},
-		"slow":         {fleet.KindSafe, answers(200, time.Second), ok, []time.Duration{90 * time.Millisecond, 0}},
+		"slow":         {fleet.KindSafe, answers(200, time.Second), ok, []time.Duration{0, 90 * time.Millisecond}},
 		"declined":     {fleet.KindSafe, declines, ok, []time.Duration{0}},
 		"unsent":       {fleet.KindSafe, fails(ErrUnsent), ok, []time.Duration{0}},
 		"all declined": {fleet.KindSafe, declines, declines, nil},
@@ -158,13 +158,20 @@
 				var mu sync.Mutex
 				var got []time.Duration
 				came := time.Now()
-				f.Began = func(organisation string, at time.Time) {
+				f.Began = func(organisation string, at time.Time) func() {
 					mu.Lock()
 					defer mu.Unlock()
 					if organisation != "guthi" {
 						t.Errorf("of %q", organisation)
 					}
-					got = append(got, at.Sub(came))
+					after := at.Sub(came)
+					got = append(got, after)
+					return func() {
+						mu.Lock()
+						defer mu.Unlock()
+						i := slices.Index(got, after)
+						got = slices.Delete(got, i, i+1)
+					}
 				}
 				r := request(c.kind)
 				r.Organisation = "guthi"
@@ -187,7 +194,10 @@
 		}, hangs)
 		came := time.Now()
 		var at time.Time
-		f.Began = func(_ string, began time.Time) { at = began }
+		f.Began = func(_ string, began time.Time) func() {
+			at = began
+			return func() { t.Error("withdrawn") }
+		}
 		answer, err := f.Do(t.Context(), request(fleet.KindStream))
 		if err != nil {
 			t.Fatal(err)
--- a/usage/counter.go
+++ b/usage/counter.go
@@ -27,50 +27,76 @@
 	windows Windows
 
 	mu      sync.Mutex
-	counts  map[uint64]Counts
-	dirty   map[uint64]bool
-	changed chan struct{} // holds a token while something is dirty
+	byIndex map[uint64]*windowCounts
+	changed chan struct{} // holds a token while something is to be written
+}
+
+// windowCounts are the counts of one window.
+type windowCounts struct {
+	counts Counts
+	// changed says that they differ from what was taken last; taken that they
+	// were, so that they may stand in the store.
+	changed, taken bool
 }
 
 // NewCounter returns a counter without counts.
 func NewCounter(windows Windows) *Counter {
-	return &Counter{windows: windows, counts: map[uint64]Counts{}, dirty: map[uint64]bool{}, changed: make(chan struct{}, 1)}
+	return &Counter{windows: windows, byIndex: map[uint64]*windowCounts{}, changed: make(chan struct{}, 1)}
 }
 
-// Began counts a request that an endpoint began at a moment. Requests of no
-// organisation are not counted.
-func (c *Counter) Began(organisation string, at time.Time) {
+// Began counts a request that an endpoint began at a moment. What it returns
+// takes that back, and is called once at most. Requests of no organisation are
+// not counted.
+func (c *Counter) Began(organisation string, at time.Time) (withdraw func()) {
 	if organisation == "" {
-		return
+		return func() {}
 	}
 	window := c.windows.Of(at)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.counts[window] == nil {
-		c.counts[window] = Counts{}
+	w := c.byIndex[window]
+	if w == nil {
+		w = &windowCounts{counts: Counts{}}
+		c.byIndex[window] = w
 	}
-	c.counts[window][organisation]++
-	c.mark(window)
+	w.counts[organisation]++
+	c.mark(w)
+	return func() { c.withdraw(w, organisation) }
+}
+
+// withdraw takes one request out of a window's counts.
+func (c *Counter) withdraw(w *windowCounts, organisation string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w.counts[organisation]--
+	if w.counts[organisation] == 0 {
+		delete(w.counts, organisation)
+	}
+	c.mark(w)
 }
 
 // mark has a window written. It is called with c.mu held.
-func (c *Counter) mark(window uint64) {
-	c.dirty[window] = true
+func (c *Counter) mark(w *windowCounts) {
+	w.changed = true
 	select {
 	case c.changed <- struct{}{}:
 	default:
 	}
 }
 
-// take returns what is to be written, and forgets that it is.
+// take returns what is to be written, and forgets that it is. A window whose
+// only requests were withdrawn before they were taken needs no writing.
 func (c *Counter) take() map[uint64]Counts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	taken := make(map[uint64]Counts, len(c.dirty))
-	for window := range c.dirty {
-		taken[window] = maps.Clone(c.counts[window])
+	taken := map[uint64]Counts{}
+	for window, w := range c.byIndex {
+		if w.changed && (w.taken || len(w.counts) > 0) {
+			taken[window] = maps.Clone(w.counts)
+			w.taken = true
+		}
+		w.changed = false
 	}
-	clear(c.dirty)
 	select {
 	case <-c.changed:
 	default:
@@ -83,8 +109,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, window := range windows {
-		if c.counts[window] != nil {
-			c.mark(window)
+		if w := c.byIndex[window]; w != nil {
+			c.mark(w)
 		}
 	}
 }
@@ -93,11 +119,10 @@
 func (c *Counter) forget(before uint64) (dropped []uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for window := range c.counts {
+	for window := range c.byIndex {
 		if window < before {
 			dropped = append(dropped, window)
-			delete(c.counts, window)
-			delete(c.dirty, window)
+			delete(c.byIndex, window)
 		}
 	}
 	slices.Sort(dropped)
@@ -108,8 +133,12 @@
 func (c *Counter) size(window uint64) uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	w := c.byIndex[window]
+	if w == nil {
+		return 0
+	}
 	var n uint64
-	for _, count := range c.counts[window] {
+	for _, count := range w.counts {
 		n += count
 	}
 	return n
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -262,3 +262,33 @@
 		}
 	})
 }
+
+// TestWithdrawnRequestsAreNotReported guards against counts of requests that an
+// endpoint did not begin: one that is known before the counts are written costs no
+// write, one that is known later is taken out of what was written.
+func TestWithdrawnRequestsAreNotReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := rowstore.New()
+		e := startEntry(s, "z", "entry")
+		window := testWindows.Of(time.Now())
+		for range 100 {
+			e.counter.Began("guthi", time.Now())()
+			time.Sleep(flushDelay / 10)
+		}
+		if n := s.Commits(); n != 0 {
+			t.Errorf("%d writes of requests that no endpoint began", n)
+		}
+		e.counter.Began("guthi", time.Now())
+		withdraw := e.counter.Began("guthi", time.Now())
+		time.Sleep(time.Second)
+		if got := decide(t, s, window); got["guthi"] != 2 {
+			t.Errorf("before it is known: got %v", got)
+		}
+		withdraw()
+		time.Sleep(time.Second)
+		if got := decide(t, s, window); got["guthi"] != 1 {
+			t.Errorf("once it is known: got %v", got)
+		}
+		e.end()
+	})
+}
