Two requests that must be apart and choose at the same moment no longer choose the same endpoint

What callers saw: a request that only stood beside one that ends endpoints is sent to its second endpoint together with it, meets two ends and gets 502; the endpoint ends with one more request on it than it had to. Cause: an entry picked an endpoint (picker.Pick) and noted the send there (Begin) in two steps. What an end breaks off looks again within the same microseconds, so two of them found the same endpoint free. Change: picker.Take chooses and notes in one step under the picker's lock. Figures: TestRequestsThatLookTogetherAreApart holds it in the picker alone.

--- a/forward/call.go
+++ b/forward/call.go
@@ -68,9 +68,10 @@
 	var fallback *Answer
 	var lastReason string
 	start := func() bool {
-		to, ok := c.next()
+		risky := c.suspected()
+		to, ok := c.next(risky)
 		if ok {
-			cancels[to.Incarnation()] = c.send(ctx, to)
+			cancels[to.Incarnation()] = c.send(ctx, to, risky)
 		}
 		return ok
 	}
@@ -131,9 +132,9 @@
 	}
 }
 
-// next picks the endpoint of the next send. A request under which an endpoint has
-// ended goes where no other such one from here is, or waits for its turn.
-func (c *call) next() (fleet.Instance, bool) {
+// next takes the endpoint of the next send. A risky request, under which an endpoint
+// has ended, goes where no other such one from here is, or waits for its turn.
+func (c *call) next(risky bool) (fleet.Instance, bool) {
 	route := c.request.Route
 	if c.request.Reached+c.sent >= route.MaxAttempts {
 		return fleet.Instance{}, false
@@ -141,24 +142,22 @@
 	snap := c.View.Snapshot()
 	query := picker.Query{
 		Candidates: snap.OfService(route.Backend(c.request.ID)), Tried: c.tried, Zone: c.Zone, Request: c.request.ID, Now: time.Now(),
-		Apart: c.suspected() && c.waited < maxTurnWait,
+		Apart: risky && c.waited < maxTurnWait,
 	}
-	to, ok := c.picker.Pick(query)
+	to, ok := c.picker.Take(query, risky)
 	if !ok && query.Apart {
 		c.awaitTurn(query)
 	}
 	return to, ok
 }
 
-// send sends the request to one endpoint.
-func (c *call) send(ctx context.Context, to fleet.Instance) context.CancelFunc {
+// send sends the request to an endpoint that next has taken for it.
+func (c *call) send(ctx context.Context, to fleet.Instance, risky bool) context.CancelFunc {
 	ctx, cancel := context.WithCancel(ctx)
 	c.tried[to.Incarnation()], c.last, c.lastSent = true, to, time.Now()
 	c.unanswered[to.Incarnation()] = lostSend{to: to, sent: c.lastSent}
 	c.sent++
 	c.pending++
-	risky := c.suspected()
-	c.picker.Begin(to.Incarnation(), risky)
 	left := c.request.Route.Timeout
 	if !c.request.Deadline.IsZero() {
 		left = time.Until(c.request.Deadline)
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -118,6 +118,11 @@
 func (p *Picker) Begin(i fleet.Incarnation, risky bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.begin(i, risky)
+}
+
+// begin is called with p.mu held.
+func (p *Picker) begin(i fleet.Incarnation, risky bool) {
 	entry := p.of(i)
 	entry.outstanding++
 	if risky {
@@ -189,6 +194,23 @@
 func (p *Picker) Pick(q Query) (fleet.Instance, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.pick(q)
+}
+
+// Take is Pick and Begin in one step: of two requests that must be apart and look
+// at the same moment, the second one sees where the first one goes.
+func (p *Picker) Take(q Query, risky bool) (fleet.Instance, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	to, ok := p.pick(q)
+	if ok {
+		p.begin(to.Incarnation(), risky)
+	}
+	return to, ok
+}
+
+// pick is called with p.mu held.
+func (p *Picker) pick(q Query) (fleet.Instance, bool) {
 	var fresh, atRisk, suspects []fleet.Instance
 	for _, c := range q.Candidates {
 		l := p.of(c.Incarnation())
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -111,3 +111,24 @@
 		t.Fatalf("picked %q", i.ID)
 	}
 }
+
+// TestRequestsThatLookTogetherAreApart guards against two requests that may end
+// endpoints and go to the same one, since each looked before the other had begun.
+func TestRequestsThatLookTogetherAreApart(t *testing.T) {
+	r := newRig(2)
+	q := Query{Candidates: r.candidates, Zone: "z", Request: "same", Apart: true, Now: r.now}
+	first, ok := r.Take(q, true)
+	if !ok {
+		t.Fatal("no instance for the first")
+	}
+	second, ok := r.Take(q, true)
+	if !ok || second.ID == first.ID {
+		t.Errorf("both at %s", second.ID)
+	}
+	if third, ok := r.Take(q, true); ok {
+		t.Errorf("a third at %s", third.ID)
+	}
+	if _, ok := r.Pick(q); ok {
+		t.Error("an instance is left")
+	}
+}
