One copy of the wait between attempts; two errors of the store's seam are told

What earlier work left: the same small wait stood in store, batch, duty, usage and quarantine; a removed row of the quarantine whose name is unreadable was passed over in silence; a call to the store that all ways refuse told the first way's error only. No decision changes.

--- a/batch/drain.go
+++ b/batch/drain.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"mulberryscale.example/internal/pause"
 )
 
 // Drain takes no new items, lets those that run go on for a while, hands over
@@ -13,14 +15,14 @@
 	w.mu.Unlock()
 	runCtx, cancel := context.WithTimeout(ctx, runOn)
 	defer cancel()
-	for w.heldNow() > 0 && pause(runCtx, drainPoll) == nil {
+	for w.heldNow() > 0 && pause.For(runCtx, drainPoll) == nil {
 		w.giveWaiting(ctx)
 	}
-	for w.heldNow() > 0 && pause(ctx, drainPoll) == nil {
+	for w.heldNow() > 0 && pause.For(ctx, drainPoll) == nil {
 		statuses := w.askRoom(ctx)
 		w.giveAll(ctx, statuses, true)
 	}
-	for w.unappended() && pause(ctx, drainPoll) == nil {
+	for w.unappended() && pause.For(ctx, drainPoll) == nil {
 	}
 }
 
--- a/batch/fakerewards_test.go
+++ b/batch/fakerewards_test.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"mulberryscale.example/internal/pause"
 )
 
 // fakeRewards stands in for the service that scores texts.
@@ -38,7 +40,7 @@
 	}
 	took := f.took
 	f.mu.Unlock()
-	if pause(ctx, took) != nil {
+	if pause.For(ctx, took) != nil {
 		f.mu.Lock()
 		f.ended++
 		f.mu.Unlock()
--- a/batch/help.go
+++ b/batch/help.go
@@ -8,6 +8,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"mulberryscale.example/internal/pause"
 )
 
 const (
@@ -33,7 +35,7 @@
 // engine cannot run them, until ctx ends.
 func (w *Worker) help(ctx context.Context) {
 	h := &helper{Worker: w, lost: newLostRounds(rand.Float64)}
-	for pause(ctx, helpInterval) == nil {
+	for pause.For(ctx, helpInterval) == nil {
 		jobs := w.openJobs()
 		if len(jobs) == 0 {
 			continue
--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"mulberryscale.example/internal/pause"
 	"mulberryscale.example/store"
 	"mulberryscale.example/transport/codec"
 )
@@ -90,7 +91,7 @@
 		case errors.Is(err, store.ErrUnknown):
 			open = true
 		}
-		if pause(ctx, writePause) != nil {
+		if pause.For(ctx, writePause) != nil {
 			if open {
 				return fmt.Errorf("%w: %v", store.ErrUnknown, err)
 			}
@@ -108,7 +109,7 @@
 				break
 			}
 			// An object alone accepts nothing, so its outcome need not be known.
-			if errors.Is(err, store.ErrInvalid) || pause(ctx, writePause) != nil {
+			if errors.Is(err, store.ErrInvalid) || pause.For(ctx, writePause) != nil {
 				return 0, fmt.Errorf("%w: %v", store.ErrRefused, err)
 			}
 		}
@@ -271,13 +272,3 @@
 	}
 	return append(pieces, data)
 }
-
-// pause waits, or returns why it may not.
-func pause(ctx context.Context, d time.Duration) error {
-	select {
-	case <-time.After(d):
-		return nil
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	}
-}
--- a/batch/progress.go
+++ b/batch/progress.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"mulberryscale.example/internal/pause"
 	"mulberryscale.example/observe"
 	"mulberryscale.example/store"
 	"mulberryscale.example/transport/codec"
@@ -185,7 +186,7 @@
 
 // save keeps the text of running items in the store until ctx ends.
 func (w *Worker) save(ctx context.Context) {
-	for n := 1; pause(ctx, w.saveInterval()) == nil; n++ {
+	for n := 1; pause.For(ctx, w.saveInterval()) == nil; n++ {
 		w.mu.Lock()
 		due := w.unsaved()
 		w.mu.Unlock()
--- a/batch/worker_test.go
+++ b/batch/worker_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"mulberryscale.example/internal/pause"
 	"mulberryscale.example/internal/standin/rowstore"
 	"mulberryscale.example/store"
 	"mulberryscale.example/store/detour"
@@ -234,7 +235,7 @@
 		w := rig.peers.workers["10.0.0.1"]
 		rig.peers.mu.Unlock()
 		go func() {
-			for pause(t.Context(), time.Millisecond) == nil {
+			for pause.For(t.Context(), time.Millisecond) == nil {
 				w.mu.Lock()
 				up := w.engine.up
 				w.mu.Unlock()
--- a/duty/performer.go
+++ b/duty/performer.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"mulberryscale.example/chart"
+	"mulberryscale.example/internal/pause"
 	"mulberryscale.example/observe"
 )
 
@@ -137,7 +138,7 @@
 		at = p.again
 	}
 	p.again = time.Time{}
-	sleep(ctx, at.Sub(now))
+	_ = pause.For(ctx, at.Sub(now)) // the end of ctx is looked at next
 	return triggerDue
 }
 
@@ -221,7 +222,7 @@
 	if err := p.Work.Send(ctx, p.held.Fence, p.held.Acting, p.held.Work); err != nil {
 		p.log().WithError(err).Warn("duty's work not accepted yet")
 		p.Counters.Retry(p.Seat.Subject, reasonNotAccepted)
-		sleep(ctx, sendPause)
+		_ = pause.For(ctx, sendPause) // the end of ctx is looked at next
 		return triggerUnsettled
 	}
 	return triggerAccepted
@@ -253,14 +254,3 @@
 		"duty": p.Seat.Subject, "piece": p.held.Piece, "token": p.held.Fence.Token, "began_ms": p.held.Began.Milliseconds(),
 	})
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/duty/world_test.go
+++ b/duty/world_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"mulberryscale.example/internal/pause"
 	"mulberryscale.example/internal/standin/rowstore"
 	"mulberryscale.example/observe"
 	"mulberryscale.example/store"
@@ -224,7 +225,7 @@
 		if left <= 0 {
 			return
 		}
-		sleep(ctx, left)
+		_ = pause.For(ctx, left)
 	}
 }
 
@@ -248,7 +249,7 @@
 	if err == nil {
 		r.freeze(r.world.trap())
 	}
-	sleep(ctx, 8*time.Millisecond)
+	_ = pause.For(ctx, 8*time.Millisecond)
 	r.thaw(ctx)
 	return s, err
 }
@@ -260,7 +261,7 @@
 		return store.Snapshot{}, store.ErrRefused
 	}
 	s, err := r.world.store.List(ctx, g)
-	sleep(ctx, 4*time.Millisecond)
+	_ = pause.For(ctx, 4*time.Millisecond)
 	r.thaw(ctx)
 	return s, err
 }
@@ -320,7 +321,7 @@
 		return errors.New("the term is over")
 	}
 	if w.isCut() {
-		sleep(ctx, 700*time.Millisecond)
+		_ = pause.For(ctx, 700*time.Millisecond)
 		return errors.New("no path")
 	}
 	piece := binary.BigEndian.Uint64(work)
@@ -334,13 +335,13 @@
 	result := w.world.platform.call(w.name, token, piece, string(work))
 	switch result {
 	case answered:
-		sleep(ctx, 4*time.Millisecond)
+		_ = pause.For(ctx, 4*time.Millisecond)
 		w.thaw(ctx)
 		return nil
 	case tooMany:
 		return errors.New("too many calls")
 	}
-	sleep(ctx, 700*time.Millisecond)
+	_ = pause.For(ctx, 700*time.Millisecond)
 	w.thaw(ctx)
 	return errors.New("no answer")
 }
--- a/quarantine/follow.go
+++ b/quarantine/follow.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"mulberryscale.example/internal/pause"
 	"mulberryscale.example/store"
 )
 
@@ -82,9 +83,7 @@
 func (k *Keeper) apply(rows []store.Row) {
 	for _, row := range rows {
 		if row.Deleted {
-			if e, err := decodeName(row.Name); err == nil {
-				k.book.undo(e)
-			}
+			k.undo(row.Name)
 			continue
 		}
 		e, err := decode(row)
@@ -96,6 +95,16 @@
 	}
 }
 
+// undo takes back what a removed row said. It is called with k.mu held.
+func (k *Keeper) undo(name string) {
+	e, err := decodeName(name)
+	if err != nil {
+		k.Log.WithError(err).Error("quarantine: removed row not readable")
+		return
+	}
+	k.book.undo(e)
+}
+
 // Lost implements store.Watcher.
 func (k *Keeper) Lost(err error) { store.LogLoss(k.Log, Table, err) }
 
@@ -105,7 +114,7 @@
 // expire forgets what is old, until ctx ends.
 func (k *Keeper) expire(ctx context.Context) {
 	for ctx.Err() == nil {
-		wait(ctx, expiryInterval+time.Duration(rand.Int64N(int64(expiryInterval))))
+		_ = pause.For(ctx, expiryInterval+time.Duration(rand.Int64N(int64(expiryInterval)))) // the end of ctx is looked at next
 		now, known := k.Clock()
 		if !known {
 			continue
--- a/quarantine/outbox.go
+++ b/quarantine/outbox.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"mulberryscale.example/internal/pause"
 	"mulberryscale.example/store"
 	"mulberryscale.example/transport/codec"
 )
@@ -99,10 +100,10 @@
 			return
 		case <-k.outbox.changed:
 		}
-		wait(ctx, gatherTime)
+		_ = pause.For(ctx, gatherTime) // the end of ctx is looked at next
 		if err := k.flush(ctx); err != nil && ctx.Err() == nil {
 			k.Log.WithError(err).WithField("dependency", "store").Warn("quarantine not written")
-			wait(ctx, writePause)
+			_ = pause.For(ctx, writePause) // the end of ctx is looked at next
 		}
 	}
 }
@@ -128,11 +129,3 @@
 	k.outbox.putBack(batch)
 	return err
 }
-
-// wait waits for d or until ctx ends.
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/store/detour/detour.go
+++ b/store/detour/detour.go
@@ -227,5 +227,8 @@
 			return err
 		}
 	}
+	if len(failed) > 1 {
+		return fmt.Errorf("%w; the other way: %w", failed[0], failed[1])
+	}
 	return failed[0]
 }
--- a/store/follow.go
+++ b/store/follow.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"mulberryscale.example/internal/pause"
 )
 
 // Times of a follower.
@@ -80,13 +82,13 @@
 	switch {
 	case err == nil:
 		f.hear(s, asked)
-		sleep(ctx, f.pacer.pause(s))
+		_ = pause.For(ctx, f.pacer.pause(s)) // the end of ctx is looked at next
 	case ctx.Err() != nil:
 	case errors.Is(err, ErrHistoryGone):
 		f.listed = false
 	default:
 		f.lose(err, asked)
-		sleep(ctx, min(retryPause<<min(f.failures-1, 4), maxRetryPause))
+		_ = pause.For(ctx, min(retryPause<<min(f.failures-1, 4), maxRetryPause)) // the end of ctx is looked at next
 	}
 }
 
@@ -129,17 +131,6 @@
 	return f.rows.Feed(ctx, f.source.Table, f.version, f.source.Wait)
 }
 
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // LogLoss is the log line of a lost feed, shared by all watchers.
 func LogLoss(log logrus.FieldLogger, table string, err error) {
 	log.WithFields(logrus.Fields{"dependency": "store", "table": table}).WithError(err).Warn("feed lost")
--- a/usage/recorder.go
+++ b/usage/recorder.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"mulberryscale.example/internal/pause"
 	"mulberryscale.example/store"
 	"mulberryscale.example/transport/codec"
 )
@@ -55,9 +56,9 @@
 			r.flush(last)
 			return
 		}
-		wait(ctx, r.delay())
+		_ = pause.For(ctx, r.delay()) // the end of ctx is looked at next
 		if !r.flush(ctx) {
-			wait(ctx, retryPause)
+			_ = pause.For(ctx, retryPause) // the end of ctx is looked at next
 		}
 	}
 }
@@ -123,11 +124,3 @@
 	}
 	return err
 }
-
-// wait waits for d or until ctx ends.
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
