An item that another agent takes meanwhile is not given away a second time

What callers saw: an item of a batch job runs on two engines at once; one that ends engines ends one engine more than it may. Cause: an agent that gives its items away chooses them once and deals them out with a call to each taker; what another agent had taken between two calls was still on the list and was given again. Evidence: a trace of TestItemThatCrashesEnginesIsKeptAway (trial): the same item starts at engines 5, 2 and 1 in one millisecond, and TestItemIsHandedToOneAgent, in which items 0 to 3 were given though two of them had been taken. Ruled out: items found as lost by others (their search begins after a second); two results (the ledger lists one). Change: detach leaves out tasks that left since, or are on their way. Why it works: it looks under the lock under which tasks leave.

--- a/batch/give.go
+++ b/batch/give.go
@@ -51,9 +51,9 @@
 			continue
 		}
 		w.mu.Lock()
-		stopped := w.detach(share)
+		leaving, stopped := w.detach(share)
 		w.mu.Unlock()
-		handed := w.collect(j, share, stopped, e, "engine takes no work")
+		handed := w.collect(j, leaving, stopped, e, "engine takes no work")
 		if len(handed.Items) == 0 {
 			continue
 		}
--- a/batch/handover.go
+++ b/batch/handover.go
@@ -15,8 +15,7 @@
 		w.mu.Unlock()
 		return &HandedItems{Job: ask.Job}
 	}
-	give := w.toGive(j, to, ask)
-	stopped := w.detach(give)
+	give, stopped := w.detach(w.toGive(j, to, ask))
 	w.mu.Unlock()
 	return w.collect(j, give, stopped, to, "taken")
 }
@@ -50,11 +49,17 @@
 	return list[:min(max(n, 0), len(list))]
 }
 
-// detach takes tasks out of this worker's hands and returns the ends of their
-// runs, which the caller awaits without w.mu. It is called with w.mu held.
-func (w *Worker) detach(tasks []*task) []chan struct{} {
-	var stopped []chan struct{}
+// detach takes tasks out of this worker's hands and returns those that were there,
+// with the ends of their runs, which the caller awaits without w.mu. Tasks that are
+// being handed over to another agent, or were since they were chosen, are left out:
+// two agents would run them. It is called with w.mu held.
+func (w *Worker) detach(tasks []*task) (detached []*task, stopped []chan struct{}) {
 	for _, t := range tasks {
+		if t.leaving || t.j.tasks[t.index] != t {
+			continue
+		}
+		t.leaving = true
+		detached = append(detached, t)
 		if t.cancel != nil {
 			t.stop(errGiven)
 			stopped = append(stopped, t.stopped)
@@ -62,7 +67,7 @@
 		}
 		w.forget(t)
 	}
-	return stopped
+	return detached, stopped
 }
 
 // collect awaits the ends of runs and packs up the tasks.
@@ -75,6 +80,7 @@
 	handed := &HandedItems{Job: j.job.ID}
 	for _, t := range tasks {
 		if j.tasks[t.index] != nil || j.done[t.index] {
+			t.leaving = false
 			continue // it finished before it could be stopped
 		}
 		if t.breaks >= maxBreaks {
--- /dev/null
+++ b/batch/handover_test.go
@@ -0,0 +1,78 @@
+package batch
+
+import (
+	"context"
+	"testing"
+
+	"mulberryscale.example/fleet"
+	"mulberryscale.example/observe"
+)
+
+// takers are agents that take all that they are given.
+type takers struct{ given []int }
+
+func (g *takers) Call(_ context.Context, _ string, ask *PeerRequest) (*PeerReply, error) {
+	for _, h := range ask.Give.Items {
+		g.given = append(g.given, h.Index)
+	}
+	return &PeerReply{Taken: len(ask.Give.Items)}, nil
+}
+
+// holder is an agent with items of one job that wait.
+func holder(peers PeerCaller, items int) (*Worker, *workJob, []*task) {
+	w := NewWorker(WorkerConfig{
+		Engine: "10.0.0.1:80", View: fleet.NewView(), Peers: peers, Log: observe.Discard(), Counters: observe.NewCounters(),
+	})
+	j := &workJob{job: &Job{ID: "j"}, items: make([]Item, items), tasks: map[int]*task{}, done: map[int]bool{}}
+	w.jobs["j"] = j
+	for i := range items {
+		j.items[i].ID = string(rune('a' + i))
+		t := &task{j: j, item: &j.items[i], index: i}
+		j.tasks[i] = t
+		w.waiting = append(w.waiting, t)
+	}
+	return w, j, append([]*task(nil), w.waiting...)
+}
+
+// TestItemIsHandedToOneAgent guards against an item that one agent takes while its
+// holder is about to give it to another one: both would run it.
+func TestItemIsHandedToOneAgent(t *testing.T) {
+	others := &takers{}
+	w, j, all := holder(others, 4)
+	taken := w.handOver("10.0.0.2:80", &TakeAsk{Job: "j", Max: 2})
+	w.giveJob(t.Context(), j, all, []string{"10.0.0.3:80"})
+	if n := len(taken.Items); n != 2 {
+		t.Fatalf("%d items taken, want 2", n)
+	}
+	if len(others.given) != 2 {
+		t.Errorf("items %v given, of which two were taken by another agent", others.given)
+	}
+}
+
+// TestRunningItemIsHandedToOneAgent is the same for an item whose run is being
+// stopped meanwhile; one that ends before it is stopped stays, and can leave later.
+func TestRunningItemIsHandedToOneAgent(t *testing.T) {
+	for name, ends := range map[string]bool{"stopped": false, "ended before": true} {
+		t.Run(name, func(t *testing.T) {
+			w, j, all := holder(&takers{}, 1)
+			running := all[0]
+			w.waiting = nil
+			running.cancel, running.stopped = func(error) {}, make(chan struct{})
+			detached, stopped := w.detach(all)
+			if again, _ := w.detach(all); len(detached) != 1 || len(again) != 0 {
+				t.Fatalf("detached %d and %d times", len(detached), len(again))
+			}
+			if !ends {
+				w.forget(running)
+			}
+			close(running.stopped)
+			handed := w.collect(j, detached, stopped, "10.0.0.2:80", "taken")
+			if (len(handed.Items) == 0) != ends {
+				t.Errorf("handed over: %v", handed.Items)
+			}
+			if later, _ := w.detach(all); (len(later) == 1) != ends {
+				t.Errorf("detached %d times later", len(later))
+			}
+		})
+	}
+}
--- a/batch/task.go
+++ b/batch/task.go
@@ -52,6 +52,8 @@
 	sentTo fleet.Incarnation
 	// subject names its content, empty until it is asked for.
 	subject quarantine.Subject
+	// leaving says that it is being handed over to another agent.
+	leaving bool
 	// finished says that the outbox has the result.
 	finished bool
 }
