An item that only travels with one that ends engines no longer meets the third end with it

What callers saw: items that are sound are held with the one that ends engines, and their step runs out of time. Cause: what an end breaks off is given to other agents several at a time, meets the second and third end together, and each of these counts against every one of them. Ruled out: the third end alone is not too few (the cause must not end more). Change: of items under which two engines have ended, an engine runs one at a time; others pass them by. Nothing changes for items that met one end, so the crash of a few engines costs no item a wait. Why it works: whatever meets a third end was the only one of its kind there; a sound one is cleared by its answer.

--- a/batch/held.go
+++ b/batch/held.go
@@ -29,6 +29,32 @@
 	return verdict == quarantine.Held || verdict == quarantine.Due
 }
 
+// runsApart reports whether two engines have ended under an item, so that the next
+// end decides: of such items an engine runs one at a time, or those that only stood
+// beside the one that ends engines would meet the third end with it and be held. It
+// is called with w.mu held.
+func (w *Worker) runsApart(t *task) bool {
+	if w.Quarantine == nil || w.Quarantine.Empty() {
+		return false
+	}
+	verdict, _ := w.Quarantine.Judge(w.subjectOf(t), quarantine.ItemLimit-1)
+	return verdict == quarantine.Held || verdict == quarantine.Due
+}
+
+// awaitsTurn reports whether an item that runs apart waits for another such one to
+// end here. It is called with w.mu held.
+func (w *Worker) awaitsTurn(t *task) bool {
+	if !w.runsApart(t) {
+		return false
+	}
+	for running := range w.running {
+		if w.runsApart(running) {
+			return true
+		}
+	}
+	return false
+}
+
 // noteEnd tells the quarantine what a run that came to an end did to its engine.
 func (w *Worker) noteEnd(ctx context.Context, t *task, engine fleet.Instance, err error, took time.Duration) {
 	if w.Quarantine == nil {
--- a/batch/schedule.go
+++ b/batch/schedule.go
@@ -42,7 +42,7 @@
 			i++
 			continue
 		}
-		if !w.engine.serves(t.j.job) || w.isHeld(t) {
+		if !w.engine.serves(t.j.job) || w.isHeld(t) || w.awaitsTurn(t) {
 			i++
 			continue
 		}
