A caller shares a read of a job's list that began since it came, also when that read is over

What callers saw: nothing wrong. The store got up to one call more for each caller of a job that came together with others; TestSharedUpdate failed with 9 to 11 calls for ten callers where 8 are allowed. Cause: a list counted as current only while an update was in flight. A caller that was held up (behind the job's lock, by a busy processor) until the update of another one was over started one of its own. TestCallerHeldUpSharesAReadThatBeganSinceItCame makes the order and failed before: one call of its own. Change: a list is current, too, if the update that brought it up to date began at or after the caller's arrival, and the caller asks for no position beyond it. Without the second part TestJobWithManyUnreadRowsIsReadCompletely failed (a caller in the same virtual instant). Why it works: the store is linearizable, so a read that began after the arrival has all that anyone was shown before it.

--- a/batch/reader.go
+++ b/batch/reader.go
@@ -51,6 +51,7 @@
 	listing  *Listing  // nil until read; replaced or appended to
 	update   *update   // in flight; nil if none
 	freshAt  time.Time // when the list was last up to date
+	readFrom time.Time // when the update began that last brought it up to date
 	items    map[string]Item
 	lastUsed time.Time
 }
@@ -137,7 +138,7 @@
 // refresh brings a job's list up to date before it is served. It waits for at most
 // refreshWait if there are cached results for the caller.
 func (r *Reader) refresh(ctx context.Context, id string, j *cachedJob, q query) error {
-	u, current := r.inFlight(j)
+	u, current := r.inFlight(j, q)
 	if current {
 		return nil
 	}
--- a/batch/update.go
+++ b/batch/update.go
@@ -57,14 +57,26 @@
 // finds no changes takes less than this, and the next one follows it.
 const maxListAge = feedWait + 100*time.Millisecond
 
-// inFlight returns the update in flight, if any; current reports whether the list was up
-// to date less than maxListAge ago and the feed has been watched since, so that no result
-// is missing. An update in flight alone does not prove this: it may be the first in seconds.
-func (r *Reader) inFlight(j *cachedJob) (u *update, current bool) {
+// inFlight returns the update in flight, if any; current reports whether the caller may be
+// served the list as it is. There are two proofs that it lacks nothing which a caller was
+// shown elsewhere: it was read since the caller came, or it was up to date less than
+// maxListAge ago and the feed has been watched since. An update in flight alone is no proof:
+// it may be the first in seconds.
+func (r *Reader) inFlight(j *cachedJob, q query) (u *update, current bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	u = j.update
-	return u, u != nil && j.listing != nil && time.Since(j.freshAt) < maxListAge
+	if j.listing == nil {
+		return u, false
+	}
+	watched := u != nil && time.Since(j.freshAt) < maxListAge
+	return u, watched || j.readSince(q)
+}
+
+// readSince reports whether the list was read since the caller came. A caller that asks for
+// a position beyond the list has seen a newer one. It is called with Reader.mu held.
+func (j *cachedJob) readSince(q query) bool {
+	return !j.readFrom.Before(q.began) && q.from <= len(j.listing.Results)
 }
 
 // startUpdate starts an update unless one is in flight, and returns it; the store may
@@ -85,7 +97,7 @@
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		if err == nil {
-			j.freshAt = time.Now()
+			j.freshAt, j.readFrom = time.Now(), u.began
 		}
 		u.err, j.update = err, nil
 		close(u.done)
