A request of which no byte was written is unsent, however far it got inside this process

Cause: a request counted as sent once it had a connection. The transport writes it later, from another goroutine; a request that is cut off meanwhile is never written. Ruled out: endpoints too busy to begin what was sent; net/http's trace as evidence; letting the second send go on for a while to learn more, which costs endpoints work and isn't needed. Change: connections count the bytes handed to the network; a request that fails with none is an UnsentError, and its connection is sealed, so that the proof can't be broken by a later write. Why it works: the error is returned only if no write is in progress, none has succeeded since the request got the connection, and none will.

--- a/internal/httponce/httponce.go
+++ b/internal/httponce/httponce.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -31,8 +30,8 @@
 	keepAliveCount    = 2
 )
 
-// UnsentError wraps an error that occurred before the request got a connection, so that
-// nothing of it was sent.
+// UnsentError wraps an error that occurred before anything of the request was written to a
+// connection. Nothing of it was sent, and nothing will be.
 type UnsentError struct{ Err error }
 
 // Error implements error.
@@ -58,7 +57,7 @@
 	}
 	return &Client{http: &http.Client{
 		Transport: &http.Transport{
-			DialContext:            dialer.DialContext,
+			DialContext:            watchDials(dialer.DialContext),
 			DisableCompression:     true,
 			IdleConnTimeout:        idle,
 			MaxIdleConnsPerHost:    maxIdlePerHost,
@@ -74,12 +73,12 @@
 // Do sends a request at most once. An UnsentError proves that it was not sent;
 // any other error leaves the outcome unknown.
 func (c *Client) Do(req *http.Request) (*http.Response, error) {
-	var gotConn atomic.Bool
-	watch := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { gotConn.Store(true) }}
-	once := req.Clone(httptrace.WithClientTrace(req.Context(), watch))
+	watch := &requestWatch{}
+	events := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { watch.gotConn(info.Conn) }}
+	once := req.Clone(httptrace.WithClientTrace(req.Context(), events))
 	forbidReplay(once)
 	resp, err := c.http.Do(once)
-	if err != nil && !gotConn.Load() {
+	if err != nil && watch.unsent() {
 		return nil, &UnsentError{Err: err}
 	}
 	return resp, err
