A stream that ends before its first event is not counted as begun

What callers saw: an organisation's usage report counted streams that were cut off (by their caller, a timeout) or broke off before any event came. Users say that a request for tokens begins to run with its first token. Cause: a send without an answer counts as begun, whatever its kind. Evidence: TestOnRunStartedCalls, new cases: a stream that is cut before its first event and one that breaks off were counted (failed before). Ruled out for the other kinds by cases of the same test: a second send that was cut before it was written is not counted, one that was written is, and an at-most-once call that was never written is not. Left: an endpoint that crashes between its first token and its first event began a run that isn't counted.

--- a/forward/call.go
+++ b/forward/call.go
@@ -184,14 +184,15 @@
 // countRun counts a run as started when it is sent, since its answer may come long after the
 // counts for the time of sending have to be reported. The returned function, which is called with
 // the answer, withdraws the count if the endpoint did not start the run. A stream is counted only
-// when its answer comes, since it starts with its first event.
+// when its answer comes, since it starts with its first event; one that ends before that did not
+// start.
 func (c *call) countRun(sent time.Time) (settle func(*Answer, error)) {
 	if c.OnRunStarted == nil {
 		return func(*Answer, error) {}
 	}
 	if c.request.Route.Kind == fleet.KindStream {
 		return func(answer *Answer, err error) {
-			if started(answer, err) {
+			if err == nil && !answer.Declined {
 				c.OnRunStarted(c.request.Organisation, startTime(answer, sent))
 			}
 		}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -65,6 +65,12 @@
 	return nil, fmt.Errorf("%w: cut", ErrBroken)
 }
 
+// neverWritten is a send that is cut off before anything of it was written.
+func neverWritten(ctx context.Context) (*Answer, error) {
+	<-ctx.Done()
+	return nil, fmt.Errorf("%w: cut", ErrUnsent)
+}
+
 // rig returns a forwarder in front of two instances, "a" in its own zone and "b" in another.
 func rig(a, b func(context.Context) (*Answer, error)) (*Forwarder, *fakeSender) {
 	view := fleet.NewView()
@@ -144,13 +150,18 @@
 		a, b func(context.Context) (*Answer, error)
 		want []time.Duration // after the request arrived
 	}{
-		"answered":     {fleet.KindSafe, ok, ok, []time.Duration{0}},
-		"failed":       {fleet.KindUnsafe, answers(500, 0), ok, []time.Duration{0}},
-		"no answer":    {fleet.KindUnsafe, fails(ErrBroken), ok, []time.Duration{0}},
-		"slow":         {fleet.KindSafe, answers(200, time.Second), ok, []time.Duration{0, 90 * time.Millisecond}},
-		"declined":     {fleet.KindSafe, declines, ok, []time.Duration{0}},
-		"unsent":       {fleet.KindSafe, fails(ErrUnsent), ok, []time.Duration{0}},
-		"all declined": {fleet.KindSafe, declines, declines, nil},
+		"answered":                              {fleet.KindSafe, ok, ok, []time.Duration{0}},
+		"failed":                                {fleet.KindUnsafe, answers(500, 0), ok, []time.Duration{0}},
+		"no answer":                             {fleet.KindUnsafe, fails(ErrBroken), ok, []time.Duration{0}},
+		"slow":                                  {fleet.KindSafe, answers(200, time.Second), ok, []time.Duration{0, 90 * time.Millisecond}},
+		"declined":                              {fleet.KindSafe, declines, ok, []time.Duration{0}},
+		"unsent":                                {fleet.KindSafe, fails(ErrUnsent), ok, []time.Duration{0}},
+		"all declined":                          {fleet.KindSafe, declines, declines, nil},
+		"second send cut before it was written": {fleet.KindSafe, answers(200, 100*time.Millisecond), neverWritten, []time.Duration{0}},
+		"second send cut after it was written":  {fleet.KindSafe, answers(200, 100*time.Millisecond), hangs, []time.Duration{0, 90 * time.Millisecond}},
+		"cut before it was written":             {fleet.KindUnsafe, neverWritten, ok, nil},
+		"stream cut before its first event":     {fleet.KindStream, hangs, ok, nil},
+		"stream broken before its first event":  {fleet.KindStream, fails(ErrBroken), ok, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
