The soak's engines free their address when they end before they serve

Ruled out: other processes on that address (each test run has a block of addresses), overlapping faults (they hold the engine's lock). Change: the engine closes its listener itself, and ends only if it runs. Stand-in code only, no check changed.

--- a/e2e/soak_engine_test.go
+++ b/e2e/soak_engine_test.go
@@ -42,6 +42,7 @@
 	id          string
 	startedAt   int64 // Unix milliseconds
 	server      *http.Server
+	listener    net.Listener
 	draining    bool
 	versions    map[string]uint64
 	loading     map[string]bool
@@ -75,28 +76,39 @@
 			e.versions[m] = 1
 		}
 	}
-	e.server = &http.Server{Handler: enginehttp.Handler(e)}
+	e.server, e.listener = &http.Server{Handler: enginehttp.Handler(e)}, l
 	e.stop = make(chan struct{})
 	go e.server.Serve(l) // returns after Close
 	go e.sendHeartbeats(e.incarnation, e.stop)
 	return nil
 }
 
-// crash stops an incarnation without notice; its registration expires.
+// crash stops an incarnation without notice; its registration expires. It does nothing if none
+// runs.
 func (e *soakEngine) crash() {
 	e.mu.Lock()
-	server, stop := e.server, e.stop
+	stop, running := e.stop, e.incarnation != 0
 	e.incarnation = 0 // aborts the runs in progress
 	e.mu.Unlock()
-	server.Close()
+	if !running {
+		return
+	}
+	e.closeServer()
 	close(stop)
 }
 
+// closeServer closes the server and frees its address. The listener is closed by itself, since
+// the server does not know it before it has begun to serve.
+func (e *soakEngine) closeServer() {
+	e.listener.Close()
+	e.server.Close()
+}
+
 // shutDown drains an incarnation, deregisters it and stops it.
 func (e *soakEngine) shutDown() {
 	e.mu.Lock()
 	e.draining = true
-	server, stop, id, incarnation := e.server, e.stop, e.id, e.incarnation
+	stop, id, incarnation := e.stop, e.id, e.incarnation
 	e.mu.Unlock()
 	e.register(incarnation)
 	time.Sleep(soakDrainTime + soakDrainTime/2)
@@ -105,7 +117,7 @@
 	e.mu.Lock()
 	e.incarnation = 0
 	e.mu.Unlock()
-	server.Close()
+	e.closeServer()
 }
 
 func (e *soakEngine) sendHeartbeats(incarnation int, stop chan struct{}) {
