--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -35,6 +35,8 @@
 	{18, 18, "SIGTERM within milliseconds of the start"},
 	{43, 18, "SIGTERM within milliseconds of the start"},
 	{45, 18, "SIGTERM within milliseconds of the start"},
+	{6018, 23, "a duty call arrived seconds after its sender had given it up"},
+	{6044, 23, "entries read requests seconds after they were sent"},
 }
 
 // TestSoak runs seeds; those that failed in the past are always among them.
