--- a/e2e/soak_engine_test.go
+++ b/e2e/soak_engine_test.go
@@ -100,8 +100,11 @@
 // closeServer closes the server and frees its address. The listener is closed by itself, since
 // the server does not know it before it has begun to serve.
 func (e *soakEngine) closeServer() {
-	e.listener.Close()
-	e.server.Close()
+	e.mu.Lock()
+	server, listener := e.server, e.listener
+	e.mu.Unlock()
+	listener.Close()
+	server.Close()
 }
 
 // shutDown drains an incarnation, deregisters it and stops it.
