The test of a held start keeps the process that it holds

A fault of the test, which was new; no check changed. Evidence: the race detector's report names the test's closure and process.start. Ruled out: the soak itself, whose other signals are sent under the instance's lock.

--- a/e2e/soak_hangup_test.go
+++ b/e2e/soak_hangup_test.go
@@ -25,8 +25,8 @@
 		m.process.signal(syscall.SIGSTOP)
 		started := m.started()
 		m.process.signal(syscall.SIGHUP)
-		held := m.process
-		time.AfterFunc(hold, func() { _ = held.cmd.Process.Signal(syscall.SIGCONT) }) // it runs until then
+		held := m.process.cmd.Process                                     // m may have another one by the end of the hold
+		time.AfterFunc(hold, func() { _ = held.Signal(syscall.SIGCONT) }) // it has not exited before
 		if !started {
 			w.awaitStarted(m)
 		}
