Starts of endpoints are pruned each half minute, not with each heartbeat

Ruled out: removing only rows that are deleted (a row that expires while the store is away is never seen deleted). Change: the search is made once in a quarter of the retention.

--- a/fleet/incarnation.go
+++ b/fleet/incarnation.go
@@ -26,7 +26,10 @@
 // about a former incarnation that arrives late can be ignored. It is not safe for concurrent
 // use.
 type Incarnations struct {
-	latest map[string]latestStart
+	latest   map[string]latestStart
+	prunedAt time.Time
+	// examined is the number of entries that prune has looked at so far.
+	examined int
 }
 
 // latestStart is the latest known start of an endpoint, and when it was last seen.
@@ -39,6 +42,11 @@
 // Lists and reports lag behind by some seconds at most.
 const startRetention = 2 * time.Minute
 
+// pruneInterval is the time between two searches for starts to forget. Each search goes through
+// all endpoints, and Observe is called for each heartbeat of each endpoint: with a search for
+// each call the work would grow with the square of their number.
+const pruneInterval = startRetention / 4
+
 // NewIncarnations returns an empty Incarnations.
 func NewIncarnations() *Incarnations { return &Incarnations{latest: map[string]latestStart{}} }
 
@@ -63,8 +71,13 @@
 	return order
 }
 
-// prune removes starts that were last seen more than startRetention ago.
+// prune removes starts that were last seen more than startRetention ago, once per pruneInterval.
 func (l *Incarnations) prune(now time.Time) {
+	if now.Sub(l.prunedAt) < pruneInterval {
+		return
+	}
+	l.prunedAt = now
+	l.examined += len(l.latest)
 	for id, known := range l.latest {
 		if now.Sub(known.seenAt) > startRetention {
 			delete(l.latest, id)
