Agents for relayed calls are ranked once for each change of the list

Cause: a process that the store refuses sorted all agents by a hash computed in each comparison, for each of its calls: with 455 agents some 8,000 hashes a call (worked out), several times a second, on a third of the fleet at once. Ruled out: a sample of agents (the order must stay while calls succeed, so that connections are used again). Figures: hosts ranked for 150 calls and 3 changes of a list of 100, 300 and 1,000 engines: 15,000, 45,000, 150,000 if ranked for each call, at most 300, 900, 3,000 after.

--- a/service/node/peers.go
+++ b/service/node/peers.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"slices"
 	"strconv"
@@ -98,6 +99,13 @@
 	// rotation selects the next agents after all selected ones have failed. Until then
 	// the same agents are used, so that their connections are reused.
 	rotation atomic.Uint32
+
+	mu sync.Mutex
+	// ranked are the hosts in the snapshot rankedFor, in this process's order.
+	ranked    []string
+	rankedFor *fleet.Snapshot
+	// rankedHosts counts the hosts that were ranked so far.
+	rankedHosts int
 }
 
 // Candidates implements relay.Peers.
@@ -119,24 +127,34 @@
 	return relays
 }
 
-// hosts returns the hosts of the other agents, which are those of engines; only engines
-// have weight versions. The order differs between processes, which spreads their load.
+// hosts returns the hosts of the other agents. The order differs between processes, which spreads
+// their load. It is computed once for each snapshot: while the store refuses this process, each of
+// its calls asks for it.
 func (o *relayAgents) hosts() []string {
-	var engines []string
-	for _, i := range o.view.Snapshot().Instances {
-		if len(i.Versions) > 0 && i.Addr != o.ownEngine {
-			engines = append(engines, i.Addr)
-		}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if snap := o.view.Snapshot(); snap != o.rankedFor {
+		o.ranked, o.rankedFor = o.rankHosts(snap), snap
 	}
-	rank := func(e string) uint64 { return xxhash.Sum64String(o.node + "\x00" + e) }
-	slices.SortFunc(engines, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
-	var hosts []string
-	for _, e := range slices.Compact(engines) {
-		if host, _, err := net.SplitHostPort(e); err == nil { // the list holds ip:port only
-			hosts = append(hosts, host)
+	return o.ranked
+}
+
+// rankHosts returns the hosts of the other agents of a snapshot, which are those of engines; only
+// engines have weight versions. It is called with o.mu held.
+func (o *relayAgents) rankHosts(snap *fleet.Snapshot) []string {
+	ranks := map[string]uint64{}
+	for _, i := range snap.Instances {
+		if len(i.Versions) == 0 || i.Addr == o.ownEngine {
+			continue
+		}
+		if host, _, err := net.SplitHostPort(i.Addr); err == nil { // the list holds ip:port only
+			ranks[host] = xxhash.Sum64String(o.node + "\x00" + host)
 		}
 	}
-	return hosts
+	o.rankedHosts += len(ranks)
+	return slices.SortedFunc(maps.Keys(ranks), func(a, b string) int {
+		return cmp.Or(cmp.Compare(ranks[a], ranks[b]), cmp.Compare(a, b))
+	})
 }
 
 // call sends a call to the store through one agent.
--- a/service/node/peers_test.go
+++ b/service/node/peers_test.go
@@ -81,3 +81,23 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+// TestAgentsAreRankedOncePerSnapshot makes many calls through other agents with 100, 300 and 1,000
+// engines: the agents must be ranked again only when the list has changed, since a process that the
+// store refuses makes several calls a second.
+func TestAgentsAreRankedOncePerSnapshot(t *testing.T) {
+	const changes, callsEach = 3, 50
+	for _, engines := range []int{100, 300, 1000} {
+		view := viewOfEngines(engines)
+		o := &relayAgents{node: "n", port: 7300, view: view, peers: &peers{}}
+		for range changes {
+			view.UpdateInstances(nil, []string{"p"})
+			for range callsEach {
+				o.Candidates()
+			}
+		}
+		if o.rankedHosts > changes*engines {
+			t.Errorf("%d engines: %d hosts ranked for %d changes of the list", engines, o.rankedHosts, changes)
+		}
+	}
+}
