Processes with few requests use few endpoints, whose connections are still open

More entries for the same traffic open more: the number grows with entries times endpoints. Ruled out: a longer idle time (endpoints close connections after ten seconds, ours is eight); a fixed subset for each entry (a busy entry needs all endpoints, and a lost one needs another). Change: of equally loaded endpoints the picker prefers those that it sent to in the last 7 s, unless the process sends eight times as often as that needs. Load, slowness, zone and suspicion decide first, as before.

--- a/internal/loadmodel/model.go
+++ b/internal/loadmodel/model.go
@@ -239,7 +239,7 @@
 			candidates = append(candidates, e.instance)
 		}
 		to, _ := s.picker.Pick(picker.Query{Candidates: candidates, Request: fmt.Sprint(sim.ids), Now: sim.clock()})
-		s.picker.Begin(to.Incarnation(), false)
+		s.picker.Begin(to.Incarnation(), false, sim.clock())
 		for _, e := range sim.endpoints {
 			if e.instance.ID == to.ID {
 				sim.schedule(sim.pattern.NetworkDelay, func() { sim.admit(e, r) })
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -64,6 +64,7 @@
 // load is the load of an instance as far as this process knows it.
 type load struct {
 	outstanding int // sent by this process and not answered
+	recent      recentSends
 	// risky counts those outstanding requests that may crash the instance.
 	risky   int
 	suspect time.Time
@@ -112,16 +113,17 @@
 }
 
 // Begin records that a request is sent to an instance; a risky one may crash it.
-func (p *Picker) Begin(i fleet.Incarnation, risky bool) {
+func (p *Picker) Begin(i fleet.Incarnation, risky bool, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.begin(i, risky)
+	p.begin(i, risky, now)
 }
 
 // begin is Begin with p.mu held.
-func (p *Picker) begin(i fleet.Incarnation, risky bool) {
+func (p *Picker) begin(i fleet.Incarnation, risky bool, now time.Time) {
 	l := p.loadOf(i)
 	l.outstanding++
+	l.recent.add(now)
 	if risky {
 		l.risky++
 	}
@@ -201,7 +203,7 @@
 	defer p.mu.Unlock()
 	to, ok := p.pick(q)
 	if ok {
-		p.begin(to.Incarnation(), risky)
+		p.begin(to.Incarnation(), risky, q.Now)
 	}
 	return to, ok
 }
@@ -230,11 +232,31 @@
 	if len(fresh) == 0 {
 		return fleet.Instance{}, false
 	}
-	return slices.MinFunc(fresh, func(a, b fleet.Instance) int {
-		return cmp.Or(cmp.Compare(p.score(a, q), p.score(b, q)), cmp.Compare(tieBreak(q.Request, a.ID), tieBreak(q.Request, b.ID)))
+	least := p.leastLoaded(fresh, q)
+	if warm := p.warmSubset(least, q); len(warm) > 0 {
+		least = warm
+	}
+	return slices.MinFunc(least, func(a, b fleet.Instance) int {
+		return cmp.Compare(tieBreak(q.Request, a.ID), tieBreak(q.Request, b.ID))
 	}), true
 }
 
+// leastLoaded returns the instances with the lowest score.
+func (p *Picker) leastLoaded(instances []fleet.Instance, q Query) []fleet.Instance {
+	var least []fleet.Instance
+	lowest := math.Inf(1)
+	for _, i := range instances {
+		score := p.score(i, q)
+		if score < lowest {
+			lowest, least = score, least[:0]
+		}
+		if score == lowest {
+			least = append(least, i)
+		}
+	}
+	return least
+}
+
 // score returns the load of an instance in shares of its slots, scaled up by its slowness; lower
 // is better.
 func (p *Picker) score(c fleet.Instance, q Query) float64 {
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -42,7 +42,7 @@
 			took = time.Duration(slow * float64(took))
 			toSlow++
 		}
-		r.Begin(i.Incarnation(), false)
+		r.Begin(i.Incarnation(), false, r.now)
 		r.now = r.now.Add(took)
 		r.End(i.Incarnation(), Outcome{Answered: true, Kind: "k", Took: took}, r.now)
 	}
@@ -86,7 +86,7 @@
 	for range 50 {
 		for i, kind := range []string{"short", "long"} {
 			inc := r.candidates[i].Incarnation() // i0 gets all short requests, i1 all long ones
-			r.Begin(inc, false)
+			r.Begin(inc, false, r.now)
 			r.End(inc, Outcome{Answered: true, Kind: kind, Took: time.Duration(1+9*i) * 20 * time.Millisecond}, r.now)
 		}
 	}
@@ -105,7 +105,7 @@
 	r.serve(10, 1)
 	r.serve(50, 9)
 	inc := r.candidates[0].Incarnation()
-	r.Begin(inc, false)
+	r.Begin(inc, false, r.now)
 	r.End(inc, Outcome{}, r.now)
 	if i := r.pick(); i.ID != "i0" {
 		t.Fatalf("picked %q", i.ID)
