An agent has at most 32 calls for statuses open at a time

A connection takes a 0.32-core machine some 6 ms (1.9 ms of processor time at one end), a call may take 400 ms: with some 65 open at once, agents that answer count as silent, and their items as orphaned. Ruled out: asking a sample (an item is an orphan only if nobody holds it); asking only for what the lost neighbour held when it last answered (others may have taken it since; not built, the way to go once 1,000 engines serve one model). Change: the calls of one search are made 32 at a time, which take less than half of the 400 ms. A search still costs as many calls as there are agents of the model.

--- a/batch/rebalance.go
+++ b/batch/rebalance.go
@@ -201,6 +201,11 @@
 	return slices.Sorted(maps.Keys(engines))
 }
 
+// statusParallelism bounds the calls for statuses that are open at a time. A new connection takes
+// an agent's share of a core for some 6 ms, so that 32 of them take less than half of peerTimeout:
+// with hundreds open at once, agents that answer would count as silent and their items as orphaned.
+const statusParallelism = 32
+
 // queryStatuses asks agents for their statuses, by engine; those that do not answer are
 // missing from the result.
 func (w *Worker) queryStatuses(ctx context.Context, jobs []*workJob, engines []string) map[string]*Status {
@@ -211,8 +216,11 @@
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	statuses := map[string]*Status{}
+	open := make(chan struct{}, statusParallelism)
 	for _, e := range engines {
+		open <- struct{}{}
 		wg.Go(func() {
+			defer func() { <-open }()
 			reply, err := w.call(ctx, e, &PeerRequest{Status: &StatusRequest{Jobs: ids}})
 			if err != nil || reply.Status == nil {
 				return
--- a/batch/rebalance_test.go
+++ b/batch/rebalance_test.go
@@ -95,6 +95,29 @@
 	}
 }
 
+// TestOpenCallsOfAnAgentAreBounded lets 100, 300 and 1,000 agents look for orphaned items after one
+// of them was lost, with calls that take 5 ms. The calls that an agent has open at a time must
+// not grow with the agents: the answers to hundreds would come too late, and the items of those that
+// answered late would be run twice.
+func TestOpenCallsOfAnAgentAreBounded(t *testing.T) {
+	for _, agents := range []int{100, 300, 1000} {
+		bubble(t, func(t *testing.T) {
+			rig := newWorkerRig(t, agents)
+			rig.peers.latency = 5 * time.Millisecond
+			rig.engines.lengths["item-000"] = 1000
+			rig.submit("j", 1, nil)
+			time.Sleep(time.Second)
+			rig.kill(agents / 2)
+			time.Sleep(3 * time.Second)
+			rig.peers.mu.Lock()
+			defer rig.peers.mu.Unlock()
+			if rig.peers.mostOpen > statusParallelism {
+				t.Errorf("%d agents: one had %d calls open at a time, want at most %d", agents, rig.peers.mostOpen, statusParallelism)
+			}
+		})
+	}
+}
+
 // TestAgentsWatchOnlyJobsOfTheirModels checks that agents make no calls for a job of
 // another model than their engine's: engines run two models, and only one model has an
 // open job.
--- a/batch/rig_test.go
+++ b/batch/rig_test.go
@@ -198,9 +198,30 @@
 	unreachable   map[string]bool    // by host
 	callsByEngine map[string]int     // by the caller's engine
 	callsByPair   map[[2]string]int  // by the caller's engine and the called one's host
+	latency       time.Duration      // of each call
+	open          map[string]int     // calls that have no answer yet, by the caller's engine
+	mostOpen      int                // the most of these at a time
 }
 
-func (p *fakePeers) Call(_ context.Context, addr string, req *PeerRequest) (*PeerReply, error) {
+// wait lets a call take its time.
+func (p *fakePeers) wait(ctx context.Context, from string) {
+	p.mu.Lock()
+	p.open[from]++
+	p.mostOpen = max(p.mostOpen, p.open[from])
+	p.mu.Unlock()
+	select {
+	case <-time.After(p.latency):
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	p.open[from]--
+	p.mu.Unlock()
+}
+
+func (p *fakePeers) Call(ctx context.Context, addr string, req *PeerRequest) (*PeerReply, error) {
+	if p.latency > 0 {
+		p.wait(ctx, req.From)
+	}
 	host, _, _ := net.SplitHostPort(addr)
 	p.mu.Lock()
 	w, isCut := p.workers[host], p.unreachable[host]
@@ -236,7 +257,7 @@
 		t: t, store: s, storeClients: map[string]*rowstore.Client{}, view: fleet.NewView(), stops: map[string]context.CancelFunc{}, ledger: newLedger(s),
 		engines: &fakeEngines{engines: map[string]*fakeEngine{}, lengths: map[string]int{}},
 		rewards: &fakeRewards{latency: 200 * time.Millisecond, nextErrors: map[string][]error{}, laterErrors: map[string]error{}},
-		peers:   &fakePeers{workers: map[string]*Worker{}, unreachable: map[string]bool{}, callsByEngine: map[string]int{}, callsByPair: map[[2]string]int{}},
+		peers:   &fakePeers{workers: map[string]*Worker{}, unreachable: map[string]bool{}, callsByEngine: map[string]int{}, callsByPair: map[[2]string]int{}, open: map[string]int{}},
 	}
 	rig.view.SetConfig(&fleet.Config{Version: 1, Services: []fleet.Service{{Name: "svc", Models: []string{"m"}}}})
 	for i := range n {
