Evidence that the instance list is out of date ends the pause between its reads

Cause: the pause after a read grows with the bytes read, up to a third of DrainMs; from some 25 engines on it always is that long. So a process that starts or whose engine starts again works for up to 1.7 s with the entry of the engine's former incarnation. Ruled out: a shorter pause for all (986 processes would make some 600 calls a second more for each halving, at all times); no pause after the first read (the same burst from all processes at once). Change: an agent whose engine reports a later start than the list has, and whoever gets 421, says so (View.ReportStale), and Follow ends its pause, 0.2 s after the last read at the earliest and twice as late with each further time in a row.

--- a/batch/engine.go
+++ b/batch/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -10,6 +11,9 @@
 var (
 	// ErrNotRun says that the engine did not accept the request and will not run it later.
 	ErrNotRun = errors.New("batch: not run")
+	// ErrMisdirected says that another incarnation than the expected one answered. It wraps
+	// ErrNotRun.
+	ErrMisdirected = fmt.Errorf("%w: another incarnation answered", ErrNotRun)
 	// ErrFailed says that the engine failed the request, which may be retried.
 	ErrFailed = errors.New("batch: the engine failed the request")
 	// ErrImpossible says that the request can never succeed.
--- a/batch/enginerestart_test.go
+++ b/batch/enginerestart_test.go
@@ -69,3 +69,41 @@
 		}
 	})
 }
+
+// TestOutdatedListIsReported restarts an engine whose new entry has not been read yet: its agent must
+// say so at once, since it cannot use the engine before it knows the entry.
+func TestOutdatedListIsReported(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		rig := newWorkerRig(t, 1)
+		rig.view.UpdateInstances([]fleet.Instance{{ID: "engine-0", Service: "svc", Addr: engineAddr(0), Slots: 4, StartedAt: 1000}}, nil)
+		rig.restartEngine(0, 1000)
+		time.Sleep(2 * idleReportInterval)
+		select {
+		case <-rig.view.Stale():
+			t.Fatal("a list that has the engine's entry was reported as outdated")
+		default:
+		}
+		rig.restartEngine(0, 2000)
+		time.Sleep(2 * idleReportInterval)
+		select {
+		case <-rig.view.Stale():
+		default:
+			t.Error("the list lacks the engine's entry, and nothing was reported")
+		}
+	})
+}
+
+// TestMisdirectedRunIsReported has another incarnation answer than the listed one.
+func TestMisdirectedRunIsReported(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		rig := newWorkerRig(t, 1)
+		rig.engine(0, func(e *fakeEngine) { e.startErrors["item-000"] = []error{ErrMisdirected} })
+		rig.submit("j", 1, nil)
+		rig.await("j", 1, 10*time.Second)
+		select {
+		case <-rig.view.Stale():
+		default:
+			t.Error("nothing was reported")
+		}
+	})
+}
--- a/batch/enginestate.go
+++ b/batch/enginestate.go
@@ -180,6 +180,9 @@
 	if err == nil && !w.checkRestart(r.StartedAt) {
 		return // from a former incarnation
 	}
+	if err == nil && !w.listedSince(r.StartedAt) {
+		w.View.ReportStale()
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	e := &w.engine
@@ -206,6 +209,13 @@
 	w.wake()
 }
 
+// listedSince reports whether the instance list has the incarnation of the engine that started at
+// the given time, in Unix milliseconds; 0 stands for any.
+func (w *Worker) listedSince(startedAt int64) bool {
+	listed, ok := w.View.Snapshot().AtAddr(w.Engine)
+	return ok && listed.StartedAt >= startedAt
+}
+
 // checkOrder clears the order in progress once it is carried out or has timed out. It is
 // called with w.mu held.
 func (w *Worker) checkOrder(o *Order, r Report) {
--- a/batch/run.go
+++ b/batch/run.go
@@ -122,6 +122,9 @@
 			return
 		}
 	case errors.Is(err, ErrNotRun):
+		if errors.Is(err, ErrMisdirected) {
+			w.View.ReportStale()
+		}
 		t.notBefore = t.notBefore.Add(runRetryPause)
 	case errors.Is(err, errVersion):
 		t.discardText()
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -82,11 +82,13 @@
 
 	mu      sync.Mutex // serialises updates
 	changed chan struct{}
+	// stale holds a value while there is evidence that the instance list is out of date.
+	stale chan struct{}
 }
 
 // NewView returns a view with an empty snapshot.
 func NewView() *View {
-	v := &View{changed: make(chan struct{})}
+	v := &View{changed: make(chan struct{}), stale: make(chan struct{}, 1)}
 	v.current.Store(&Snapshot{
 		Instances: map[string]Instance{}, NamedVersions: map[string]uint64{}, NamedVersionsAt: map[string]time.Time{},
 	})
@@ -103,6 +105,18 @@
 	return v.changed
 }
 
+// ReportStale reports evidence that the instance list is out of date, such as an endpoint that
+// answers as another incarnation than the listed one.
+func (v *View) ReportStale() {
+	select {
+	case v.stale <- struct{}{}:
+	default: // reported already
+	}
+}
+
+// Stale returns a channel that receives a value after ReportStale was called.
+func (v *View) Stale() <-chan struct{} { return v.stale }
+
 // SetConfig puts a configuration in force unless the one in force is as new or newer. It
 // reports whether it did.
 func (v *View) SetConfig(c *Config) bool {
--- a/forward/call.go
+++ b/forward/call.go
@@ -245,6 +245,9 @@
 		c.mayHaveRun = true
 		return ReasonBroken
 	case a.answer.Declined:
+		if a.answer.Status == http.StatusMisdirectedRequest {
+			c.View.ReportStale() // another incarnation than the listed one
+		}
 		c.sent-- // the endpoint says that it did not run it
 		return ReasonDeclined
 	}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -309,3 +309,29 @@
 		}
 	})
 }
+
+// TestMisdirectedRequestIsReported has another incarnation answer than the listed one: the list is
+// out of date. An endpoint that declines for another reason is no evidence of that.
+func TestMisdirectedRequestIsReported(t *testing.T) {
+	misdirected := func(context.Context) (*Answer, error) {
+		return &Answer{Status: http.StatusMisdirectedRequest, Declined: true}, nil
+	}
+	for _, c := range []struct {
+		first func(context.Context) (*Answer, error)
+		stale bool
+	}{{misdirected, true}, {declines, false}} {
+		f, _ := rig(c.first, answers(200, 0))
+		if _, err := f.Do(t.Context(), request(fleet.KindSafe)); err != nil {
+			t.Fatal(err)
+		}
+		stale := false
+		select {
+		case <-f.View.Stale():
+			stale = true
+		default:
+		}
+		if stale != c.stale {
+			t.Errorf("list reported as out of date: %t, want %t", stale, c.stale)
+		}
+	}
+}
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -141,6 +141,6 @@
 		store.Follow(ctx, b.rows, store.Source{Table: operator.TableOperator, Pace: operatorPace(b.settings)}, config)
 	})
 	wg.Go(func() {
-		store.Follow(ctx, b.rows, store.Source{Table: operator.TableInstances, Pace: instancesPace(b.settings)}, instances)
+		store.Follow(ctx, b.rows, store.Source{Table: operator.TableInstances, Pace: instancesPace(b.settings), Refresh: b.view.Stale()}, instances)
 	})
 }
--- a/store/follow.go
+++ b/store/follow.go
@@ -44,6 +44,9 @@
 	// Wait is how long the store may hold a call while there is no change; 0 is FeedWait.
 	// For a table that seldom changes, a longer wait means fewer calls.
 	Wait time.Duration
+	// Refresh, if set, receives a value when there is evidence that the rows are out of date.
+	// It ends a pause early.
+	Refresh <-chan struct{}
 }
 
 // errFeedOverdue means that a feed call got its response long after the wait had passed.
@@ -73,6 +76,8 @@
 	version  uint64
 	failures int
 	lostAt   time.Time
+	// refreshes is the number of pauses in a row that Refresh has ended.
+	refreshes int
 }
 
 // step makes one call, handles its result and pauses.
@@ -82,7 +87,7 @@
 	switch {
 	case err == nil:
 		f.handleResponse(s, calledAt)
-		_ = pause.Sleep(ctx, f.pacer.pause(s)) // the loop checks ctx next
+		f.pause(ctx, f.pacer.pause(s))
 	case ctx.Err() != nil:
 	case errors.Is(err, ErrHistoryGone):
 		f.listed = false
@@ -92,6 +97,37 @@
 	}
 }
 
+const (
+	// minRefreshPause is the shortest pause before a refresh. It doubles with each refresh in a
+	// row, so that a process whose evidence stays makes hardly more calls than the pace allows.
+	minRefreshPause = 200 * time.Millisecond
+	// maxRefreshDoublings leads to a pause that is longer than that of any pace.
+	maxRefreshDoublings = 8
+)
+
+// pause waits for d, or less if Refresh receives a value.
+func (f *follower) pause(ctx context.Context, d time.Duration) {
+	before := min(d, minRefreshPause<<min(f.refreshes, maxRefreshDoublings))
+	if pause.Sleep(ctx, before) != nil {
+		return // the loop checks ctx next
+	}
+	rest := time.NewTimer(d - before)
+	defer rest.Stop()
+	select {
+	case <-f.source.Refresh:
+		f.refreshes++
+		return
+	default:
+	}
+	select {
+	case <-ctx.Done():
+	case <-f.source.Refresh:
+		f.refreshes++
+	case <-rest.C:
+		f.refreshes = 0
+	}
+}
+
 // handleResponse passes a response to the watcher.
 func (f *follower) handleResponse(s Snapshot, calledAt time.Time) {
 	if time.Since(calledAt) > f.source.Wait+feedGrace && f.failures == 0 {
