A job has at most as many owners as groups

Cause: the accepting entry made all engines of a model owners of each of its jobs, 76 on the fleet, though a group goes to one engine and a job has 14 to 28. Each owner reads all items of the job, and after a restart all its saved text and what earlier jobs left; every process reads the job's row, which lists the owners. So what a job costs grew with the engines, and with the trainers what all cost grew with their square. Worked out for the fleet, all processes starting again with 12 jobs open: some 900 readers of 1.5 MB each, 1.4 s of the store's 4,000 Mbit/s, beside a time limit of 1.5 s for each call. Ruled out: reading only a part of the items (they are not stored by owner; the assignment needs all lengths). All agents of the model help as before.

--- a/batch/intake.go
+++ b/batch/intake.go
@@ -1,9 +1,11 @@
 package batch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -160,6 +162,7 @@
 	if config := snap.Config.Service(service); config != nil && s.Model != "" {
 		engines, ready = orderOwners(snap, service, s, AssignEngines(engines, config.Models, in.Demand)[s.Model])
 	}
+	engines, ready = limitOwners(s.scopedID(), engines, ready, len(groupItems(s.Items)))
 	work := 0
 	for i := range s.Items {
 		work += s.Items[i].expectedWork()
@@ -218,6 +221,29 @@
 	return append(list, late...), len(list)
 }
 
+// limitOwners keeps as many of the owners of a job as it has groups: those to which AssignItems
+// assigns one. Each owner reads all items of the job, and after a restart all its saved text, and
+// every process reads the list of owners; without a limit both would grow with the fleet. Agents
+// that are no owners help by taking items over.
+func limitOwners(jobID string, owners []string, ready, groups int) ([]string, int) {
+	if len(owners) <= groups {
+		return owners, ready
+	}
+	kept := append(lowestRanked(jobID, owners[:ready], groups), lowestRanked(jobID, owners[ready:], groups-min(ready, groups))...)
+	return kept, min(ready, groups)
+}
+
+// lowestRanked returns the n owners with the lowest rank for a key, or all if there are fewer, in
+// their order in the list.
+func lowestRanked(key string, owners []string, n int) []string {
+	if len(owners) <= n {
+		return slices.Clone(owners)
+	}
+	ranked := slices.Clone(owners)
+	slices.SortFunc(ranked, func(a, b string) int { return cmp.Compare(rank(key, a), rank(key, b)) })
+	return slices.DeleteFunc(slices.Clone(owners), func(o string) bool { return !slices.Contains(ranked[:n], o) })
+}
+
 // End ends a job; for a job that has ended already it does nothing. Its error is ErrNoJob
 // if there is no such job, or one of the ledger.
 func (in *Intake) End(ctx context.Context, id string) error {
