Under clear overload an engine runs whole groups that can be in time, and defers the rest

Cause: waiting items start by job, the longest first, so an engine with more than it can do works on all groups of a job at once and completes none before they are due. Change: package edf selects groups, earliest deadline first and whatever their length, that fit into the time left; its order is used if at least twice as many are then expected in time. Lengths are estimated from the callers' hints and this engine's own pace. Counter batch_overloads, two log lines.

--- a/batch/run.go
+++ b/batch/run.go
@@ -77,8 +77,9 @@
 	return err
 }
 
-// handleRunEnd scores, finishes, removes or retries a task after its run returned.
-func (w *Worker) handleRunEnd(ctx context.Context, t *task, err error, took time.Duration) {
+// handleRunEnd scores, finishes, removes or retries a task after its run returned, which began
+// after resumedFrom events of its text.
+func (w *Worker) handleRunEnd(ctx context.Context, t *task, resumedFrom int, err error, took time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	defer close(t.stopped)
@@ -91,6 +92,9 @@
 	switch {
 	case err == nil:
 		w.engine.up = true
+		if resumedFrom == 0 {
+			w.pace.observe(t.item.expectedWork(), took)
+		}
 		log.Info("item done")
 		w.scoreOrFinish(t)
 		return
--- a/batch/schedule.go
+++ b/batch/schedule.go
@@ -37,18 +37,18 @@
 	}
 	now := time.Now()
 	next := scheduleInterval
-	for i := 0; i < len(w.waiting) && len(w.running) < instance.Slots; {
-		t := w.waiting[i]
+	for _, t := range w.startOrder(instance.Slots) {
+		if len(w.running) >= instance.Slots {
+			break
+		}
 		if wait := t.notBefore.Sub(now); wait > 0 {
 			next = min(next, wait)
-			i++
 			continue
 		}
 		if !w.engine.canServe(t.j.job) || w.isQuarantined(t) || w.awaitsOtherSuspect(t) {
-			i++
 			continue
 		}
-		w.waiting = slices.Delete(w.waiting, i, i+1)
+		w.waiting = slices.DeleteFunc(w.waiting, func(o *task) bool { return o == t })
 		w.start(ctx, t, instance)
 	}
 	return next
@@ -75,7 +75,7 @@
 		err := w.stream(ctx, t, run)
 		took := time.Since(began)
 		w.recordOutcome(ctx, t, instance, err, took)
-		w.handleRunEnd(ctx, t, err, took)
+		w.handleRunEnd(ctx, t, run.LastEventID, err, took)
 	}()
 }
 
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -65,6 +65,10 @@
 	scoring  map[*task]struct{} // tasks with complete text that wait for their score
 	stopping bool
 	engine   engineState
+	// pace is how long the engine takes for items; overloaded is set while groups that cannot
+	// be done in time are deferred.
+	pace       workPace
+	overloaded bool
 	// token is the fencing token of this incarnation's orders: the store's version at
 	// its start, so that it does not decrease over restarts.
 	token uint64
--- a/observe/names.go
+++ b/observe/names.go
@@ -79,6 +79,9 @@
 	// NameAccept is a histogram by route: seconds from the arrival of a batch
 	// job to its acceptance.
 	NameAccept Name = "batch_accept_seconds"
+	// NameBatchOverloads counts, by service, how often an engine's queue began to hold
+	// more groups than can be done in time.
+	NameBatchOverloads Name = "batch_overloads"
 )
 
 // Measures of reward calls.
