--- a/batch/handover.go
+++ b/batch/handover.go
@@ -20,9 +20,9 @@
 	return w.packDetached(j, detached, stopped, to, "taken")
 }
 
-// pickForHandover picks the items to release: waiting ones in the order in which they would
-// start here, so mostly the longest first, then running ones if the other agent asks for
-// them. It is called with w.mu held.
+// pickForHandover picks the items to release: waiting ones in the order of compareTasks, so
+// mostly the longest first, then running ones if the other agent asks for them. It is called
+// with w.mu held.
 func (w *Worker) pickForHandover(j *workJob, to string, ask *TakeRequest) []*task {
 	var picked []*task
 	for _, t := range w.waiting {
--- a/store/follow.go
+++ b/store/follow.go
@@ -111,14 +111,14 @@
 	if pause.Sleep(ctx, before) != nil {
 		return // the loop checks ctx next
 	}
-	rest := time.NewTimer(d - before)
-	defer rest.Stop()
 	select {
-	case <-f.source.Refresh:
+	case <-f.source.Refresh: // received meanwhile
 		f.refreshes++
 		return
 	default:
 	}
+	rest := time.NewTimer(d - before)
+	defer rest.Stop()
 	select {
 	case <-ctx.Done():
 	case <-f.source.Refresh:
