--- a/fleet/incarnation.go
+++ b/fleet/incarnation.go
@@ -20,6 +20,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Pace is how long work takes at the endpoint now, in hundredths of the usual time: 200 takes
+	// twice as long. It is 0 if the endpoint does not report it.
+	Pace int
 }
 
 // Incarnations tracks the latest known start of each endpoint by id, so that information
