An agent that can no longer listen ends with the error

Cause: Run replaced its context by one that it cancels itself before it asks whether it was cancelled, so that an error of the listener was never returned and the process looked alive. Ruled out: the other Run functions that make a context of their own (cmd/mulberry-agent, store/relay, endpoint/httpendpoint, forward) do not ask the cancelled one about an error. Change: the error is judged by the caller's context. Before: TestListenerErrorEndsTheAgent gets nil. After: the error names the agent and its address.

--- a/service/agent/agent.go
+++ b/service/agent/agent.go
@@ -112,13 +112,13 @@
 // Run serves requests until ctx is done, then cancels the jobs that still run; call
 // Drain first for a graceful stop. The error is the listener's.
 func (a *Agent) Run(ctx context.Context) error {
-	ctx, stop := context.WithCancel(ctx)
+	serving, stop := context.WithCancel(ctx)
 	a.mu.Lock()
-	a.base = ctx
+	a.base = serving
 	a.mu.Unlock()
-	a.background(ctx)
+	a.background(serving)
 	a.log.WithField(observe.FieldPeer, a.Addr()).Info("agent is serving")
-	err := a.cfg.Listener.Serve(ctx, a.handle)
+	err := a.cfg.Listener.Serve(serving, a.handle)
 	stop()
 	a.tasks.Wait()
 	if err != nil && ctx.Err() == nil {
