The release of a quarantined content removes all its rows

Cause: Release removed as many rows as fit into one transaction, 100, and reported success; the rest kept the content quarantined. Change: one transaction for each 100 rows; an error says how many rows are left. Before: TestReleasesAllRowsOfTheQuarantine finds rows of 250 left.

--- a/cmd/mulberryctl/platform_test.go
+++ b/cmd/mulberryctl/platform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -127,6 +128,23 @@
 	run(t, "", "quarantine", "--store", addr).want(t, 1, "row odd")
 }
 
+// TestReleasesAllRowsOfTheQuarantine guards against a release that removes only as many rows as fit
+// into one transaction and still reports success.
+func TestReleasesAllRowsOfTheQuarantine(t *testing.T) {
+	rows, addr := startPlatformStore(t)
+	at, err := codec.Marshal(map[string]time.Duration{"At": 0})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 250 {
+		rows.Put(store.Row{Key: store.Key{Table: quarantine.Table, Name: fmt.Sprintf("aa/end/0/i-%03d", i)}, Value: at})
+	}
+	released := run(t, "", "quarantine", "--store", addr, "--release", "aa")
+	if released.status != 0 || strings.Contains(released.out, "aa ") {
+		t.Errorf("rows are left: %.200s", released.out)
+	}
+}
+
 func TestStoreViewsAsJSON(t *testing.T) {
 	_, addr := startPlatformStore(t)
 	r := run(t, "", "--output", "json", "jobs", "--all", "--store", addr)
--- a/quarantine/inspect.go
+++ b/quarantine/inspect.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"mulberryscale.example/store"
 )
 
@@ -71,18 +73,24 @@
 // afterSlash is the byte after the slash, so it ends the range of keys with a prefix and a slash.
 const afterSlash = "0"
 
-// Release removes the rows of a content, at most maxEntries of them, and reports whether there
-// were any.
+// Release removes all rows of a content and reports whether there were any. After an error some of
+// them may be left.
 func Release(ctx context.Context, rows store.Rows, fingerprint Fingerprint) (bool, error) {
 	prefix := string(fingerprint) + "/"
 	s, err := store.ListAll(ctx, rows, store.Range{Table: Table, From: prefix, To: string(fingerprint) + afterSlash})
-	if err != nil || len(s.Rows) == 0 {
+	if err != nil {
 		return false, err
 	}
-	var tx store.Tx
-	for _, row := range s.Rows[:min(len(s.Rows), maxEntries)] {
-		tx.Delete = append(tx.Delete, row.Key)
+	left := len(s.Rows)
+	for batch := range slices.Chunk(s.Rows, maxEntries) {
+		var tx store.Tx
+		for _, row := range batch {
+			tx.Delete = append(tx.Delete, row.Key)
+		}
+		if _, err := rows.Commit(ctx, tx); err != nil {
+			return true, trace.Wrap(err, "%d of %d rows are left", left, len(s.Rows))
+		}
+		left -= len(batch)
 	}
-	_, err = rows.Commit(ctx, tx)
-	return err == nil, err
+	return len(s.Rows) > 0, nil
 }
