Log lines dropped last are reported before the end of the process

Cause: the report of dropped lines was made by a ticker only, and it could itself be dropped by the rate limit or the full queue, which lost its count. Change: the writer formats the report itself, past the limits, at each tick and at Close.

--- a/observe/loglimiter.go
+++ b/observe/loglimiter.go
@@ -105,16 +105,31 @@
 		case line := <-b.lines:
 			b.flush(line)
 		case <-ticker.C:
-			if n := b.dropped.Swap(0); n > 0 {
-				logger.WithField(FieldDropped, n).Warn("log lines lost")
-			}
+			b.flush(b.dropReport(logger))
 		case <-b.stop:
-			b.flush(nil)
+			b.flush(b.dropReport(logger))
 			return
 		}
 	}
 }
 
+// dropReport returns the line on the lines dropped since the previous report; nil if there are none.
+// It is not subject to the limits: were it dropped itself, the log would look complete.
+func (b *LogLimiter) dropReport(logger *logrus.Logger) []byte {
+	n := b.dropped.Swap(0)
+	if n == 0 {
+		return nil
+	}
+	entry := logger.WithField(FieldDropped, n)
+	entry.Time, entry.Level, entry.Message = time.Now(), logrus.WarnLevel, "log lines lost"
+	line, err := b.next.Format(entry)
+	if err != nil {
+		b.dropped.Add(n) // is reported the next time
+		return nil
+	}
+	return line
+}
+
 // flush writes text and all queued lines in one call.
 func (b *LogLimiter) flush(text []byte) {
 	for {
