Items that another agent declines stay with a process that stops

Cause: a stopping agent offers its items; what the other one declines, or does not answer, was taken back by accept, which refuses everything while the process stops. Nobody held these items until the search for orphans found them (0.6 s and more each). After a lost answer both may hold an item; the first result counts, as with any handover whose answer is lost. Change: items are queued again without the check, and the next round of the drain, 0.1 s later, offers them to others. Before: TestDeclinedItemsStayWhileStopping: 0 items wait and 0 are held, want 3. After: all three are handed over in the next round.

--- a/batch/handover.go
+++ b/batch/handover.go
@@ -108,6 +108,11 @@
 	if refuse || !w.load(j, false) {
 		return 0
 	}
+	return w.enqueueHandover(j, from, handed)
+}
+
+// enqueueHandover queues the items of a handover and returns how many belong to the job.
+func (w *Worker) enqueueHandover(j *workJob, from string, handed *Handover) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	n := 0
--- a/batch/push.go
+++ b/batch/push.go
@@ -43,7 +43,7 @@
 }
 
 // pushJobItems spreads items of one job over other agents. Items that an agent does not
-// accept wait here again, except while this process stops: accept refuses them then.
+// accept wait here again, also while this process stops: its next round offers them to others.
 func (w *Worker) pushJobItems(ctx context.Context, j *workJob, tasks []*task, engines []string) {
 	for i, e := range engines {
 		share := tasks[i*len(tasks)/len(engines) : (i+1)*len(tasks)/len(engines)]
@@ -62,6 +62,6 @@
 			continue
 		}
 		w.Log.WithError(err).WithFields(logrus.Fields{observe.FieldJob: j.job.ID, "to": e}).Warn("items not taken")
-		w.accept(w.Engine, handed)
+		w.enqueueHandover(j, w.Engine, handed)
 	}
 }
