Comments on candidates and pushes give the figures that their constants have

Cause: (1/3)^10 is 1 in 59,049 and not in twenty thousand (that is nine candidates); three pushes by each process leave the share s = e^(-3(1-s)), 6%, and not e^-4 (computed by iteration: 0.0595). Change: the two comments. The constants are as they were.

--- a/duty/order.go
+++ b/duty/order.go
@@ -37,7 +37,7 @@
 	// in normal operation, so that the second one finds the claim of the first one.
 	candidateStep = 250 * time.Millisecond
 	// ManyCandidates is for work that must be done in time. If a third of the machines cannot
-	// reach the store, one in twenty thousand pieces has no candidate that can reach it. The
+	// reach the store, one in fifty-nine thousand pieces has no candidate that can reach it. The
 	// candidates of the next piece then do both.
 	ManyCandidates = 10
 	// FewCandidates is for work that may wait for the next piece.
--- a/weights/gossip.go
+++ b/weights/gossip.go
@@ -17,8 +17,9 @@
 // Defaults of VersionGossipConfig.
 const (
 	// DefaultPushPeers is the number of random peers that get a new version besides the
-	// children in the tree. It reaches all but e^-4 = 2% of many processes even if no
-	// child is reached; the others learn of the version by their own exchanges.
+	// children in the tree. If no child is reached and each process pushes once, a share s
+	// of many processes is not reached, with s = e^(-3(1-s)) = 6%; these learn of the version
+	// by their own exchanges.
 	DefaultPushPeers        = 3
 	DefaultExchangeInterval = 3 * time.Second
 	gossipTimeout           = 2 * time.Second
