Run one crash suspect of a step at an agent at a time

A traced run shows the missing sample on the same engine as the crashing one at all three crashes, so both reached the limit of three. Ruled out: a crash counted twice for one sample, and a refusal after two crashes.

Agents already run one batch item with two crashes at a time. Samples of steps had no such rule. An entry now places a sample with two crashes only at an agent where it has no other such sample, and does not move it.

--- a/internal/deployment/crash_test.go
+++ b/internal/deployment/crash_test.go
@@ -26,6 +26,8 @@
 
 const (
 	crashEngines  = 3
+	crashSlots    = 4
+	soundSamples  = 12
 	crashPrompt   = "the prompt that crashes engines"
 	crashDowntime = 2 * time.Second
 	// maxLookupCrashes and maxSampleCrashes are the numbers of crashes after which a
@@ -42,15 +44,15 @@
 	fabric *Memory
 }
 
-func startCrashFixture(t *testing.T, entries int) *crashFixture {
+func startCrashFixture(t *testing.T, entries, engines, slots int, downtime time.Duration) *crashFixture {
 	fabric := NewMemory()
 	opts := Options{Fabric: fabric, Table: crashTable, Log: observe.Discard(), Seed: 1}
 	for i := range entries {
 		opts.Entries = append(opts.Entries, EntrySpec{Zone: "patan", ID: fmt.Sprint("entry-", i)})
 	}
-	for i := range crashEngines {
+	for i := range engines {
 		opts.Engines = append(opts.Engines, EngineSpec{Zone: "patan", Options: engine.Options{
-			ID: fmt.Sprint("engine-", i), Slots: 4, Models: map[string]uint64{"guide": 1}, TokenTime: 5 * time.Millisecond,
+			ID: fmt.Sprint("engine-", i), Slots: slots, Models: map[string]uint64{"guide": 1}, TokenTime: 5 * time.Millisecond,
 		}})
 	}
 	d, err := Start(t.Context(), opts)
@@ -58,7 +60,7 @@
 		t.Fatal(err)
 	}
 	for _, a := range d.Agents {
-		a.StandIn.CrashOnPrompt(crashPrompt, crashDowntime)
+		a.StandIn.CrashOnPrompt(crashPrompt, downtime)
 	}
 	if err := d.AwaitReady(t.Context()); err != nil {
 		t.Fatal(err)
@@ -98,7 +100,7 @@
 func TestLookupThatCrashesEnginesIsQuarantined(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const entries = 3
-		f := startCrashFixture(t, entries)
+		f := startCrashFixture(t, entries, crashEngines, crashSlots, crashDowntime)
 		defer f.close()
 		for i := range 6 {
 			if status, _ := f.lookup(i%entries, crashPrompt); status == http.StatusOK {
@@ -121,32 +123,46 @@
 }
 
 func TestSampleThatCrashesEnginesIsRefused(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := startCrashFixture(t, 1)
-		defer f.close()
-		client, err := trainer.New(trainer.Config{Row: "learner", Entries: f.d.EntryURLs(), HTTP: f.fabric.Client(), StalenessBound: 1})
-		if err != nil {
-			t.Fatal(err)
-		}
-		samples := []api.SampleRequest{{ID: "fatal", Group: "g", Prompt: crashPrompt, MaxTokens: 64}}
-		for i := range 12 {
-			samples = append(samples, api.SampleRequest{
-				ID: fmt.Sprint("s-", i), Group: "g", Prompt: engine.PromptOfLength(40, fmt.Sprint(i)), MaxTokens: 4096,
-			})
-		}
-		received := map[string]int{}
-		_, err = client.RunStep(t.Context(), trainer.Step{Name: "1", Version: 1, Samples: samples}, func(s api.Sample) error {
-			received[s.ID]++
-			return nil
+	synctest.Test(t, func(t *testing.T) { checkOthersReceived(t, crashEngines, crashSlots, 40, crashDowntime) })
+}
+
+// On one engine with a slot for each sample, most samples run beside the one that crashes it at
+// several of its crashes. Those beside all three were refused with it. Backoffs have jitter, so that
+// only some rounds have such samples.
+func TestSampleBesideEachCrashIsReceived(t *testing.T) {
+	const rounds = 15
+	for range rounds {
+		synctest.Test(t, func(t *testing.T) { checkOthersReceived(t, 1, soundSamples+1, 200, time.Millisecond) })
+	}
+}
+
+// checkOthersReceived checks that a step with one sample that crashes engines gets the others, which
+// are length tokens long.
+func checkOthersReceived(t *testing.T, engines, slots, length int, downtime time.Duration) {
+	f := startCrashFixture(t, 1, engines, slots, downtime)
+	defer f.close()
+	client, err := trainer.New(trainer.Config{Row: "learner", Entries: f.d.EntryURLs(), HTTP: f.fabric.Client(), StalenessBound: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	samples := []api.SampleRequest{{ID: "fatal", Group: "g", Prompt: crashPrompt, MaxTokens: 64}}
+	for i := range soundSamples {
+		samples = append(samples, api.SampleRequest{
+			ID: fmt.Sprint("s-", i), Group: "g", Prompt: engine.PromptOfLength(length, fmt.Sprint(i)), MaxTokens: 4096,
 		})
-		if err != nil {
-			t.Fatal(err)
-		}
-		if n := f.crashes(); n > maxSampleCrashes {
-			t.Errorf("%d engines crashed", n)
-		}
-		if len(received) != 12 || received["fatal"] > 0 {
-			t.Errorf("want the 12 other samples only, received %v", received)
-		}
+	}
+	received := map[string]int{}
+	_, err = client.RunStep(t.Context(), trainer.Step{Name: "1", Version: 1, Samples: samples}, func(s api.Sample) error {
+		received[s.ID]++
+		return nil
 	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n := f.crashes(); n > maxSampleCrashes {
+		t.Errorf("%d engines crashed", n)
+	}
+	if len(received) != soundSamples || received["fatal"] > 0 {
+		t.Errorf("want the %d other samples only, received %v", soundSamples, received)
+	}
 }
--- a/rollout/placer.go
+++ b/rollout/placer.go
@@ -20,9 +20,11 @@
 type waiter struct {
 	req      *routing.Request
 	priority priority
-	order    int // arrival number, breaks ties of priority
-	reply    chan *placement
-	index    int
+	// suspect is true for a crash suspect; see suspectCounts.
+	suspect bool
+	order   int // arrival number, breaks ties of priority
+	reply   chan *placement
+	index   int
 }
 
 // priority orders waiting samples by level, then by work, smaller values first.
@@ -60,6 +62,8 @@
 	router  routing.Picker
 	rng     *rand.Rand
 	backlog int
+	// suspects counts the crash suspects of all steps.
+	suspects *suspectCounts
 
 	mu        sync.Mutex
 	queue     waiterQueue
@@ -74,14 +78,14 @@
 		backlog = DefaultBacklog
 	}
 	return &placer{
-		view: r.View, router: r.Router, rng: rng, backlog: backlog,
+		view: r.View, router: r.Router, rng: rng, backlog: backlog, suspects: &r.suspects,
 		unstarted: map[string]int{}, wake: make(chan struct{}, 1),
 	}
 }
 
-// place waits for an agent. The error is that of ctx.
-func (p *placer) place(ctx context.Context, req *routing.Request, pr priority) (*placement, error) {
-	w := &waiter{req: req, priority: pr, reply: make(chan *placement, 1)}
+// place waits for an agent, a crash suspect for one that runs no other. The error is that of ctx.
+func (p *placer) place(ctx context.Context, req *routing.Request, pr priority, suspect bool) (*placement, error) {
+	w := &waiter{req: req, priority: pr, suspect: suspect, reply: make(chan *placement, 1)}
 	p.mu.Lock()
 	w.order = p.order
 	p.order++
@@ -137,20 +141,24 @@
 }
 
 // placeAll places waiters in order of priority. A waiter that fits no agent does not
-// block those behind it, up to maxUnplaced such waiters.
+// block those behind it, up to maxUnplaced such waiters. Crash suspects do not count towards
+// these: there may be as many of them as an engine has slots, and one runs at an agent at a time.
 func (p *placer) placeAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	snap := p.view.Snapshot()
 	var unplaced []*waiter
-	for p.queue.Len() > 0 && len(unplaced) < maxUnplaced {
+	for blocked := 0; p.queue.Len() > 0 && blocked < maxUnplaced; {
 		w := heap.Pop(&p.queue).(*waiter)
-		agent := p.pick(w.req, snap)
+		agent := p.pick(w, snap)
 		if agent == nil {
 			unplaced = append(unplaced, w)
+			if !w.suspect {
+				blocked++
+			}
 			continue
 		}
-		w.reply <- p.newPlacement(agent)
+		w.reply <- p.newPlacement(agent, w.suspect)
 	}
 	for _, w := range unplaced {
 		heap.Push(&p.queue, w)
@@ -158,12 +166,17 @@
 }
 
 // newPlacement counts a run at the agent. The caller holds p.mu.
-func (p *placer) newPlacement(agent *membership.Agent) *placement {
+func (p *placer) newPlacement(agent *membership.Agent, suspect bool) *placement {
+	removeSuspect := func() {}
+	if suspect {
+		removeSuspect = p.suspects.add(agent.ID)
+	}
 	agent.InFlight.Begin()
 	p.unstarted[agent.ID]++
 	started := sync.OnceFunc(func() { p.started(agent.ID) })
 	release := sync.OnceFunc(func() {
 		agent.InFlight.End()
+		removeSuspect()
 		started()
 		p.signal()
 	})
@@ -174,11 +187,14 @@
 // the queue is left for the next round.
 const maxUnplaced = 16
 
-func (p *placer) pick(req *routing.Request, snap *membership.Snapshot) *membership.Agent {
-	narrowed := *req
+func (p *placer) pick(w *waiter, snap *membership.Snapshot) *membership.Agent {
+	narrowed := *w.req
 	narrowed.NeedFree = true
 	narrowed.Unstarted = p.unstarted
 	narrowed.Backlog = p.backlog
+	if w.suspect {
+		narrowed.Accept = p.suspects.accepts
+	}
 	agent, err := p.router.Pick(&narrowed, snap, p.rng)
 	if err != nil {
 		return nil
--- a/rollout/runner.go
+++ b/rollout/runner.go
@@ -52,6 +52,8 @@
 	Policy Policy
 	// Quarantine refuses samples that crash endpoints.
 	Quarantine *quarantine.Tracker
+
+	suspects suspectCounts
 }
 
 // Policy says how the samples of a step are placed and moved.
--- a/rollout/task.go
+++ b/rollout/task.go
@@ -49,6 +49,8 @@
 	// parks signals that the sample should free its slot; parked counts how often it did.
 	parks  chan struct{}
 	parked atomic.Int32
+	// suspect is whether the current attempt is that of a crash suspect.
+	suspect atomic.Bool
 }
 
 func newTask(s *step, req *api.SampleRequest) *task {
@@ -150,7 +152,8 @@
 	}
 	route := t.routeRequest()
 	route.Exclude = t.avoid
-	pl, err := t.s.placer.place(ctx, route, t.priority())
+	t.suspect.Store(t.isCrashSuspect())
+	pl, err := t.s.placer.place(ctx, route, t.priority(), t.suspect.Load())
 	if err != nil {
 		return nil, t.refusal(api.CodeCancelled, err, api.NotRunUnknown)
 	}
