--- /dev/null
+++ b/flowcontrol/windows.go
@@ -0,0 +1,197 @@
+package flowcontrol
+
+import (
+	"math"
+	"time"
+
+	"mulberryscale.example/fleet"
+)
+
+const (
+	// forgetAfter is the time after which the window of an endpoint that is no longer listed and
+	// has no open requests is deleted.
+	forgetAfter = 30 * time.Second
+	// listedTime is the time after which an endpoint that was no candidate counts as not listed.
+	listedTime = time.Second
+	// spreadFactor is the number of mean deviations that are added to the mean answer time when a
+	// request is judged. About 9 in 10 answers of a lognormal spread of 0.5 come within it.
+	spreadFactor = 1.5
+	// rateMemory is the time constant of rateMeter.
+	rateMemory = 500 * time.Millisecond
+	// serviceWeight is the weight of the newest answer in the averages over all endpoints.
+	serviceWeight = 0.05
+	// capableShare is the share of the objective within which an endpoint usually has to answer to
+	// get requests that can still be in time.
+	capableShare = 0.7
+)
+
+// windows are the windows of a process at the endpoints of a service, by incarnation.
+type windows struct {
+	common   *Common
+	byStart  map[fleet.Incarnation]*listedWindow
+	prunedAt time.Time
+	// observedAt is when the list of endpoints was last observed.
+	observedAt time.Time
+	// took and spread are the moving averages of the answer times of endpoints that can answer
+	// within the objective.
+	took, spread time.Duration
+}
+
+type listedWindow struct {
+	Window
+	listedAt time.Time
+}
+
+func newWindows() *windows {
+	return &windows{common: NewCommon(), byStart: map[fleet.Incarnation]*listedWindow{}}
+}
+
+// of returns the window of an endpoint.
+func (ws *windows) of(i fleet.Instance, now time.Time) *Window { return &ws.listed(i, now).Window }
+
+func (ws *windows) listed(i fleet.Instance, now time.Time) *listedWindow {
+	w, ok := ws.byStart[i.Incarnation()]
+	if !ok {
+		w = &listedWindow{Window: *NewWindow(ws.common, i.Slots)}
+		ws.byStart[i.Incarnation()] = w
+	}
+	w.listedAt = now
+	return w
+}
+
+// observe records the endpoints of the service and the objective of its requests.
+func (ws *windows) observe(candidates []fleet.Instance, it *Item, now time.Time) {
+	for _, c := range candidates {
+		ws.listed(c, now)
+	}
+	ws.observedAt = now
+	if objective := it.Objective.Sub(it.Arrived); objective > 0 && it.Objective.Before(it.Deadline) {
+		ws.common.Objective = objective
+	}
+	if now.Sub(ws.prunedAt) < listedTime {
+		return
+	}
+	ws.prunedAt = now
+	ws.common.Endpoints = 0
+	for start, w := range ws.byStart {
+		if now.Sub(w.listedAt) > forgetAfter && w.open == 0 {
+			delete(ws.byStart, start)
+		}
+		if now.Sub(w.listedAt) <= listedTime {
+			ws.common.Endpoints++
+		}
+	}
+}
+
+// current calls f with the windows of the endpoints that are listed at present.
+func (ws *windows) current(f func(*Window)) {
+	for _, w := range ws.byStart {
+		if ws.observedAt.Sub(w.listedAt) <= listedTime {
+			f(&w.Window)
+		}
+	}
+}
+
+// done records the end of a send in its window and in the averages of the service.
+func (ws *windows) done(w *Window, load *fleet.Load, declined bool, took time.Duration, now time.Time) {
+	w.Done(load, declined, took, now)
+	if took <= 0 || declined || !w.capable(now) {
+		return
+	}
+	if ws.took == 0 {
+		ws.took, ws.spread = took, took/4
+	}
+	deviation := (took - ws.took).Abs()
+	ws.spread += time.Duration(serviceWeight * float64(deviation-ws.spread))
+	ws.took += time.Duration(serviceWeight * float64(took-ws.took))
+}
+
+// capable reports whether the endpoint usually answers well within the objective.
+func (w *Window) capable(now time.Time) bool {
+	return float64(w.Took(now)) <= capableShare*float64(w.common.Objective)
+}
+
+// inTime reports whether a request that is sent now is likely to be answered within its objective.
+func (ws *windows) inTime(it *Item, now time.Time) bool {
+	need := ws.took + time.Duration(spreadFactor*float64(ws.spread))
+	return !now.Add(need).After(it.Objective)
+}
+
+// anyRoom reports whether an endpoint has room.
+func (ws *windows) anyRoom(now time.Time) bool {
+	for _, w := range ws.byStart {
+		if ws.observedAt.Sub(w.listedAt) <= listedTime && w.Room(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// withRoom returns the candidates that have room and suit a request: an endpoint that would answer
+// it after its objective is for late requests only.
+func (ws *windows) withRoom(candidates []fleet.Instance, it *Item, now time.Time) []fleet.Instance {
+	var room []fleet.Instance
+	for _, c := range candidates {
+		w := ws.of(c, now)
+		suits := it.late || (w.capable(now) && !now.Add(w.Took(now)).After(it.Objective))
+		if suits && w.Room(now) {
+			room = append(room, c)
+		}
+	}
+	return room
+}
+
+// nextReady returns when the next endpoint will have room without an answer.
+func (ws *windows) nextReady(now time.Time) (next time.Time, ok bool) {
+	ws.current(func(w *Window) {
+		ready, paced := w.Ready(now)
+		if paced && ready.After(now) && (!ok || ready.Before(next)) {
+			next, ok = ready, true
+		}
+	})
+	return next, ok
+}
+
+// rate returns how many requests a second the windows allow.
+func (ws *windows) rate(now time.Time) (sum float64) {
+	ws.current(func(w *Window) { sum += w.Rate(now) })
+	return sum
+}
+
+// timelyRate returns how many requests a second the windows of the capable endpoints allow.
+func (ws *windows) timelyRate(now time.Time) (sum float64) {
+	ws.current(func(w *Window) {
+		if w.capable(now) {
+			sum += w.Rate(now)
+		}
+	})
+	return sum
+}
+
+// leastTook returns the time that a request takes at the fastest endpoint, 0 if unknown.
+func (ws *windows) leastTook() (least time.Duration) {
+	ws.current(func(w *Window) {
+		if w.took > 0 && (least == 0 || w.serviceTime() < least) {
+			least = w.serviceTime()
+		}
+	})
+	return least
+}
+
+// rateMeter is the rate of recent events, weighted by their age.
+type rateMeter struct {
+	count float64
+	at    time.Time
+}
+
+func (m *rateMeter) add(now time.Time) {
+	m.count = m.decayed(now) + 1
+	m.at = now
+}
+
+func (m *rateMeter) decayed(now time.Time) float64 {
+	return m.count * math.Exp(-float64(now.Sub(m.at))/float64(rateMemory))
+}
+
+// rate returns the events a second.
+func (m *rateMeter) rate(now time.Time) float64 { return m.decayed(now) / rateMemory.Seconds() }
