flowcontrol: windows of all processes become equal, and fairness without a queue

Change: under overload windows grow by the same step and shrink by a factor; the state of overload is a moving average of reports; an organisation that has received more than others that are refused is refused itself.

Ruled out: a start-time queue alone.

--- a/flowcontrol/gate.go
+++ b/flowcontrol/gate.go
@@ -80,13 +80,12 @@
 type Gate struct {
 	config Config
 
-	mu       sync.Mutex
-	queue    *Queue
-	windows  *windows
-	returns  Returns
-	arrivals rateMeter
-	timer    *time.Timer
-	timerAt  time.Time
+	mu      sync.Mutex
+	queue   *Queue
+	windows *windows
+	returns Returns
+	timer   *time.Timer
+	timerAt time.Time
 
 	admitted, queued uint64
 	refused          map[string]uint64
@@ -157,7 +156,6 @@
 
 // arrive admits, queues or refuses a new request.
 func (g *Gate) arrive(it *Item, now time.Time) {
-	g.arrivals.add(now)
 	it.normalise(now, g.config.MaxWait)
 	w := it.Value.(*waiter)
 	candidates := w.candidates()
@@ -173,6 +171,9 @@
 	case g.queue.Bytes()+it.Bytes > g.config.MaxBytes && !g.windows.anyRoom(now):
 		g.refuse(it, ReasonQueueFull, now)
 		return
+	case g.windows.common.Sustained(now) && g.queue.OverShare(it, g.windows.work(), now):
+		g.refuse(it, ReasonNoTime, now)
+		return
 	}
 	g.queue.Push(it, !g.windows.inTime(it, now))
 	g.admitWaiting(now)
@@ -254,7 +255,7 @@
 		g.decide(it, nil, ErrNoEndpoint)
 		return true
 	}
-	room := g.windows.withRoom(candidates, it, now)
+	room := g.windows.withRoom(candidates, now, g.suits(it, now))
 	if len(room) == 0 {
 		return false
 	}
@@ -272,6 +273,16 @@
 	return true
 }
 
+// suits returns whether an endpoint suits a request: one that would answer after the objective is for
+// late requests only, and the others are not for late requests during a sustained overload.
+func (g *Gate) suits(it *Item, now time.Time) func(capable bool) bool {
+	if !it.late {
+		return func(capable bool) bool { return capable }
+	}
+	sustained := g.windows.common.Sustained(now)
+	return func(capable bool) bool { return !capable || !sustained }
+}
+
 // decide ends the wait of a request that is not in the queue.
 func (g *Gate) decide(it *Item, lease *Lease, err error) {
 	w := it.Value.(*waiter)
@@ -283,6 +294,9 @@
 func (g *Gate) refuse(it *Item, reason string, now time.Time) {
 	g.queue.Remove(it)
 	g.refused[reason]++
+	if reason == ReasonNoTime {
+		g.queue.Refused(it, now)
+	}
 	after := g.returns.After(now, it.Deadline.Sub(now), g.windows.rate(now))
 	g.decide(it, nil, &Refused{Reason: reason, RetryAfter: after})
 }
@@ -309,7 +323,7 @@
 		return marked
 	}
 	for g.queue.Timely() > 0 {
-		it := g.queue.Last(false, g.windows.took)
+		it := g.queue.Last(false, g.windows.work())
 		wait := g.timelyWait(now)
 		if g.windows.inTime(it, now.Add(wait)) {
 			break
@@ -317,8 +331,8 @@
 		g.queue.MarkLate(it)
 		marked = true
 	}
-	for g.queue.Late() > 0 {
-		it := g.queue.Last(true, g.windows.took)
+	for g.queue.Late() > 0 && g.windows.common.Sustained(now) {
+		it := g.queue.Last(true, g.windows.work())
 		wait := seconds(float64(g.queue.Late()) / g.lateRate(now))
 		if now.Add(wait + g.windows.leastTook()).Before(it.Deadline) {
 			break
@@ -338,11 +352,10 @@
 	return first + seconds(float64(g.queue.Timely()-1)*interval)
 }
 
-// lateRate returns how many late requests a second can be served: by the endpoints that are too slow
-// for others, and by what newcomers leave of the rest.
+// lateRate returns how many late requests a second an overloaded service can serve: those of the
+// endpoints that are too slow for others.
 func (g *Gate) lateRate(now time.Time) float64 {
-	timely := g.windows.timelyRate(now)
-	return g.windows.rate(now) - timely + max(0, timely-g.arrivals.rate(now))
+	return g.windows.rate(now) - g.windows.timelyRate(now)
 }
 
 // Waiting returns the number of requests that wait.
@@ -354,10 +367,10 @@
 
 // lastItem returns the waiting request that goes last.
 func (g *Gate) lastItem() *Item {
-	if it := g.queue.Last(true, g.windows.took); it != nil {
+	if it := g.queue.Last(true, g.windows.work()); it != nil {
 		return it
 	}
-	return g.queue.Last(false, g.windows.took)
+	return g.queue.Last(false, g.windows.work())
 }
 
 const (
--- a/flowcontrol/queue.go
+++ b/flowcontrol/queue.go
@@ -15,6 +15,14 @@
 	// guaranteedShare is the share of the mean received work up to which an organisation goes
 	// before those of higher rank, so that no rank is starved.
 	guaranteedShare = 0.35
+	// refusalMemory is the time after a refusal within which an organisation counts as one that
+	// wants more than it gets.
+	refusalMemory = time.Second
+	// shareTolerance and workTolerance are how much more than the mean of those that want more an
+	// organisation may have received, as a factor and in requests. Without a tolerance an
+	// organisation that is ahead by chance would be refused while others have nothing to send.
+	shareTolerance = 1.1
+	workTolerance  = 1
 	// maxScale is the scale of the work accounts at which they are renormalised.
 	maxScale = 1e12
 	// forgottenWork is the received work, in seconds, below which the account of an organisation
@@ -49,6 +57,8 @@
 	// timely requests can still be answered within their objective, late ones cannot. Both are
 	// ordered by Item.before.
 	timely, late []*Item
+	// refusedAt is the time of the last refusal for lack of capacity.
+	refusedAt time.Time
 }
 
 type accountKey struct {
@@ -221,6 +231,45 @@
 	q.total += added
 }
 
+// Refused records that a request was refused for lack of capacity.
+func (q *Queue) Refused(it *Item, now time.Time) {
+	it.account = q.accountOf(it)
+	it.account.refusedAt = now
+}
+
+// OverShare reports whether an organisation has received more than it should while others are
+// refused: more than others of its rank, or more than the guaranteed share if a higher rank is
+// refused. work is the expected work of one request.
+func (q *Queue) OverShare(it *Item, work time.Duration, now time.Time) bool {
+	q.rescale(now)
+	var higher bool
+	var wanting int
+	var sum float64
+	for _, a := range q.accounts {
+		if a.rank > it.Rank || now.Sub(a.refusedAt) > refusalMemory {
+			continue
+		}
+		if a.rank < it.Rank {
+			higher = true
+			continue
+		}
+		wanting++
+		sum += a.received
+	}
+	received := q.accountOf(it).received
+	request := work.Seconds() * q.scale
+	if higher && received > q.guaranteed()+request {
+		return true
+	}
+	return wanting > 0 && received > shareTolerance*sum/float64(wanting)+workTolerance*request
+}
+
+// guaranteed returns the received work up to which an organisation goes before those of higher
+// rank.
+func (q *Queue) guaranteed() float64 {
+	return guaranteedShare * q.total / float64(max(1, len(q.accounts)))
+}
+
 // rescale sets the weight of work that is received now.
 func (q *Queue) rescale(now time.Time) {
 	if q.scaledAt.IsZero() {
@@ -264,7 +313,7 @@
 // work.
 func (q *Queue) compare(a, b *account, moreA, moreB float64) int {
 	receivedA, receivedB := a.received+moreA*q.scale, b.received+moreB*q.scale
-	guaranteed := guaranteedShare * q.total / float64(max(1, len(q.accounts)))
+	guaranteed := q.guaranteed()
 	belowA, belowB := receivedA < guaranteed, receivedB < guaranteed
 	switch {
 	case belowA && !belowB:
--- a/flowcontrol/rig_test.go
+++ b/flowcontrol/rig_test.go
@@ -53,13 +53,18 @@
 	burst int
 	// unreported makes the endpoints report no load.
 	unreported bool
-	seed       uint64
+	// fromFirst makes the objective of a returning request that of its first attempt.
+	fromFirst bool
+	// ungated sends requests at once, and after a rejection to another endpoint.
+	ungated bool
+	seed    uint64
 }
 
 // result is the outcome of one simulation.
 type result struct {
 	// answers, inTime and served count answers by phase, answers within the objective, and answers
 	// by organisation.
+	// The phase is that of the answer, except for arrived.
 	arrived, answers, inTime, inTimeAtFirst []int
 	served                                  map[string]int
 	sends, declined, refusals, failed       int
@@ -99,6 +104,7 @@
 	weights   []float64 // cumulated shares of the entries
 	random    *rand.Rand
 	result    result
+	phase     int // the present one
 	ids       int
 	clients   sync.WaitGroup
 }
@@ -123,7 +129,7 @@
 	if len(r.organisations) == 0 {
 		r.organisations = evenOrganisations(8, 0)
 	}
-	n := len(p.phases)
+	n := len(p.phases) + 1 // the last one is after the load
 	r.result = result{arrived: make([]int, n), answers: make([]int, n), inTime: make([]int, n), inTimeAtFirst: make([]int, n), took: make([][]time.Duration, n), served: map[string]int{}}
 	return r
 }
@@ -150,6 +156,9 @@
 		r := newRig(t, p)
 		for i, ph := range p.phases {
 			r.load(i, ph)
+			r.mu.Lock()
+			r.phase++
+			r.mu.Unlock()
 		}
 		r.clients.Wait()
 		res = r.result
@@ -210,22 +219,26 @@
 	r.mu.Unlock()
 	work := time.Duration(math.Exp(rigSpread*r.random.NormFloat64()-rigSpread*rigSpread/2) * float64(rigWork))
 	second := r.random.IntN(r.entries)
-	r.clients.Go(func() { r.client(phase, org, fmt.Sprint(id), work, entry, second) })
+	r.clients.Go(func() { r.client(org, fmt.Sprint(id), work, entry, second) })
 }
 
 // client asks at one entry, and after a refusal once at another one with the time that is left.
-func (r *rig) client(phase int, org organisation, id string, work time.Duration, first, second int) {
+func (r *rig) client(org organisation, id string, work time.Duration, first, second int) {
 	began := time.Now()
 	deadline := began.Add(rigDeadline)
+	objective := began.Add(rigObjective)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	asked := began
-	err := r.ask(ctx, org, id, work, first, deadline)
+	err := r.ask(ctx, org, id, work, first, objective, deadline)
 	var refused *Refused
 	if errors.As(err, &refused) {
 		time.Sleep(refused.RetryAfter)
 		asked = time.Now()
-		err = r.ask(ctx, org, id, work, second, deadline)
+		if !r.fromFirst {
+			objective = asked.Add(rigObjective)
+		}
+		err = r.ask(ctx, org, id, work, second, objective, deadline)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -233,8 +246,11 @@
 		r.result.failed++
 		return
 	}
+	phase := r.phase
 	r.result.answers[phase]++
-	r.result.served[org.name]++
+	if phase < len(r.phases) {
+		r.result.served[org.name]++
+	}
 	r.result.took[phase] = append(r.result.took[phase], time.Since(began))
 	if time.Since(asked) <= rigObjective {
 		r.result.inTime[phase]++
@@ -245,10 +261,13 @@
 }
 
 // ask sends a request through an entry.
-func (r *rig) ask(ctx context.Context, org organisation, id string, work time.Duration, entry int, deadline time.Time) error {
+func (r *rig) ask(ctx context.Context, org organisation, id string, work time.Duration, entry int, objective, deadline time.Time) error {
 	arrived := time.Now()
 	g, p := r.gates[entry], r.pickers[entry]
-	ticket := Ticket{Organisation: org.name, Rank: org.rank, Arrived: arrived, Objective: arrived.Add(rigObjective), Deadline: deadline, Bytes: 1000}
+	ticket := Ticket{Organisation: org.name, Rank: org.rank, Arrived: arrived, Objective: objective, Deadline: deadline, Bytes: 1000}
+	if r.ungated {
+		return r.askUngated(ctx, p, id, work)
+	}
 	choose := func(room []fleet.Instance) (fleet.Instance, bool) {
 		return p.Take(picker.Query{Candidates: room, Request: id, Now: time.Now()}, false)
 	}
@@ -279,6 +298,29 @@
 	}
 }
 
+// askUngated sends a request to up to three endpoints.
+func (r *rig) askUngated(ctx context.Context, p *picker.Picker, id string, work time.Duration) error {
+	tried := map[fleet.Incarnation]bool{}
+	for range 3 {
+		to, ok := p.Take(picker.Query{Candidates: r.list, Tried: tried, Request: id, Now: time.Now()}, false)
+		if !ok {
+			break
+		}
+		tried[to.Incarnation()] = true
+		sent := time.Now()
+		_, declined, err := r.send(ctx, to, work)
+		outcome := picker.Outcome{Answered: err == nil, Kind: "lookup"}
+		if !declined {
+			outcome.Took = time.Since(sent)
+		}
+		p.End(to.Incarnation(), outcome, time.Now())
+		if !declined {
+			return err
+		}
+	}
+	return &Refused{Reason: "declined", RetryAfter: 200 * time.Millisecond}
+}
+
 func (r *rig) noteRefusal(arrived time.Time, err error) {
 	var refused *Refused
 	if !errors.As(err, &refused) {
--- a/flowcontrol/window.go
+++ b/flowcontrol/window.go
@@ -12,20 +12,22 @@
 	queueShare = 1.0 / 3
 	// aimedQueue is the part of the allowed queue at which the windows neither grow nor shrink: a
 	// queue varies by some requests as the senders do not coordinate.
-	aimedQueue = 0.25
+	aimedQueue = 0.5
 	// maxShare bounds a window, in shares of the requests that an endpoint should hold.
 	maxShare = 1.5
 	// gain is the weight of a report, for each round of answers.
 	gain = 0.3
 	// freeGain is the gain while an endpoint has free slots.
 	freeGain = 1.0
-	// leastShrink is the factor by which the report of a full endpoint shrinks the window.
-	leastShrink = 0.6
+	// maxShrink is the part by which the report of a full endpoint shrinks the window at most.
+	maxShrink = 0.4
 	// declinedFactor is the factor by which a rejected send shrinks the window.
 	declinedFactor = 0.5
-	// growthFloor is added, in requests of the whole process, to the window to which the growth is
-	// proportional. With it the windows of processes that all have requests waiting become equal.
-	growthFloor = 0.3
+	// growthStep is the growth of all windows of a process together, in requests, for each report
+	// of an endpoint that holds nothing.
+	growthStep = 0.3
+	// unusedFactor bounds the windows of an overloaded service, as a multiple of the open requests.
+	unusedFactor = 2
 	// commonPart is the part of each change that applies to all endpoints of the service. With 820
 	// entries and 60 endpoints, an entry hears from an endpoint every few seconds only.
 	commonPart = 0.5
@@ -37,13 +39,32 @@
 	// probeInterval is the time between two sends of a process to a service whose endpoints
 	// report that they are full.
 	probeInterval = 500 * time.Millisecond
+	// burstTime is how long a service has to be overloaded until requests are refused that could
+	// be answered after their objective.
+	burstTime = 400 * time.Millisecond
+	// freeInterval is how long an endpoint has to report free slots to be trusted while the others
+	// report queues.
+	freeInterval = 50 * time.Millisecond
 	// freeLifetime is how long a report of a free slot is trusted, one control interval.
 	freeLifetime = 100 * time.Millisecond
+	// overloadedShare is the share of reports that show a queue above which the service counts as
+	// overloaded, relievedShare the share below which it no longer does. queueingMemory is the time constant of the average, maxQueueingWeight the most
+	// that a single report can change it.
+	overloadedShare   = 0.5
+	relievedShare     = 0.25
+	queueingMemory    = 200 * time.Millisecond
+	maxQueueingWeight = 0.25
 	// tookLifetime is how long the answer time of an endpoint is trusted. An endpoint that is
 	// avoided because it is slow is tried again after it.
 	tookLifetime = 5 * time.Second
 	// tookWeight is the weight of the newest answer in the averages of answer times.
 	tookWeight = 0.15
+	// maxPaceChange bounds the pace by its moving average, paceWeight is the weight of the newest
+	// report in it. A single odd report then slows the sends by this factor at most.
+	maxPaceChange = 3
+	paceWeight    = 0.3
+	// maxServiceChange bounds the weight of one answer that took unusually long.
+	maxServiceChange = 4
 	// stallFactor is the number of usual answer times without any answer after which an endpoint
 	// counts as stalled.
 	stallFactor = 4
@@ -54,8 +75,9 @@
 	// unreportedGrowth is the growth of the window of an endpoint without reports for each answer.
 	// About one send in 70 is then rejected: a rejection halves the window.
 	unreportedGrowth = 0.01
-	// unreportedRecovery is that growth once no send has been rejected for a second.
+	// unreportedRecovery is that growth once no send has been rejected for unreportedLull.
 	unreportedRecovery = 0.2
+	unreportedLull     = 5 * time.Second
 )
 
 // Common is the part of the windows of a process that is the same for all endpoints of a service.
@@ -71,15 +93,20 @@
 	reportedAt time.Time
 	// freeAt is the time of the last report of a free slot.
 	freeAt time.Time
+	// queueing is the moving average of the share of reports that show a queue.
+	queueing float64
+	// overloaded is set while queueing is high, overloadedSince is when the service became overloaded.
+	overloaded      bool
+	overloadedSince time.Time
 }
 
 // NewCommon returns the state of a process that has heard of no endpoint.
-func NewCommon() *Common { return &Common{Objective: defaultObjective, Endpoints: 1, share: 1} }
+func NewCommon() *Common { return &Common{Objective: defaultObjective, Endpoints: 1, share: maxShare} }
 
 // Expire resets the windows after a time without reports.
 func (c *Common) Expire(now time.Time) {
 	if now.Sub(c.reportedAt) > reportLifetime {
-		c.share = max(c.share, 1)
+		c.share = maxShare
 	}
 }
 
@@ -88,6 +115,34 @@
 	return now.Sub(c.reportedAt) <= reportLifetime && now.Sub(c.freeAt) > freeLifetime
 }
 
+// Overloaded reports whether most of the latest reports showed a queue. Unlike Congested it is not
+// changed by single reports of a free slot, which come at any load.
+func (c *Common) Overloaded(now time.Time) bool {
+	return now.Sub(c.reportedAt) <= reportLifetime && c.overloaded
+}
+
+// Sustained reports whether the service has been overloaded for longer than a burst takes.
+func (c *Common) Sustained(now time.Time) bool {
+	return c.Overloaded(now) && now.Sub(c.overloadedSince) >= burstTime
+}
+
+// report records whether an endpoint had a queue.
+func (c *Common) report(queueing bool, now time.Time) {
+	weight := min(maxQueueingWeight, 1-math.Exp(-float64(now.Sub(c.reportedAt))/float64(queueingMemory)))
+	c.reportedAt = now
+	target := 0.0
+	if queueing {
+		target = 1
+	}
+	c.queueing += weight * (target - c.queueing)
+	switch {
+	case c.overloaded:
+		c.overloaded = c.queueing > relievedShare
+	case c.queueing > overloadedShare:
+		c.overloaded, c.overloadedSince = true, now
+	}
+}
+
 // Window is the concurrency limit of a process at one endpoint. Below 1 it means one request at a
 // time with pauses in between. It is not safe for concurrent use.
 type Window struct {
@@ -96,8 +151,12 @@
 	factor   float64
 	factorAt time.Time
 	slots    int
-	pace     int
-	reports  bool
+	// pace is the endpoint's pace, usual its moving average.
+	pace, usual float64
+	reports     bool
+	// free is set if the last report showed a free slot, freeSince is when the first one in a row did.
+	free      bool
+	freeSince time.Time
 	// service is the moving average of the time of a request without queueing, divided by the pace.
 	service time.Duration
 	// took and spread are the moving averages of answer times and of their deviation.
@@ -132,26 +191,35 @@
 	return w.took
 }
 
-// expectedTook returns the average answer time, or a default.
+// expectedTook returns the answer time of the endpoint when it holds its target. It is derived from
+// the time without queueing, since the averages of answer times lag behind in a process that hears
+// from the endpoint every few seconds.
 func (w *Window) expectedTook() time.Duration {
-	if w.took > 0 {
-		return w.took
+	if !w.reports {
+		return w.serviceTime()
 	}
-	return time.Duration(queueShare * float64(w.common.Objective))
+	return time.Duration(float64(w.serviceTime()) * w.target() / float64(w.slots))
 }
 
-// serviceTime returns the time of a request at the endpoint's pace, without queueing.
+// serviceTime returns the time of a request at the endpoint's pace, without queueing if the endpoint
+// reports its queue.
 func (w *Window) serviceTime() time.Duration {
 	if w.service > 0 {
-		return w.service * time.Duration(w.pace) / usualPace
+		return time.Duration(float64(w.service) * w.pace / usualPace)
 	}
-	return w.expectedTook()
+	return time.Duration(queueShare * float64(w.common.Objective))
 }
 
 // target returns how many requests the endpoint should hold, from all processes together.
-func (w *Window) target() float64 {
+func (w *Window) target() float64 { return float64(w.slots) * (1 + aimedQueue*w.allowedQueue()) }
+
+// most returns how many requests the endpoint may hold.
+func (w *Window) most() float64 { return float64(w.slots) * (1 + w.allowedQueue()) }
+
+// allowedQueue returns the allowed queue, in requests for each slot.
+func (w *Window) allowedQueue() float64 {
 	queue := queueShare * float64(w.common.Objective) / float64(max(w.serviceTime(), time.Millisecond))
-	return float64(w.slots) * (1 + aimedQueue*min(queue, maxQueuePerSlot))
+	return min(queue, maxQueuePerSlot)
 }
 
 // maxQueuePerSlot bounds the allowed queue, in requests for each slot: endpoints reject sends
@@ -230,10 +298,8 @@
 		w.silentSince = time.Time{}
 	}
 	if load != nil && load.Slots > 0 {
-		w.reports, w.slots, w.pace = true, load.Slots, usualPace
-		if load.Pace > 0 {
-			w.pace = load.Pace
-		}
+		w.reports, w.slots = true, load.Slots
+		w.observePace(load.Pace)
 	}
 	if declined {
 		w.decline(open, now)
@@ -246,14 +312,19 @@
 	case load != nil && load.Slots > 0:
 		w.observeLoad(*load, open, now)
 	case took > 0 && !w.reports:
-		w.grow(unreportedGrowth+unreportedRecovery*min(1, now.Sub(w.declinedAt).Seconds()), open, now)
+		growth := unreportedGrowth
+		if now.Sub(w.declinedAt) > unreportedLull {
+			growth = unreportedRecovery
+		}
+		w.growBy(growth*w.Limit(now), now)
 	}
 }
 
 // decline shrinks the window after a rejected send, and pauses until a part of the endpoint's queue
 // has been served. Sends that were rejected at about the same time count once.
 func (w *Window) decline(open int, now time.Time) {
-	w.common.reportedAt, w.declinedAt = now, now
+	w.declinedAt = now
+	w.common.report(true, now)
 	if now.Before(w.pausedUntil) {
 		return
 	}
@@ -262,8 +333,20 @@
 	w.change(declinedFactor*min(limit, float64(open))/limit, now)
 }
 
+// observePace records the pace that the endpoint reports, 0 for none.
+func (w *Window) observePace(pace int) {
+	if pace <= 0 {
+		pace = usualPace
+	}
+	if w.usual == 0 {
+		w.usual = float64(pace)
+	}
+	w.pace = min(max(float64(pace), w.usual/maxPaceChange), w.usual*maxPaceChange)
+	w.usual += paceWeight * (w.pace - w.usual)
+}
+
 func (w *Window) observeTook(load *fleet.Load, took time.Duration, now time.Time) {
-	service := took * usualPace / time.Duration(w.pace)
+	service := time.Duration(float64(took) * usualPace / w.pace)
 	if load != nil && load.Slots > 0 {
 		service = time.Duration(float64(service) / (1 + float64(load.Waiting)/float64(load.Slots)))
 	}
@@ -271,6 +354,7 @@
 		w.took, w.spread, w.service = took, took/4, service
 	}
 	w.tookAt = now
+	service = min(max(service, w.service/maxServiceChange), w.service*maxServiceChange)
 	w.service += time.Duration(tookWeight * float64(service-w.service))
 	w.spread += time.Duration(tookWeight * (math.Abs(float64(took-w.took)) - float64(w.spread)))
 	w.took += time.Duration(tookWeight * float64(took-w.took))
@@ -278,24 +362,62 @@
 
 // observeLoad adjusts the window to a report, given the number of requests that were open.
 func (w *Window) observeLoad(load fleet.Load, open int, now time.Time) {
-	w.common.reportedAt = now
 	held, target := float64(load.Running+load.Waiting), w.target()
+	w.common.report(float64(load.Waiting) > (target-float64(w.slots))/2, now)
 	below := (target - held) / target
 	switch {
-	case load.Waiting == 0 && load.Running < load.Slots:
-		w.common.freeAt = now
-		w.grow(freeGain*max(below, 0), open, now)
+	case w.freeFor(load, now) >= freeInterval && float64(open) >= w.Limit(now)/2 || w.free && !w.common.Overloaded(now):
+		w.growBy(freeGain*max(below, 0)*w.Limit(now)/float64(max(1, open)), now)
+	case !w.common.Overloaded(now) && held <= w.most(): // a burst
 	case below >= 0:
 		w.grow(gain*below, open, now)
 	default:
-		w.change(1+(max(leastShrink, 1+gain*below)-1)/float64(max(1, open)), now)
+		w.clip(open, now)
+		w.change(1-min(maxShrink, -gain*below)/math.Sqrt(float64(max(1, open))), now)
 	}
 }
 
-// grow lets the window grow by a share for each round of answers.
+// grow lets the window grow. While the service is overloaded the growth is the same for all
+// processes and only a window in use grows, so that the windows become equal; else it is
+// proportional to the window.
 func (w *Window) grow(share float64, open int, now time.Time) {
 	limit := w.Limit(now)
-	added := share * (limit + growthFloor/float64(max(1, w.common.Endpoints))) / float64(max(1, open))
+	added := 0.0
+	switch {
+	case !w.common.Overloaded(now):
+		added = share * limit / float64(max(1, open))
+	case float64(open) < limit/2:
+		return
+	}
+	w.growBy(added+share*growthStep/float64(max(1, w.common.Endpoints)), now)
+}
+
+// freeFor records whether a report shows a free slot, and returns for how long reports have.
+func (w *Window) freeFor(load fleet.Load, now time.Time) time.Duration {
+	before := w.free
+	w.free = load.Waiting == 0 && load.Running < load.Slots
+	if !w.free {
+		return 0
+	}
+	w.common.freeAt = now
+	if !before {
+		w.freeSince = now
+	}
+	return now.Sub(w.freeSince)
+}
+
+// clip reduces a window of which only a part is in use, while the service is overloaded. Without it,
+// processes that send little keep their first window for seconds.
+func (w *Window) clip(open int, now time.Time) {
+	used := unusedFactor * float64(max(1, open))
+	if limit := w.Limit(now); limit > used && w.common.Overloaded(now) {
+		w.change(used/limit, now)
+	}
+}
+
+// growBy lets the window grow by a number of requests.
+func (w *Window) growBy(added float64, now time.Time) {
+	limit := w.Limit(now)
 	w.change((limit+added)/limit, now)
 }
 
--- a/flowcontrol/windows.go
+++ b/flowcontrol/windows.go
@@ -1,7 +1,6 @@
 package flowcontrol
 
 import (
-	"math"
 	"time"
 
 	"mulberryscale.example/fleet"
@@ -16,13 +15,17 @@
 	// spreadFactor is the number of mean deviations that are added to the mean answer time when a
 	// request is judged. About 9 in 10 answers of a lognormal spread of 0.5 come within it.
 	spreadFactor = 1.5
-	// rateMemory is the time constant of rateMeter.
-	rateMemory = 500 * time.Millisecond
 	// serviceWeight is the weight of the newest answer in the averages over all endpoints.
 	serviceWeight = 0.05
 	// capableShare is the share of the objective within which an endpoint usually has to answer to
 	// get requests that can still be in time.
-	capableShare = 0.7
+	capableShare = 0.8
+	// fastestFactor is the factor of the shortest average answer time up to which endpoints get
+	// such requests if none answers within the objective.
+	fastestFactor = 1.2
+	// maxNeed bounds the time that a request is expected to take, in shares of the objective, so
+	// that requests to a service which answers late are not all late on arrival.
+	maxNeed = 0.75
 )
 
 // windows are the windows of a process at the endpoints of a service, by incarnation.
@@ -35,6 +38,8 @@
 	// took and spread are the moving averages of the answer times of endpoints that can answer
 	// within the objective.
 	took, spread time.Duration
+	// fastest is the shortest average answer time of the endpoints.
+	fastest time.Duration
 }
 
 type listedWindow struct {
@@ -72,13 +77,16 @@
 		return
 	}
 	ws.prunedAt = now
-	ws.common.Endpoints = 0
+	ws.common.Endpoints, ws.fastest = 0, 0
 	for start, w := range ws.byStart {
 		if now.Sub(w.listedAt) > forgetAfter && w.open == 0 {
 			delete(ws.byStart, start)
 		}
 		if now.Sub(w.listedAt) <= listedTime {
 			ws.common.Endpoints++
+			if took := w.Took(now); took > 0 && (ws.fastest == 0 || took < ws.fastest) {
+				ws.fastest = took
+			}
 		}
 	}
 }
@@ -95,7 +103,7 @@
 // done records the end of a send in its window and in the averages of the service.
 func (ws *windows) done(w *Window, load *fleet.Load, declined bool, took time.Duration, now time.Time) {
 	w.Done(load, declined, took, now)
-	if took <= 0 || declined || !w.capable(now) {
+	if took <= 0 || declined || !ws.capable(w, now) {
 		return
 	}
 	if ws.took == 0 {
@@ -106,14 +114,20 @@
 	ws.took += time.Duration(serviceWeight * float64(took-ws.took))
 }
 
-// capable reports whether the endpoint usually answers well within the objective.
-func (w *Window) capable(now time.Time) bool {
-	return float64(w.Took(now)) <= capableShare*float64(w.common.Objective)
+// capable reports whether the endpoint usually answers within the objective, or is among the
+// fastest of the service if none does.
+func (ws *windows) capable(w *Window, now time.Time) bool {
+	limit := capableShare * float64(ws.common.Objective)
+	if took := float64(w.Took(now)); took > limit {
+		return took <= fastestFactor*float64(ws.fastest)
+	}
+	return true
 }
 
 // inTime reports whether a request that is sent now is likely to be answered within its objective.
 func (ws *windows) inTime(it *Item, now time.Time) bool {
 	need := ws.took + time.Duration(spreadFactor*float64(ws.spread))
+	need = min(need, time.Duration(maxNeed*float64(ws.common.Objective)))
 	return !now.Add(need).After(it.Objective)
 }
 
@@ -127,14 +141,12 @@
 	return false
 }
 
-// withRoom returns the candidates that have room and suit a request: an endpoint that would answer
-// it after its objective is for late requests only.
-func (ws *windows) withRoom(candidates []fleet.Instance, it *Item, now time.Time) []fleet.Instance {
+// withRoom returns the candidates that have room and suit a request, which depends on whether they
+// are capable.
+func (ws *windows) withRoom(candidates []fleet.Instance, now time.Time, suits func(capable bool) bool) []fleet.Instance {
 	var room []fleet.Instance
 	for _, c := range candidates {
-		w := ws.of(c, now)
-		suits := it.late || (w.capable(now) && !now.Add(w.Took(now)).After(it.Objective))
-		if suits && w.Room(now) {
+		if w := ws.of(c, now); w.Room(now) && suits(ws.capable(w, now)) {
 			room = append(room, c)
 		}
 	}
@@ -161,7 +173,7 @@
 // timelyRate returns how many requests a second the windows of the capable endpoints allow.
 func (ws *windows) timelyRate(now time.Time) (sum float64) {
 	ws.current(func(w *Window) {
-		if w.capable(now) {
+		if ws.capable(w, now) {
 			sum += w.Rate(now)
 		}
 	})
@@ -178,20 +190,5 @@
 	return least
 }
 
-// rateMeter is the rate of recent events, weighted by their age.
-type rateMeter struct {
-	count float64
-	at    time.Time
-}
-
-func (m *rateMeter) add(now time.Time) {
-	m.count = m.decayed(now) + 1
-	m.at = now
-}
-
-func (m *rateMeter) decayed(now time.Time) float64 {
-	return m.count * math.Exp(-float64(now.Sub(m.at))/float64(rateMemory))
-}
-
-// rate returns the events a second.
-func (m *rateMeter) rate(now time.Time) float64 { return m.decayed(now) / rateMemory.Seconds() }
+// work returns the expected work of one request.
+func (ws *windows) work() time.Duration { return max(ws.leastTook(), time.Millisecond) }
