flowcontrol: changes of a window apply to all endpoints of a large service

Change: the more endpoints, the larger the part of a change that applies to all of them; a second rejection within 500 ms limits the windows to what the process has open.

--- a/flowcontrol/window.go
+++ b/flowcontrol/window.go
@@ -21,6 +21,9 @@
 	freeGain = 1.0
 	// maxShrink is the part by which the report of a full endpoint shrinks the window at most.
 	maxShrink = 0.4
+	// declineMemory is the time after a rejected send within which another one shows that the
+	// windows are too large, and not only this endpoint's.
+	declineMemory = 500 * time.Millisecond
 	// declinedFactor is the factor by which a rejected send shrinks the window.
 	declinedFactor = 0.5
 	// growthStep is the growth of all windows of a process together, in requests, for each report
@@ -28,9 +31,10 @@
 	growthStep = 0.3
 	// unusedFactor bounds the windows of an overloaded service, as a multiple of the open requests.
 	unusedFactor = 2
-	// commonPart is the part of each change that applies to all endpoints of the service. With 820
-	// entries and 60 endpoints, an entry hears from an endpoint every few seconds only.
-	commonPart = 0.5
+	// commonEndpoints is the number of endpoints from which half of each change of a window applies
+	// to all endpoints of the service. With 820 entries and 60 endpoints an entry hears from one
+	// endpoint every few seconds only, and has to apply almost all of it to the others.
+	commonEndpoints = 3
 	// factorMemory is the time constant with which an endpoint's own part returns to 1 while
 	// nothing is heard from it.
 	factorMemory = 10 * time.Second
@@ -72,12 +76,14 @@
 	defaultObjective = 150 * time.Millisecond
 	// defaultSlots is used for an endpoint whose slots are not known.
 	defaultSlots = 1
+	// unreportedFactor is declinedFactor for such an endpoint.
+	unreportedFactor = 0.2
 	// unreportedGrowth is the growth of the window of an endpoint without reports for each answer.
 	// About one send in 70 is then rejected: a rejection halves the window.
 	unreportedGrowth = 0.01
 	// unreportedRecovery is that growth once no send has been rejected for unreportedLull.
-	unreportedRecovery = 0.2
-	unreportedLull     = 5 * time.Second
+	unreportedRecovery = 0.1
+	unreportedLull     = 10 * time.Second
 )
 
 // Common is the part of the windows of a process that is the same for all endpoints of a service.
@@ -89,6 +95,10 @@
 	Endpoints int
 	// share is the share of the requests that an endpoint should hold which is for this process.
 	share float64
+	// open is the number of open requests at all endpoints.
+	open int
+	// declinedAt is the time of the last rejected send.
+	declinedAt time.Time
 	// reportedAt is the time of the last report or rejected send of any endpoint.
 	reportedAt time.Time
 	// freeAt is the time of the last report of a free slot.
@@ -284,6 +294,7 @@
 // Sent records that a request is sent.
 func (w *Window) Sent(now time.Time) {
 	w.open++
+	w.common.open++
 	w.lastSent = now
 	if w.silentSince.IsZero() {
 		w.silentSince = now
@@ -294,6 +305,7 @@
 func (w *Window) Done(load *fleet.Load, declined bool, took time.Duration, now time.Time) {
 	open := w.open
 	w.open--
+	w.common.open--
 	if load != nil || declined || took > 0 {
 		w.silentSince = time.Time{}
 	}
@@ -302,7 +314,7 @@
 		w.observePace(load.Pace)
 	}
 	if declined {
-		w.decline(open, now)
+		w.decline(now)
 		return
 	}
 	if took > 0 {
@@ -322,15 +334,22 @@
 
 // decline shrinks the window after a rejected send, and pauses until a part of the endpoint's queue
 // has been served. Sends that were rejected at about the same time count once.
-func (w *Window) decline(open int, now time.Time) {
-	w.declinedAt = now
+func (w *Window) decline(now time.Time) {
+	again := now.Sub(w.common.declinedAt) < declineMemory
+	w.declinedAt, w.common.declinedAt = now, now
 	w.common.report(true, now)
 	if now.Before(w.pausedUntil) {
 		return
 	}
 	w.pausedUntil = now.Add(time.Duration(queueShare * float64(w.common.Objective)))
-	limit := w.Limit(now)
-	w.change(declinedFactor*min(limit, float64(open))/limit, now)
+	if again {
+		w.clip(1, now)
+	}
+	factor := declinedFactor
+	if !w.reports {
+		factor = unreportedFactor
+	}
+	w.change(factor, now)
 }
 
 // observePace records the pace that the endpoint reports, 0 for none.
@@ -372,7 +391,9 @@
 	case below >= 0:
 		w.grow(gain*below, open, now)
 	default:
-		w.clip(open, now)
+		if w.common.Overloaded(now) {
+			w.clip(unusedFactor, now)
+		}
 		w.change(1-min(maxShrink, -gain*below)/math.Sqrt(float64(max(1, open))), now)
 	}
 }
@@ -406,11 +427,11 @@
 	return now.Sub(w.freeSince)
 }
 
-// clip reduces a window of which only a part is in use, while the service is overloaded. Without it,
-// processes that send little keep their first window for seconds.
-func (w *Window) clip(open int, now time.Time) {
-	used := unusedFactor * float64(max(1, open))
-	if limit := w.Limit(now); limit > used && w.common.Overloaded(now) {
+// clip reduces a window to a multiple of what the process has open on average at an endpoint.
+// Without it, processes that send little keep the first window for seconds.
+func (w *Window) clip(multiple float64, now time.Time) {
+	used := multiple * float64(max(1, w.common.open)) / float64(max(1, w.common.Endpoints))
+	if limit := w.Limit(now); limit > used {
 		w.change(used/limit, now)
 	}
 }
@@ -426,8 +447,9 @@
 	limit := w.common.share * w.ownFactor(now)
 	least := w.least() / w.target()
 	limit = min(max(limit*by, least), maxShare) / limit
-	w.common.share = min(max(w.common.share*math.Pow(limit, commonPart), least), maxShare)
-	w.factor = min(w.ownFactor(now)*math.Pow(limit, 1-commonPart), 1/minFactor)
+	common := float64(w.common.Endpoints) / float64(w.common.Endpoints+commonEndpoints)
+	w.common.share = min(max(w.common.share*math.Pow(limit, common), least), maxShare)
+	w.factor = min(w.ownFactor(now)*math.Pow(limit, 1-common), 1/minFactor)
 	w.factor = max(w.factor, minFactor)
 	w.factorAt = now
 }
