flowcontrol: silent windows grow instead of being reset while requests wait

Change: the reset is for processes that have nothing to send; others double their windows. A process whose windows are below one request sends at most three requests at once.

--- a/flowcontrol/gate.go
+++ b/flowcontrol/gate.go
@@ -209,6 +209,7 @@
 	if g.queue.Len() == 0 {
 		return
 	}
+	g.windows.common.Limited(now)
 	g.expire(now)
 	if g.trim(now) {
 		g.dispatch(now)
@@ -294,6 +295,7 @@
 func (g *Gate) refuse(it *Item, reason string, now time.Time) {
 	g.queue.Remove(it)
 	g.refused[reason]++
+	g.windows.common.Limited(now)
 	if reason == ReasonNoTime {
 		g.queue.Refused(it, now)
 	}
--- a/flowcontrol/window.go
+++ b/flowcontrol/window.go
@@ -40,6 +40,14 @@
 	factorMemory = 10 * time.Second
 	// reportLifetime is the time without a report after which the windows are reset.
 	reportLifetime = 500 * time.Millisecond
+	// expiryGrowth is the growth of the windows of a process that is limited by them when no report
+	// has come for reportLifetime.
+	expiryGrowth = 2
+	// maxCredit is how many sends a process that was idle may make at once while its windows are
+	// below one request.
+	maxCredit = 3
+	// perSlotWeight is the weight of the newest answer in Common.perSlot.
+	perSlotWeight = 0.05
 	// probeInterval is the time between two sends of a process to a service whose endpoints
 	// report that they are full.
 	probeInterval = 500 * time.Millisecond
@@ -74,6 +82,8 @@
 	stallFactor = 4
 	// defaultObjective is used until a request with an objective arrives.
 	defaultObjective = 150 * time.Millisecond
+	// defaultPerSlot is Common.perSlot until an answer arrives.
+	defaultPerSlot = 5 * time.Millisecond
 	// defaultSlots is used for an endpoint whose slots are not known.
 	defaultSlots = 1
 	// unreportedFactor is declinedFactor for such an endpoint.
@@ -101,6 +111,13 @@
 	declinedAt time.Time
 	// reportedAt is the time of the last report or rejected send of any endpoint.
 	reportedAt time.Time
+	// limitedAt is the last time at which a request waited or was refused.
+	limitedAt time.Time
+	// perSlot is the moving average of the time of a request, without queueing, over the slots of
+	// its endpoint.
+	perSlot time.Duration
+	// next is the time of the next send while the windows are below one request.
+	next time.Time
 	// freeAt is the time of the last report of a free slot.
 	freeAt time.Time
 	// queueing is the moving average of the share of reports that show a queue.
@@ -111,13 +128,36 @@
 }
 
 // NewCommon returns the state of a process that has heard of no endpoint.
-func NewCommon() *Common { return &Common{Objective: defaultObjective, Endpoints: 1, share: maxShare} }
+func NewCommon() *Common {
+	return &Common{Objective: defaultObjective, Endpoints: 1, share: maxShare, perSlot: defaultPerSlot}
+}
 
-// Expire resets the windows after a time without reports.
+// Expire resets the windows after a time without reports. If the process had requests waiting or
+// refused some, the windows are the reason for the silence: they grow, since a reset of many
+// processes at once would fill the endpoints.
 func (c *Common) Expire(now time.Time) {
-	if now.Sub(c.reportedAt) > reportLifetime {
+	if now.Sub(c.reportedAt) <= reportLifetime {
+		return
+	}
+	if now.Sub(c.limitedAt) > reportLifetime {
 		c.share = maxShare
+		return
 	}
+	c.share = min(maxShare, expiryGrowth*c.share)
+	c.reportedAt = now
+}
+
+// Limited records that a request waits or is refused.
+func (c *Common) Limited(now time.Time) { c.limitedAt = now }
+
+// sent delays the next send of a process that sends less than one request at a time. Without it, a
+// process could send a request to each of its endpoints at once.
+func (c *Common) sent(now time.Time) {
+	interval := time.Duration(float64(c.perSlot) / (c.share * float64(max(1, c.Endpoints))))
+	if earliest := now.Add(-maxCredit * interval); c.next.Before(earliest) {
+		c.next = earliest
+	}
+	c.next = c.next.Add(interval)
 }
 
 // Congested reports whether the endpoints reported a queue, or rejected sends, and no free slot.
@@ -265,6 +305,9 @@
 	default:
 		ready = w.lastSent.Add(time.Duration(float64(w.expectedTook()) / part))
 	}
+	if whole == 0 && ready.Before(w.common.next) {
+		ready = w.common.next
+	}
 	if ready.Before(w.pausedUntil) {
 		ready = w.pausedUntil
 	}
@@ -293,6 +336,9 @@
 
 // Sent records that a request is sent.
 func (w *Window) Sent(now time.Time) {
+	if w.Limit(now) < 1 {
+		w.common.sent(now)
+	}
 	w.open++
 	w.common.open++
 	w.lastSent = now
@@ -375,6 +421,8 @@
 	w.tookAt = now
 	service = min(max(service, w.service/maxServiceChange), w.service*maxServiceChange)
 	w.service += time.Duration(tookWeight * float64(service-w.service))
+	perSlot := w.serviceTime() / time.Duration(w.slots)
+	w.common.perSlot += time.Duration(perSlotWeight * float64(perSlot-w.common.perSlot))
 	w.spread += time.Duration(tookWeight * (math.Abs(float64(took-w.took)) - float64(w.spread)))
 	w.took += time.Duration(tookWeight * float64(took-w.took))
 }
