--- a/flowcontrol/window.go
+++ b/flowcontrol/window.go
@@ -54,6 +54,8 @@
 	// burstTime is how long a service has to be overloaded until requests are refused that could
 	// be answered after their objective.
 	burstTime = 400 * time.Millisecond
+	// overloadLifetime is how long the reports of an overload are trusted without a newer one.
+	overloadLifetime = 250 * time.Millisecond
 	// freeInterval is how long an endpoint has to report free slots to be trusted while the others
 	// report queues.
 	freeInterval = 50 * time.Millisecond
@@ -168,7 +170,7 @@
 // Overloaded reports whether most of the latest reports showed a queue. Unlike Congested it is not
 // changed by single reports of a free slot, which come at any load.
 func (c *Common) Overloaded(now time.Time) bool {
-	return now.Sub(c.reportedAt) <= reportLifetime && c.overloaded
+	return now.Sub(c.reportedAt) <= overloadLifetime && c.overloaded
 }
 
 // Sustained reports whether the service has been overloaded for longer than a burst takes.
@@ -439,7 +441,7 @@
 	case below >= 0:
 		w.grow(gain*below, open, now)
 	default:
-		if w.common.Overloaded(now) {
+		if w.common.Sustained(now) {
 			w.clip(unusedFactor, now)
 		}
 		w.change(1-min(maxShrink, -gain*below)/math.Sqrt(float64(max(1, open))), now)
