--- a/flowcontrol/rig_test.go
+++ b/flowcontrol/rig_test.go
@@ -62,25 +62,22 @@
 
 // result is the outcome of one simulation.
 type result struct {
-	// answers, inTime and served count answers by phase, answers within the objective, and answers
-	// by organisation.
-	// The phase is that of the answer, except for arrived.
+	// These count by phase the requests that arrived, the answers, those within the objective of
+	// their attempt, and those within the objective of the first attempt.
 	arrived, answers, inTime, inTimeAtFirst []int
-	served                                  map[string]int
-	sends, declined, refusals, failed       int
+	// served counts answers by organisation.
+	served                            map[string]int
+	sends, declined, refusals, failed int
 	// refusedBesideFreeSlot counts refusals while a slot had been free for a control interval.
 	refusedBesideFreeSlot int
-	// latestRefusal is the longest time from a request's arrival at an entry until its refusal,
-	// refusalTimes hold all.
+	// refusalTimes are the times from the arrival at an entry until the refusal.
 	refusalTimes []time.Duration
-	// waited counts the requests that waited in an entry beside a free slot for longer than a
-	// control interval.
+	// took are the times of answered requests by phase.
 	took [][]time.Duration
-	// queued counts the requests that were queued in an entry.
+	// queued counts the requests that were queued in an entry, waits are the waits in entries.
 	queued int
-	// waits are the waits in entries.
-	waits []time.Duration
-	peak  int
+	waits  []time.Duration
+	peak   int // longest queue at an endpoint
 }
 
 type rigEndpoint struct {
