flowcontrol: windows of large services swing less, and idle endpoints get work sooner

Cause: with 30 and more endpoints a change applied almost wholly to all of them, and a process that counted as overloaded grew by small steps even if the endpoint that reported was half idle; 410 entries swung for 2 s after the start.

Change: at most two thirds of a change apply to all endpoints; a report of an endpoint that is at most half busy lets the window grow by a share.

The package's tests pass with the race detector (77 s).

--- a/flowcontrol/window.go
+++ b/flowcontrol/window.go
@@ -33,8 +33,9 @@
 	unusedFactor = 2
 	// commonEndpoints is the number of endpoints from which half of each change of a window applies
 	// to all endpoints of the service. With 820 entries and 60 endpoints an entry hears from one
-	// endpoint every few seconds only, and has to apply almost all of it to the others.
+	// endpoint every few seconds only, and has to apply maxCommon of it to the others.
 	commonEndpoints = 3
+	maxCommon       = 2.0 / 3
 	// factorMemory is the time constant with which an endpoint's own part returns to 1 while
 	// nothing is heard from it.
 	factorMemory = 10 * time.Second
@@ -288,7 +289,7 @@
 	w.common.report(float64(load.Waiting) > (target-float64(w.slots))/2, now)
 	below := (target - held) / target
 	switch {
-	case w.freeFor(load, now) >= freeInterval && float64(open) >= w.Limit(now)/2 || w.free && !w.common.Overloaded(now):
+	case w.idle(load, open, now):
 		w.growBy(freeGain*max(below, 0)*w.Limit(now)/float64(max(1, open)), now)
 	case below >= 0:
 		w.grow(gain*below, open, now)
@@ -316,6 +317,19 @@
 	w.growBy(added+share*growthStep/float64(max(1, w.common.Endpoints)), now)
 }
 
+// idle reports whether a report shows that the endpoint could do more, given the number of requests
+// that were open.
+func (w *Window) idle(load fleet.Load, open int, now time.Time) bool {
+	since := w.freeFor(load, now)
+	switch {
+	case !w.free:
+		return false
+	case !w.common.Overloaded(now) || load.Running <= load.Slots/2:
+		return true
+	}
+	return since >= freeInterval && float64(open) >= w.Limit(now)/2
+}
+
 // freeFor records whether a report shows a free slot, and returns for how long reports have.
 func (w *Window) freeFor(load fleet.Load, now time.Time) time.Duration {
 	before := w.free
@@ -350,7 +364,7 @@
 	limit := w.common.share * w.ownFactor(now)
 	least := w.least() / w.target()
 	limit = min(max(limit*by, least), maxShare) / limit
-	common := float64(w.common.Endpoints) / float64(w.common.Endpoints+commonEndpoints)
+	common := min(maxCommon, float64(w.common.Endpoints)/float64(w.common.Endpoints+commonEndpoints))
 	w.common.share = min(max(w.common.share*math.Pow(limit, common), least), maxShare)
 	w.factor = min(w.ownFactor(now)*math.Pow(limit, 1-common), 1/minFactor)
 	w.factor = max(w.factor, minFactor)
