Entries admit requests to services through gates; second sends have a budget

Ruled out: a wait in the picker, which has no queue and no clock; waits that go on while another send of the request is open, since its answer would not be read; counting bodies of open sends to the bound of memory, which refuses large bodies at ordinary load. Change: forward.Gates keeps a flowcontrol.Gate and a retrybudget.Budget for each service, if the settings ask for pressure or an endpoint has reported a pace. Sends pass the gate; declined ones wait there again. Hedges, repeats after failures and resumed streams draw on the budget; a hedge needs room at once and is not made while requests wait. Answers are counted until they are written. Services without a gate and the agents' reward calls are served as before.

--- a/cmd/mulberry-node/main.go
+++ b/cmd/mulberry-node/main.go
@@ -26,7 +26,8 @@
 		Name:  "mulberry-node",
 		Usage: "run mulberryscale on the users' platform",
 		Commands: []*cli.Command{
-			roleCommand(sig, "entry", "serve clients", nodefile.RoleEntry, func(s *nodefile.Settings, o node.Options) (runner, error) { return node.NewEntry(s, o) }),
+			roleCommand(sig, "entry", "serve clients", nodefile.RoleEntry,
+				func(s *nodefile.Settings, o node.Options) (runner, error) { return node.NewEntry(s, o) }, gateFlags()...),
 			roleCommand(sig, "agent", "run batch items on the engine beside this process", nodefile.RoleAgent,
 				func(s *nodefile.Settings, o node.Options) (runner, error) { return node.NewAgent(s, o) }),
 		},
@@ -61,10 +62,12 @@
 	return signals{ctx: running, hangups: hangups}
 }
 
-func roleCommand(sig signals, name, usage string, role nodefile.Role, make func(*nodefile.Settings, node.Options) (runner, error)) *cli.Command {
+func roleCommand(
+	sig signals, name, usage string, role nodefile.Role, make func(*nodefile.Settings, node.Options) (runner, error), flags ...cli.Flag,
+) *cli.Command {
 	return &cli.Command{
 		Name: name, Usage: usage,
-		Flags: []cli.Flag{
+		Flags: append(flags, []cli.Flag{
 			&cli.StringFlag{
 				Name: "settings", Usage: "path of the platform's settings file", Sources: cli.EnvVars(nodefile.PathVariable), Required: true,
 			},
@@ -82,7 +85,7 @@
 				Sources: cli.EnvVars("MULBERRY_LOG_LEVEL"),
 			},
 			&cli.BoolFlag{Name: "print-settings", Usage: "print the checked settings as JSON and exit"},
-		},
+		}...),
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			settings, err := nodefile.Load(cmd.String("settings"), role)
 			if err != nil {
@@ -93,7 +96,9 @@
 				out.SetIndent("", "  ")
 				return out.Encode(settings)
 			}
-			program, err := make(settings, node.Options{MetricsPort: cmd.Int("metrics-port"), LogLevel: cmd.String("log-level")})
+			program, err := make(settings, node.Options{
+				MetricsPort: cmd.Int("metrics-port"), LogLevel: cmd.String("log-level"), Gates: gateSettings(cmd),
+			})
 			if err != nil {
 				return err
 			}
--- a/forward/call.go
+++ b/forward/call.go
@@ -21,6 +21,13 @@
 	*Forwarder
 	request     *Request
 	fingerprint quarantine.Fingerprint
+	// service is the service that gets the request; gate is its gate, nil if it has none.
+	service string
+	gate    *serviceGate
+	// arrived is when the request arrived, deadline when its answer is due.
+	arrived, deadline time.Time
+	// notAdmitted is the error of the last wait in the gate.
+	notAdmitted error
 	// trial is set if the content is quarantined and this call is its trial.
 	trial   bool
 	tried   map[fleet.Incarnation]bool
@@ -66,17 +73,19 @@
 	var lastErr error
 	var fallback *Answer
 	var lastReason string
-	start := func() bool {
+	start := func(reason string) bool {
 		risky := c.suspected()
-		to, ok := c.pickEndpoint(risky)
-		if ok {
-			cancels[to.Incarnation()] = c.send(ctx, to, risky)
+		next, ok := c.reserve(ctx, reason, risky)
+		if !ok {
+			return false
 		}
-		return ok
-	}
-	if !start() && !c.waiting() {
-		return nil, c.refusal(ReasonNoEndpoint, nil)
+		if former := cancels[next.to.Incarnation()]; former != nil {
+			former() // it has ended: the endpoint declined it
+		}
+		cancels[next.to.Incarnation()] = c.send(ctx, next, risky)
+		return true
 	}
+	start("")
 	hedge := time.NewTimer(c.hedgeAfter())
 	defer hedge.Stop()
 	for c.pending > 0 || c.waiting() {
@@ -84,13 +93,17 @@
 		case <-ctx.Done():
 			return nil, c.contextRefusal(ctx)
 		case <-hedge.C:
-			if c.repeatable() && c.pending < maxParallel && c.maySendToAnother() && start() {
+			switch {
+			case !c.repeatable() || c.pending >= maxParallel || !c.maySendToAnother():
+			case start(ReasonSlow):
 				c.Counters.Retry(c.request.Route.Name, ReasonSlow)
+			case c.gate != nil:
+				hedge.Reset(c.hedgeAfter())
 			}
 			continue
 		case <-c.retryTimer:
 			c.retryTimer = nil
-			if c.maySendToAnother() && start() {
+			if c.maySendToAnother() && start(lastReason) {
 				c.countRetry(lastReason)
 			}
 		case a := <-c.results:
@@ -110,17 +123,24 @@
 				fallback = a.answer
 			}
 			lastErr, lastReason = a.err, reason
+			c.forgetTried(a)
 			if ctx.Err() != nil {
 				return nil, c.contextRefusal(ctx)
 			}
-			if c.mayRetry(reason) && c.maySendToAnother() && start() {
+			if c.mayRetry(reason) && c.maySendToAnother() && start(reason) {
 				c.countRetry(reason)
+				if c.gate != nil {
+					hedge.Reset(c.hedgeAfter())
+				}
 			}
 		}
 	}
 	if fallback != nil {
 		return fallback, nil
 	}
+	if refusal := c.gateRefusal(ctx); refusal != nil {
+		return nil, refusal
+	}
 	return nil, c.refusal(cmp.Or(lastReason, ReasonNoEndpoint), lastErr)
 }
 
@@ -132,17 +152,18 @@
 	}
 }
 
+// exhausted reports whether the request may have reached as many endpoints as its route allows.
+func (c *call) exhausted() bool { return c.request.Reached+c.sent >= c.request.Route.MaxAttempts }
+
 // pickEndpoint picks the endpoint of the next send and counts the send in the picker. A risky
 // request, under which an endpoint has crashed, goes to an endpoint that has no other risky one
 // from this process, or waits for one.
 func (c *call) pickEndpoint(risky bool) (fleet.Instance, bool) {
-	route := c.request.Route
-	if c.request.Reached+c.sent >= route.MaxAttempts {
+	if c.exhausted() {
 		return fleet.Instance{}, false
 	}
-	snap := c.View.Snapshot()
 	query := picker.Query{
-		Candidates: snap.OfService(route.Backend(c.request.ID)), Tried: c.tried, Zone: c.Zone, Request: c.request.ID, Now: time.Now(),
+		Candidates: c.View.Snapshot().OfService(c.service), Tried: c.tried, Zone: c.Zone, Request: c.request.ID, Now: time.Now(),
 		AvoidRisky: risky && c.riskyWait < maxRiskyWait,
 	}
 	to, ok := c.picker.Take(query, risky)
@@ -152,9 +173,10 @@
 	return to, ok
 }
 
-// send sends the request to an endpoint that pickEndpoint has returned, and returns the function
-// that cancels the send.
-func (c *call) send(ctx context.Context, to fleet.Instance, risky bool) context.CancelFunc {
+// send sends the request to the place that reserve has returned, and returns the function that
+// cancels the send.
+func (c *call) send(ctx context.Context, next place, risky bool) context.CancelFunc {
+	to := next.to
 	ctx, cancel := context.WithCancel(ctx)
 	c.tried[to.Incarnation()], c.lastTo, c.lastSent = true, to, time.Now()
 	c.unanswered[to.Incarnation()] = abandonedSend{to: to, sent: c.lastSent}
@@ -176,6 +198,7 @@
 		settle(answer, err)
 		took := time.Since(began)
 		c.picker.End(to.Incarnation(), c.outcome(ctx, answer, err, took, risky), time.Now())
+		c.endLease(ctx, next, answer, took)
 		c.results <- attempt{to: to, answer: answer, err: err, took: took, crashed: c.reportIfCrashed(ctx, to, err, took)}
 	}()
 	return cancel
@@ -245,7 +268,7 @@
 		c.mayHaveRun = true
 		return ReasonBroken
 	case a.answer.Declined:
-		if a.answer.Status == http.StatusMisdirectedRequest {
+		if a.answer.misdirected() {
 			c.View.ReportStale() // another incarnation than the listed one
 		}
 		c.sent-- // the endpoint says that it did not run it
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -61,6 +61,20 @@
 	Load *fleet.Load
 	// Signature is the endpoint's signature of the answer; empty if it has none.
 	Signature string
+
+	// release gives back the memory that the answer holds; nil if it is not counted.
+	release func()
+}
+
+// misdirected reports whether another incarnation than the listed one declined the request.
+func (a *Answer) misdirected() bool { return a.Status == http.StatusMisdirectedRequest }
+
+// Release says that the answer has been written to the client, or cannot be. It is called at most
+// once. A process counts the memory of answers until then.
+func (a *Answer) Release() {
+	if a.release != nil {
+		a.release()
+	}
 }
 
 // Events iterates over the events of a streamed answer. Next returns the bytes of an event as the
@@ -122,6 +136,8 @@
 	ReasonClientGone = "client_gone"
 	// ReasonQuarantined is for requests whose content has crashed endpoints.
 	ReasonQuarantined = "held"
+	// ReasonNotAdmitted is for requests that the gate of their service has refused.
+	ReasonNotAdmitted = "not_admitted"
 )
 
 // Delays of retries, hedged requests and answers.
@@ -158,6 +174,10 @@
 	// the first request by one that shares its events with other processes.
 	Quarantine *quarantine.Tracker
 
+	// Gates limit what this process sends to the services that ask for it; nil sends every request
+	// at once. It is set before the first request.
+	Gates *Gates
+
 	picker    *picker.Picker
 	abandoned abandonedSends
 }
@@ -179,7 +199,11 @@
 		limit = min(limit, time.Until(r.Deadline)-answerSlack)
 	}
 	bounded, cancel := context.WithTimeoutCause(ctx, limit, errTimeout)
-	c := &call{Forwarder: f, request: r, fingerprint: r.fingerprint(), tried: map[fleet.Incarnation]bool{}, unanswered: map[fleet.Incarnation]abandonedSend{}, results: make(chan attempt, maxParallel)}
+	c := &call{
+		Forwarder: f, request: r, fingerprint: r.fingerprint(), service: r.Route.Backend(r.ID), arrived: began, deadline: began.Add(limit),
+		tried: map[fleet.Incarnation]bool{}, unanswered: map[fleet.Incarnation]abandonedSend{}, results: make(chan attempt, maxParallel),
+	}
+	c.gate = f.Gates.of(c.service)
 	answer, err := c.admitAndRun(bounded)
 	r.Reached += c.sent
 	if err != nil {
@@ -190,6 +214,7 @@
 	} else {
 		cancel()
 	}
+	c.holdAnswer(answer)
 	f.logOutcome(r, c, answer, err, time.Since(began))
 	return answer, err
 }
@@ -210,6 +235,10 @@
 	}
 	var refusal *Refusal
 	if errors.As(err, &refusal) {
+		if c.logNotAdmitted(log, refusal) {
+			f.Counters.Add(observe.NameForwardRefusals, refusal.Reason, 1)
+			return
+		}
 		f.Counters.Add(observe.NameForwardRefusals, refusal.Reason, 1)
 		log = log.WithFields(logrus.Fields{"reason": refusal.Reason, "not_run": refusal.NotRun})
 	}
--- a/forward/resume.go
+++ b/forward/resume.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 )
@@ -19,7 +20,15 @@
 		if !r.Deadline.IsZero() && time.Until(r.Deadline) <= answerSlack {
 			return nil, errTimeout
 		}
+		restore, ok := f.takeResumed(&resumed)
+		if !ok {
+			return nil, errBudget
+		}
 		answer, err := f.Do(ctx, &resumed)
+		var refusal *Refusal
+		if errors.As(err, &refusal) && refusal.NotRun {
+			restore()
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -30,3 +39,16 @@
 	}
 	return nil, fmt.Errorf("forward: no endpoint goes on with the stream of route %s", r.Route.Name)
 }
+
+// errBudget is returned for a stream that is not resumed because of the budget for second sends.
+var errBudget = errors.New("forward: budget for second sends used up")
+
+// takeResumed reports whether a stream may be resumed. restore gives the send back if it is not
+// made.
+func (f *Forwarder) takeResumed(r *Request) (restore func(), ok bool) {
+	gate := f.Gates.of(r.Route.Backend(r.ID))
+	if gate == nil {
+		return func() {}, true
+	}
+	return gate.takeSecondSend(reasonResumed, false, f.Counters)
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -14,11 +14,14 @@
 	call   *call
 	ctx    context.Context
 	cancel context.CancelFunc
+	// held is the size of the event that is being written to the client.
+	held int
 }
 
 // Next implements Events.
 func (s *observedStream) Next() (raw []byte, id string, err error) {
 	raw, id, err = s.Events.Next()
+	s.holdEvent(len(raw))
 	switch {
 	case err == nil:
 	case errors.Is(err, io.EOF):
@@ -34,5 +37,6 @@
 // Close implements Events.
 func (s *observedStream) Close() {
 	s.Events.Close()
+	s.holdEvent(0)
 	s.cancel()
 }
--- a/observe/counters.go
+++ b/observe/counters.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"net/http"
 	"runtime/metrics"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,6 +60,16 @@
 	c.addReason(NameRetries, row, reason)
 }
 
+// NotAdmitted counts one request of a rank that a gate refused for a reason.
+func (c *Counters) NotAdmitted(rank int, reason string) {
+	c.addReason(NameGateRefused, strconv.Itoa(rank), reason)
+}
+
+// NotAdmittedCount returns the number of requests that gates refused for a reason, of all ranks.
+func (c *Counters) NotAdmittedCount(reason string) int64 {
+	return c.sumReason(NameGateRefused, "", reason)
+}
+
 func (c *Counters) addReason(name Name, row, reason string) {
 	byRow := c.mapOf(c.root, string(name))
 	c.mapOf(byRow, c.rowKey(byRow, row)).Add(reason, 1)
--- a/observe/names.go
+++ b/observe/names.go
@@ -104,6 +104,25 @@
 	NameForwardRefusals Name = "forward_refusals"
 )
 
+// Measures of admission to services that have a gate.
+const (
+	// NameGateAdmitted counts sends that were admitted to an endpoint, by service.
+	NameGateAdmitted Name = "gate_admitted"
+	// NameGateQueued counts the admitted sends that had to wait for it, by service.
+	NameGateQueued Name = "gate_queued"
+	// NameGateRefused counts requests that were not admitted, by the rank of the request and the
+	// reason.
+	NameGateRefused Name = "gate_refused"
+	// NameGateWait is a histogram by service: seconds that admitted sends waited.
+	NameGateWait Name = "gate_wait_seconds"
+	// NameSecondSendsDenied counts hedges, retries after a failure and resumed streams that
+	// were not made because of the budget or because requests waited, by reason of the send.
+	NameSecondSendsDenied Name = "second_sends_denied"
+	// NameGates is a gauge: the state of the gate of each service, and the bytes held for
+	// clients.
+	NameGates Name = "gates"
+)
+
 const (
 	// NameForwardBroken counts sends of forwarded requests that endpoints broke off
 	// without an answer, by whether the endpoint crashed.
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -148,6 +148,34 @@
 	}
 }
 
+// Withdraw takes back a request that Begin or Take has counted and that was not sent.
+func (p *Picker) Withdraw(i fleet.Incarnation, risky bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.loadOf(i)
+	l.outstanding--
+	if risky {
+		l.risky--
+	}
+}
+
+// Trusted returns the instances that are not suspect; if all are, it returns all. It is for callers
+// that pick among some of the instances only and would otherwise pick a suspect.
+func (p *Picker) Trusted(instances []fleet.Instance, now time.Time) []fleet.Instance {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var trusted []fleet.Instance
+	for _, i := range instances {
+		if now.Sub(p.loadOf(i.Incarnation()).suspect) >= suspectTime {
+			trusted = append(trusted, i)
+		}
+	}
+	if len(trusted) == 0 {
+		return instances
+	}
+	return trusted
+}
+
 // recordLatency updates the averages with the time of an answer. It is called with p.mu held.
 func (p *Picker) recordLatency(l *load, o Outcome, now time.Time) {
 	typical, known := p.typical[o.Kind]
--- a/service/node/entry.go
+++ b/service/node/entry.go
@@ -13,6 +13,7 @@
 
 	"mulberryscale.example/batch"
 	"mulberryscale.example/forward"
+	"mulberryscale.example/observe"
 	"mulberryscale.example/platform/enginehttp"
 	"mulberryscale.example/platform/ingress"
 	"mulberryscale.example/platform/nodefile"
@@ -65,6 +66,12 @@
 	engines := enginehttp.New()
 	e.forwarder = forward.New(b.view, engines, settings.Zone, b.log, b.counters)
 	e.forwarder.Quarantine = b.newQuarantine(engines)
+	if options.Gates == (forward.GateSettings{}) {
+		options.Gates = forward.DefaultGateSettings()
+	}
+	options.Gates.Always = settings.Pressure
+	e.forwarder.Gates = forward.NewGates(options.Gates)
+	b.counters.Gauge(observe.NameGates, func() any { return e.forwarder.Gates.Status() })
 	e.handler = &ingress.Handler{
 		View:    b.view,
 		Forward: e.forwarder,
@@ -96,6 +103,7 @@
 	}
 	wg.Go(func() { e.reader.Run(working) })
 	wg.Go(func() { e.forwarder.WatchCrashes(working) })
+	wg.Go(func() { e.forwarder.WatchGates(working) })
 	collector := &batch.Collector{Ledger: e.ledger, Retention: e.settings.KeepResults, Now: e.store.Now, Log: e.log}
 	jobs := store.Source{Table: batch.TableJobs, Pace: entryJobsPace()}
 	wg.Go(func() { store.Follow(working, e.rows, jobs, e.demand.Watcher(collector, e.log)) })
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -15,6 +15,7 @@
 
 	"mulberryscale.example/batch"
 	"mulberryscale.example/fleet"
+	"mulberryscale.example/forward"
 	"mulberryscale.example/observe"
 	"mulberryscale.example/platform/duties"
 	"mulberryscale.example/platform/metastore"
@@ -51,6 +52,9 @@
 	MetricsPort int
 	// LogLevel is the lowest level that is logged.
 	LogLevel string
+	// Gates are an entry's bounds for services that have a gate; the zero value stands for the
+	// defaults.
+	Gates forward.GateSettings
 }
 
 func newBase(settings *nodefile.Settings, options Options, role string) (*base, error) {
