--- a/forward/crash_test.go
+++ b/forward/crash_test.go
@@ -41,8 +41,14 @@
 // and does not run beside the content there again.
 func TestRequestsBesideACrashAreServed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		for seed := range uint64(20) {
+		for seed := range uint64(40) {
 			r := newCrashRig(t, 1, 3, true)
+			if seed%2 == 1 {
+				r.withGates()
+				for range 60 { // an entry with six requests a second may repeat as many
+					r.entries[0].Gates.of(crashService).budget.RecordFirst(time.Now())
+				}
+			}
 			var all sync.WaitGroup
 			all.Go(func() { _ = r.ask(0, "c", crashTarget) }) // fails
 			time.Sleep(crashAfter / 2)
@@ -62,20 +68,27 @@
 // A slow request is hedged with a second endpoint, but not one under which an endpoint has
 // crashed.
 func TestSuspectGoesToOneEndpointAtATime(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		r := newCrashRig(t, 1, 3, true)
-		r.after = 2 * minHedge
-		q := request(fleet.KindSafe)
-		q.Target = crashTarget
-		r.entries[0].Quarantine.ReportCrash(quarantine.BrokenRun{Fingerprint: q.fingerprint(), Endpoint: fleet.Incarnation{ID: "former"}})
-		q.Route.Objective = 50 * time.Millisecond // hedging is due before the endpoint crashes
-		if _, err := r.entries[0].Do(t.Context(), q); err == nil {
-			t.Fatal("request was answered")
-		}
-		if len(r.reached) != 1 {
-			t.Fatalf("sent to %v", r.reached)
-		}
-	})
+	for _, gated := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) { testSuspectGoesToOneEndpointAtATime(t, gated) })
+	}
+}
+
+func testSuspectGoesToOneEndpointAtATime(t *testing.T, gated bool) {
+	r := newCrashRig(t, 1, 3, true)
+	if gated {
+		r.withGates()
+	}
+	r.after = 2 * minHedge
+	q := request(fleet.KindSafe)
+	q.Target = crashTarget
+	r.entries[0].Quarantine.ReportCrash(quarantine.BrokenRun{Fingerprint: q.fingerprint(), Endpoint: fleet.Incarnation{ID: "former"}})
+	q.Route.Objective = 50 * time.Millisecond // hedging is due before the endpoint crashes
+	if _, err := r.entries[0].Do(t.Context(), q); err == nil {
+		t.Fatal("request was answered")
+	}
+	if len(r.reached) != 1 {
+		t.Fatalf("sent to %v", r.reached)
+	}
 }
 
 // A content that many clients ask for is running at endpoints that lose power together; it did
--- a/forward/crashload_test.go
+++ b/forward/crashload_test.go
@@ -16,8 +16,8 @@
 // minute, and every other request is served at its first or second attempt.
 func TestLoadWithContentThatCrashesEndpoints(t *testing.T) {
 	for seed := range uint64(5) {
-		without := simulateCrashes(t, seed, false)
-		with := simulateCrashes(t, seed, true)
+		without := simulateCrashes(t, seed, false, false)
+		with := simulateCrashes(t, seed, true, false)
 		t.Logf("seed %d: %d crashes and %d of %d other requests unserved without the quarantine, %d and %d with it",
 			seed, without.crashes, without.unserved, without.others, with.crashes, with.unserved)
 		if with.crashes > int(quarantine.RequestLimit)+1 || with.unserved > 0 {
@@ -26,13 +26,28 @@
 	}
 }
 
+// TestCrashesUnderAGate guards against a budget for second sends that leaves requests unserved at
+// ordinary load: with gates, crashes of endpoints cost as little as without.
+func TestCrashesUnderAGate(t *testing.T) {
+	for seed := range uint64(5) {
+		with := simulateCrashes(t, seed, true, true)
+		t.Logf("seed %d: %d crashes, %d of %d other requests unserved", seed, with.crashes, with.unserved, with.others)
+		if with.crashes > int(quarantine.RequestLimit)+1 || with.unserved > 0 {
+			t.Errorf("seed %d: %d endpoints crashed, %d of %d other requests unserved", seed, with.crashes, with.unserved, with.others)
+		}
+	}
+}
+
 type crashResult struct{ crashes, others, unserved int }
 
 // simulateCrashes runs a minute of the load with seven entries and three endpoints.
-func simulateCrashes(t *testing.T, seed uint64, quarantined bool) (p crashResult) {
+func simulateCrashes(t *testing.T, seed uint64, quarantined, gated bool) (p crashResult) {
 	synctest.Test(t, func(t *testing.T) {
 		const entries, length = 7, time.Minute
 		r := newCrashRig(t, entries, 3, quarantined)
+		if gated {
+			r.withGates()
+		}
 		rng := rand.New(rand.NewPCG(seed, 0))
 		began := time.Now()
 		var all sync.WaitGroup
--- a/forward/crashrig_test.go
+++ b/forward/crashrig_test.go
@@ -79,6 +79,14 @@
 	return r
 }
 
+// withGates gives the entries gates.
+func (r *crashRig) withGates() {
+	for _, f := range r.entries {
+		f.Gates = NewGates(testSettings())
+		go f.WatchGates(r.t.Context())
+	}
+}
+
 func (r *crashRig) start(addr string) {
 	r.mu.Lock()
 	r.started++
