Requests that return after a refusal keep their age; endpoints that fail are left out behind a gate

Change: forward keeps the longest time left of each organisation's requests to a route; the difference is how long ago the client first asked. failing leaves out endpoints with 2 failures in a row for 2 s.

--- a/forward/call.go
+++ b/forward/call.go
@@ -26,6 +26,8 @@
 	gate    *serviceGate
 	// arrived is when the request arrived, deadline when its answer is due.
 	arrived, deadline time.Time
+	// age is how long before that the client first asked, as far as is known.
+	age time.Duration
 	// notAdmitted is the error of the last wait in the gate.
 	notAdmitted error
 	// trial is set if the content is quarantined and this call is its trial.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -203,7 +203,9 @@
 		Forwarder: f, request: r, fingerprint: r.fingerprint(), service: r.Route.Backend(r.ID), arrived: began, deadline: began.Add(limit),
 		tried: map[fleet.Incarnation]bool{}, unanswered: map[fleet.Incarnation]abandonedSend{}, results: make(chan attempt, maxParallel),
 	}
-	c.gate = f.Gates.of(c.service)
+	if c.gate = f.Gates.of(c.service); c.gate != nil && !r.Deadline.IsZero() {
+		c.age = c.gate.patience.age(patienceKey{r.Organisation, r.Route.Name}, r.Deadline.Sub(began), began)
+	}
 	answer, err := c.admitAndRun(bounded)
 	r.Reached += c.sent
 	if err != nil {
--- a/forward/gated.go
+++ b/forward/gated.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"slices"
 	"time"
 
@@ -171,22 +172,23 @@
 	return lease, err
 }
 
-// candidates returns the endpoints that the request may be sent to. Those that have just failed to
-// answer are left out while there are others, since a full service would send its requests there.
+// candidates returns the endpoints that the request may be sent to. Those that have just
+// failed are left out while there are others, since a full service would send its requests there.
 func (c *call) candidates() []fleet.Instance {
 	all := slices.DeleteFunc(slices.Clone(c.View.Snapshot().OfService(c.gate.service)), func(i fleet.Instance) bool {
 		return c.tried[i.Incarnation()]
 	})
-	return c.picker.Trusted(all, time.Now())
+	now := time.Now()
+	return c.picker.Trusted(c.gate.failing.sound(all, now), now)
 }
 
 // ticket describes the request to the gate.
 func (c *call) ticket() flowcontrol.Ticket {
 	t := flowcontrol.Ticket{
-		Organisation: c.request.Organisation, Rank: c.rank(), Arrived: c.arrived, Deadline: c.deadline, Bytes: c.request.size(),
+		Organisation: c.request.Organisation, Rank: c.rank(), Arrived: c.arrived.Add(-c.age), Deadline: c.deadline, Bytes: c.request.size(),
 	}
 	if c.request.Route.Objective > 0 {
-		t.Objective = c.arrived.Add(c.request.Route.Objective)
+		t.Objective = t.Arrived.Add(c.request.Route.Objective)
 	}
 	return t
 }
@@ -238,7 +240,7 @@
 	c.Counters.NotAdmitted(rank, refused.Reason)
 	log.WithFields(logrus.Fields{
 		"service": c.gate.service, "rank": rank, "reason": refused.Reason, "waiting": c.gate.gate.Waiting(),
-		"rate": c.gate.currentRate(time.Now()), "retry_after_ms": refused.RetryAfter.Milliseconds(),
+		"rate": math.Round(c.gate.currentRate(time.Now())), "retry_after_ms": refused.RetryAfter.Milliseconds(),
 	}).Warn("request not admitted")
 	return true
 }
@@ -252,6 +254,9 @@
 	if next.lease == nil {
 		return
 	}
+	if answer != nil {
+		c.gate.failing.answered(next.to.Incarnation(), answer, time.Now())
+	}
 	switch {
 	case answer == nil:
 		next.lease.Done(nil, false, 0)
--- a/forward/gates.go
+++ b/forward/gates.go
@@ -61,6 +61,9 @@
 	service string
 	gate    *flowcontrol.Gate
 	budget  *retrybudget.Budget
+	failing *failing
+	// patience tells how long ago the clients first asked.
+	patience *patience
 
 	mu sync.Mutex
 	// served is cancelled when the service has no endpoints any more.
@@ -73,7 +76,7 @@
 
 func newServiceGate(service string, settings GateSettings) *serviceGate {
 	g := &serviceGate{
-		service: service, budget: retrybudget.New(settings.SecondSends),
+		service: service, budget: retrybudget.New(settings.SecondSends), patience: newPatience(), failing: newFailing(),
 		gate: flowcontrol.New(flowcontrol.Config{MaxBytes: settings.MaxBytes, MaxWait: settings.MaxWait}),
 	}
 	g.served, g.withdraw = context.WithCancel(context.Background())
@@ -118,6 +121,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for service, gate := range g.byService {
+		gate.failing.prune(snap)
 		if len(snap.OfService(service)) > 0 {
 			continue
 		}
