--- a/forward/gated.go
+++ b/forward/gated.go
@@ -239,7 +239,7 @@
 	rank := c.rank()
 	c.Counters.NotAdmitted(rank, refused.Reason)
 	log.WithFields(logrus.Fields{
-		"service": c.gate.service, "rank": rank, "reason": refused.Reason, "waiting": c.gate.gate.Waiting(),
+		"service": c.gate.service, "rank": rank, "not_run": refusal.NotRun, "reason": refused.Reason, "waiting": c.gate.gate.Waiting(),
 		"rate": math.Round(c.gate.currentRate(time.Now())), "retry_after_ms": refused.RetryAfter.Milliseconds(),
 	}).Warn("request not admitted")
 	return true
--- a/forward/gates.go
+++ b/forward/gates.go
@@ -96,6 +96,9 @@
 	return g.add(service)
 }
 
+// Has reports whether a service has a gate.
+func (g *Gates) Has(service string) bool { return g.of(service) != nil }
+
 // add gives a service a gate. The caller holds g.mu.
 func (g *Gates) add(service string) *serviceGate {
 	added := newServiceGate(service, g.settings)
