Streams behind a gate: an open stream is no silence, and its length no answer time

Cause: a stream held its window until its end, and the gate took an endpoint with one open stream for one that answers nothing. Ruled out: ending the lease with the first event, which frees a slot that is in use. Change: flowcontrol.Lease.Answered, called when a stream begins; Done gets the time to the first event. Conclusion: TestOpenStreamsAreNoSilence fails without the call.

--- a/forward/gated.go
+++ b/forward/gated.go
@@ -261,9 +261,11 @@
 	case answer == nil:
 		next.lease.Done(nil, false, 0)
 	case answer.Stream != nil:
-		// The load that came with the first event is out of date by then.
-		began := time.Now().Add(-took)
-		context.AfterFunc(ctx, func() { next.lease.Done(nil, false, time.Since(began)) })
+		// The load that came with the first event is out of date by the end. The time until that
+		// event compares with the answer times of the service's other requests, the stream's own
+		// length does not.
+		next.lease.Answered()
+		context.AfterFunc(ctx, func() { next.lease.Done(nil, false, took) })
 	default:
 		next.lease.Done(answer.Load, answer.Declined, took)
 	}
--- a/forward/gated_test.go
+++ b/forward/gated_test.go
@@ -231,6 +231,33 @@
 	})
 }
 
+// TestOpenStreamsAreNoSilence guards against requests that wait because an endpoint which streams has
+// ended none of its answers for a while.
+func TestOpenStreamsAreNoSilence(t *testing.T) {
+	inGatedRig(t, 1, func(t *testing.T, r *gatedRig) {
+		q := r.request("stream", fleet.KindStream)
+		q.Route.Timeout = time.Minute
+		done := r.start(r.ctx, q)
+		r.answerOne("stream", &Answer{Status: 200, Stream: noEvents{}})
+		stream := <-done
+		for n := range 5 {
+			time.Sleep(200 * time.Millisecond)
+			id := fmt.Sprint("lookup", n)
+			lookup := r.start(r.ctx, r.request(id, fleet.KindUnsafe))
+			if len(r.sentTo(id)) != 1 {
+				t.Fatalf("lookup %d waits beside one open stream", n)
+			}
+			time.Sleep(20 * time.Millisecond)
+			r.answerOne(id, whole())
+			if got := <-lookup; got.err != nil {
+				t.Fatal(got.err)
+			}
+		}
+		stream.answer.Stream.Close()
+		r.answerAll(whole)
+	})
+}
+
 // TestResumedStreamsDrawOnTheBudget guards against streams that break off and are resumed without
 // end while a service fails.
 func TestResumedStreamsDrawOnTheBudget(t *testing.T) {
