Choosing candidates behind a gate allocates nothing in the usual case; tests of the picker's part

Cause: with 60 endpoints each admission copied the list of instances three times, 9 kB each. Change: the list is copied only if an endpoint has to be left out. Conclusion: TestTrusted and TestWithdrawnRequestLeavesNoLoad hold; no behaviour changes.

--- a/forward/failing.go
+++ b/forward/failing.go
@@ -51,6 +51,9 @@
 func (f *failing) sound(endpoints []fleet.Instance, now time.Time) []fleet.Instance {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if len(f.failures) == 0 {
+		return endpoints
+	}
 	var left []fleet.Instance
 	for _, e := range endpoints {
 		if known := f.failures[e.Incarnation()]; known.count < failingCount || now.Sub(known.lastAt) >= failingTime {
--- a/forward/gated.go
+++ b/forward/gated.go
@@ -175,9 +175,10 @@
 // candidates returns the endpoints that the request may be sent to. Those that have just
 // failed are left out while there are others, since a full service would send its requests there.
 func (c *call) candidates() []fleet.Instance {
-	all := slices.DeleteFunc(slices.Clone(c.View.Snapshot().OfService(c.gate.service)), func(i fleet.Instance) bool {
-		return c.tried[i.Incarnation()]
-	})
+	all := c.View.Snapshot().OfService(c.gate.service)
+	if len(c.tried) > 0 {
+		all = slices.DeleteFunc(slices.Clone(all), func(i fleet.Instance) bool { return c.tried[i.Incarnation()] })
+	}
 	now := time.Now()
 	return c.picker.Trusted(c.gate.failing.sound(all, now), now)
 }
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -164,12 +164,11 @@
 func (p *Picker) Trusted(instances []fleet.Instance, now time.Time) []fleet.Instance {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var trusted []fleet.Instance
-	for _, i := range instances {
-		if now.Sub(p.loadOf(i.Incarnation()).suspect) >= suspectTime {
-			trusted = append(trusted, i)
-		}
+	suspect := func(i fleet.Instance) bool { return now.Sub(p.loadOf(i.Incarnation()).suspect) < suspectTime }
+	if !slices.ContainsFunc(instances, suspect) {
+		return instances
 	}
+	trusted := slices.DeleteFunc(slices.Clone(instances), suspect)
 	if len(trusted) == 0 {
 		return instances
 	}
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -132,3 +132,35 @@
 		t.Error("an instance was picked although all have a risky request")
 	}
 }
+
+// TestTrusted guards against requests that go to an instance which has just failed to answer because
+// the others have no room: it is left out, unless all have failed.
+func TestTrusted(t *testing.T) {
+	p, now := New(), time.Unix(1e9, 0)
+	list := []fleet.Instance{{ID: "a"}, {ID: "b"}}
+	if got := p.Trusted(list, now); len(got) != 2 {
+		t.Fatalf("got %v", got)
+	}
+	p.Begin(list[0].Incarnation(), false, now)
+	p.End(list[0].Incarnation(), Outcome{}, now)
+	if got := p.Trusted(list, now); len(got) != 1 || got[0].ID != "b" || list[0].ID != "a" {
+		t.Errorf("got %v of %v", got, list)
+	}
+	if got := p.Trusted(list[:1], now); len(got) != 1 {
+		t.Errorf("got %v of the suspect alone", got)
+	}
+	if got := p.Trusted(list, now.Add(suspectTime)); len(got) != 2 {
+		t.Errorf("got %v after the suspect's time", got)
+	}
+}
+
+// TestWithdrawnRequestLeavesNoLoad checks that a request which was not sent after all is not counted.
+func TestWithdrawnRequestLeavesNoLoad(t *testing.T) {
+	p, now := New(), time.Unix(1e9, 0)
+	q := Query{Candidates: []fleet.Instance{{ID: "a", Slots: 1}}, Request: "r", Now: now}
+	to, _ := p.Take(q, true)
+	p.Withdraw(to.Incarnation(), true)
+	if l := p.loadOf(to.Incarnation()); l.outstanding != 0 || l.risky != 0 {
+		t.Errorf("got %+v", l)
+	}
+}
