--- a/forward/gated.go
+++ b/forward/gated.go
@@ -16,8 +16,6 @@
 )
 
 const (
-	// reasonBytesHeld is the reason of a refusal because of the memory held for clients.
-	reasonBytesHeld = "bytes_held"
 	// reasonResumed is the reason under which denied sends of resumed streams are counted.
 	reasonResumed = "resumed"
 	// tryTime bounds the wait for room of a send that must not wait, such as a hedge.
@@ -104,7 +102,7 @@
 	}
 	size := c.request.size()
 	if !c.Gates.held.take(size) {
-		c.notAdmitted = &flowcontrol.Refused{Reason: reasonBytesHeld, RetryAfter: retryAfterHeld(time.Until(c.deadline))}
+		c.notAdmitted = &flowcontrol.Refused{Reason: flowcontrol.ReasonQueueFull, RetryAfter: retryAfterHeld(time.Until(c.deadline))}
 		return nil, c.notAdmitted
 	}
 	defer c.Gates.held.release(size)
