--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -118,26 +118,35 @@
 		"stream, unsent everywhere": {fleet.KindStream, unsent, unsent, 0, ReasonUnsent, true, []string{"a", "b"}},
 		"safe, broken, declined":    {fleet.KindSafe, broken, declines, 0, ReasonDeclined, false, []string{"a", "b"}},
 	} {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f, sender := rig(c.a, c.b)
-				answer, err := f.Do(t.Context(), request(c.kind))
-				synctest.Wait()
-				if !slices.Equal(sender.sent, c.sent) {
-					t.Errorf("sent to %v, want %v", sender.sent, c.sent)
-				}
-				if c.status != 0 {
-					if err != nil || answer.Status != c.status {
-						t.Fatalf("got %v, %v", answer, err)
+		for use, settings := range map[string]GateSettings{"no gate": DefaultGateSettings(), "gate": testSettings()} {
+			t.Run(name+", "+use, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f, sender := rig(c.a, c.b)
+					f.Gates = NewGates(settings)
+					answer, err := f.Do(t.Context(), request(c.kind))
+					synctest.Wait()
+					// With a gate a request goes back to endpoints that declined it until it is refused.
+					returns := settings.Always && c.reason == ReasonDeclined
+					if !returns && !slices.Equal(sender.sent, c.sent) {
+						t.Errorf("sent to %v, want %v", sender.sent, c.sent)
 					}
-					return
-				}
-				var refusal *Refusal
-				if !errors.As(err, &refusal) || refusal.Reason != c.reason || refusal.NotRun != c.notRun {
-					t.Fatalf("got %#v", err)
-				}
+					if c.status != 0 {
+						if err != nil || answer.Status != c.status {
+							t.Fatalf("got %v, %v", answer, err)
+						}
+						return
+					}
+					want := c.reason
+					if returns {
+						want = ReasonNotAdmitted
+					}
+					var refusal *Refusal
+					if !errors.As(err, &refusal) || refusal.Reason != want || refusal.NotRun != c.notRun {
+						t.Fatalf("got %#v", err)
+					}
+				})
 			})
-		})
+		}
 	}
 }
 
