Tests of refusals after a run and of clients that leave when they are admitted

Ruled out: keeping the withdrawal of a choice that the gate did not use; the gate uses each. Change: the two tests; the unused branch is gone. Conclusion: behaviour is unchanged.

--- a/forward/gated.go
+++ b/forward/gated.go
@@ -145,29 +145,12 @@
 // enter enters the gate. The picker counts the send when the gate has it choose an endpoint.
 func (c *call) enter(ctx context.Context, risky bool) (*flowcontrol.Lease, error) {
 	avoidRisky := risky && c.riskyWait < maxRiskyWait
-	var chosen *fleet.Instance
-	withdraw := func() {
-		if chosen != nil {
-			c.picker.Withdraw(chosen.Incarnation(), risky)
-			chosen = nil
-		}
-	}
 	choose := func(withRoom []fleet.Instance) (fleet.Instance, bool) {
-		withdraw()
-		query := picker.Query{
+		return c.picker.Take(picker.Query{
 			Candidates: withRoom, Tried: c.tried, Zone: c.Zone, Request: c.request.ID, Now: time.Now(), AvoidRisky: avoidRisky,
-		}
-		to, ok := c.picker.Take(query, risky)
-		if ok {
-			chosen = &to
-		}
-		return to, ok
+		}, risky)
 	}
-	lease, err := c.gate.gate.Enter(ctx, c.ticket(), c.candidates, choose)
-	if err != nil {
-		withdraw() // it was admitted at the moment when its context ended
-	}
-	return lease, err
+	return c.gate.gate.Enter(ctx, c.ticket(), c.candidates, choose)
 }
 
 // candidates returns the endpoints that the request may be sent to. Those that have just
--- a/forward/gated_test.go
+++ b/forward/gated_test.go
@@ -64,6 +64,19 @@
 	})
 }
 
+// TestClientThatHasLeftIsNotSent checks that a request which is admitted at the moment when its client
+// leaves gives its place back unsent.
+func TestClientThatHasLeftIsNotSent(t *testing.T) {
+	inGatedRig(t, 1, func(t *testing.T, r *gatedRig) {
+		ctx, leave := context.WithCancel(r.ctx)
+		leave()
+		wantRefusal(t, <-r.start(ctx, r.request("gone", fleet.KindUnsafe)), ReasonClientGone, true)
+		if open := r.Gates.Status().Services["s"].Open; open != 0 || len(r.sent) != 0 {
+			t.Errorf("%d places held, sent to %v", open, r.sent)
+		}
+	})
+}
+
 // TestWaitEndsAtTheDeadline checks that a request is refused as not run at the client's deadline and
 // at the route's timeout, or before.
 func TestWaitEndsAtTheDeadline(t *testing.T) {
@@ -162,14 +175,9 @@
 		q := r.request("r", fleet.KindSafe)
 		q.Route.Objective = time.Minute // no hedge
 		done := r.start(r.ctx, q)
-		r.fill()
+		r.Gates.held.add(r.Gates.held.limit)
 		r.answerOne("r", nil) // broken off
-		got := <-done
-		var refusal *Refusal
-		if !errors.As(got.err, &refusal) || refusal.NotRun {
-			t.Fatalf("got %+v", got)
-		}
-		r.answerAll(whole)
+		wantRefusal(t, <-done, ReasonNotAdmitted, false)
 	})
 }
 
