--- a/forward/overload_test.go
+++ b/forward/overload_test.go
@@ -326,7 +326,13 @@
 			}
 			return sound
 		}, 0.01},
-		"one endpoint is silent": {func(endpoint string, _ int) fault {
+		"one endpoint falls silent": {func(endpoint string, n int) fault {
+			if endpoint == "e1" && n > 500 {
+				return dark
+			}
+			return sound
+		}, 0.01},
+		"one endpoint is silent from the start of the entries": {func(endpoint string, _ int) fault {
 			if endpoint == "e1" {
 				return dark
 			}
