A silent endpoint gets a request in 5 s at most, so that the budget covers its hedges

Ruled out: hedges of probes outside the budget; 2 s, at which an entry with a request a second has 5 probes and 3 tokens in 10 s. Change: forward/silence.go leaves out endpoints that have answered nothing for 3 objectives since a send. Conclusion: an endpoint that answers again is noticed by an entry within 5 s.

--- a/forward/gated.go
+++ b/forward/gated.go
@@ -61,9 +61,11 @@
 		restore()
 		return place{}, false
 	}
+	now := time.Now()
 	if reason == "" && c.request.Reached == 0 {
-		c.gate.budget.RecordFirst(time.Now())
+		c.gate.budget.RecordFirst(now)
 	}
+	c.gate.silence.sent(lease.To.Incarnation(), now)
 	return place{to: lease.To, lease: lease}, true
 }
 
@@ -154,14 +156,16 @@
 }
 
 // candidates returns the endpoints that the request may be sent to. Those that have just
-// failed are left out while there are others, since a full service would send its requests there.
+// failed or are silent are left out while there are others, since a full service would send its
+// requests there.
 func (c *call) candidates() []fleet.Instance {
 	all := c.View.Snapshot().OfService(c.gate.service)
 	if len(c.tried) > 0 {
 		all = slices.DeleteFunc(slices.Clone(all), func(i fleet.Instance) bool { return c.tried[i.Incarnation()] })
 	}
 	now := time.Now()
-	return c.picker.Trusted(c.gate.failing.sound(all, now), now)
+	speaking := c.gate.silence.speaking(all, c.request.Route, now)
+	return c.picker.Trusted(c.gate.failing.sound(speaking, now), now)
 }
 
 // ticket describes the request to the gate.
@@ -238,6 +242,7 @@
 	}
 	if answer != nil {
 		c.gate.failing.answered(next.to.Incarnation(), answer, time.Now())
+		c.gate.silence.answered(next.to.Incarnation())
 	}
 	switch {
 	case answer == nil:
--- a/forward/gates.go
+++ b/forward/gates.go
@@ -62,6 +62,7 @@
 	gate    *flowcontrol.Gate
 	budget  *retrybudget.Budget
 	failing *failing
+	silence *silence
 	// patience tells how long ago the clients first asked.
 	patience *patience
 
@@ -76,7 +77,7 @@
 
 func newServiceGate(service string, settings GateSettings) *serviceGate {
 	g := &serviceGate{
-		service: service, budget: retrybudget.New(settings.SecondSends), patience: newPatience(), failing: newFailing(),
+		service: service, budget: retrybudget.New(settings.SecondSends), patience: newPatience(), failing: newFailing(), silence: newSilence(),
 		gate: flowcontrol.New(flowcontrol.Config{MaxBytes: settings.MaxBytes, MaxWait: settings.MaxWait}),
 	}
 	g.served, g.withdraw = context.WithCancel(context.Background())
@@ -125,6 +126,7 @@
 	defer g.mu.Unlock()
 	for service, gate := range g.byService {
 		gate.failing.prune(snap)
+		gate.silence.prune(snap)
 		if len(snap.OfService(service)) > 0 {
 			continue
 		}
