Answers that end a resumed stream are released

Cause: forward.Resume dropped an answer that is no stream without Release, so that its bytes counted as held for ever. At the bound every request to every gated service is refused as queue_full until the process restarts. Test: TestAnswersThatEndAResumptionAreReleased (before: 14 bytes held, after: 0).

--- a/forward/resume.go
+++ b/forward/resume.go
@@ -36,6 +36,7 @@
 			f.Counters.Retry(r.Route.Name, ReasonBroken)
 			return answer.Stream, nil
 		}
+		answer.Release() // nobody writes it
 	}
 	return nil, fmt.Errorf("forward: no endpoint goes on with the stream of route %s", r.Route.Name)
 }
