Waiting requests see new endpoints, room behind risky requests and their time left

- An endpoint listed after the last arrival got no waiting request until an answer or arrival (before: 1 request waits beside an idle endpoint, after: 0).
The gate's timer now reads the list again.
- Requests of an organisation waited behind its risky one beside room, up to 500 ms.
Queue.Next now looks at 3 requests of an organisation. dispatch no longer spends its bound of 8 on requests for which no endpoint with room is fast or slow enough.
- lateRate could be negative by rounding (-3.6e-15 with 7 equal sums), which kept late requests in the queue.
- Endpoints were told the whole timeout of a route after a wait (2 s after waiting 0.5 s); now what is left.

--- a/flowcontrol/gate.go
+++ b/flowcontrol/gate.go
@@ -165,7 +165,12 @@
 // dispatch admits waiting requests while the windows have room.
 func (g *Gate) dispatch(now time.Time) {
 	var passedOver []*Item
+	sustained := g.windows.common.Sustained(now)
+	var capable, other bool
 	skip := func(it *Item) bool {
+		if !it.late && !capable || it.late && sustained && !other {
+			return true
+		}
 		for _, other := range passedOver {
 			if other == it {
 				return true
@@ -173,7 +178,10 @@
 		}
 		return false
 	}
-	for len(passedOver) < maxPassedOver && g.queue.Len() > 0 && g.windows.anyRoom(now) {
+	for len(passedOver) < maxPassedOver && g.queue.Len() > 0 {
+		if capable, other = g.windows.room(now); !capable && !other {
+			return
+		}
 		it := g.queue.Next(skip)
 		if it == nil {
 			return
@@ -296,9 +304,9 @@
 }
 
 // lateRate returns how many late requests a second an overloaded service can serve: those of the
-// endpoints that are too slow for others.
+// endpoints that are too slow for others. The sums differ by rounding if there are none.
 func (g *Gate) lateRate(now time.Time) float64 {
-	return g.windows.rate(now) - g.windows.timelyRate(now)
+	return max(0, g.windows.rate(now)-g.windows.timelyRate(now))
 }
 
 // Waiting returns the number of requests that wait.
@@ -351,7 +359,21 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.timerAt = time.Time{}
-	g.admitWaiting(time.Now())
+	now := time.Now()
+	g.observeWaiting(now)
+	g.admitWaiting(now)
+}
+
+// observeWaiting reads the list of endpoints again for the request that goes first: an endpoint may have
+// been listed since the last arrival.
+func (g *Gate) observeWaiting(now time.Time) {
+	it := g.queue.Next(func(*Item) bool { return false })
+	if it == nil {
+		return
+	}
+	if candidates := it.Value.(*waiter).candidates(); len(candidates) > 0 {
+		g.windows.observe(candidates, it, now)
+	}
 }
 
 // seconds converts a number of seconds, bounded to noDeadline.
--- a/flowcontrol/gate_test.go
+++ b/flowcontrol/gate_test.go
@@ -238,3 +238,20 @@
 		})
 	}
 }
+
+// TestLateRateIsNotNegative guards against late requests that are kept because the two sums of the
+// rates are rounded differently: they differ in order, and a negative rate gives no wait.
+func TestLateRateIsNotNegative(t *testing.T) {
+	g, now := New(Config{}), time.Now()
+	var endpoints []fleet.Instance
+	for i := range 7 {
+		endpoints = append(endpoints, fleet.Instance{ID: fmt.Sprint("e", i), Slots: 3 + i, StartedAt: 1})
+	}
+	g.windows.observe(endpoints, &Item{Ticket: Ticket{Arrived: now, Objective: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}}, now)
+	g.windows.common.share = 0.123
+	for range 1000 {
+		if rate := g.lateRate(now); rate < 0 {
+			t.Fatalf("%g requests a second", rate)
+		}
+	}
+}
--- a/flowcontrol/queue.go
+++ b/flowcontrol/queue.go
@@ -164,22 +164,25 @@
 	}
 }
 
+// lookAhead is how many requests of an organisation are considered for which skip may return true. It
+// bounds the work, and the part of maxPassedOver that one organisation can use up.
+const lookAhead = 3
+
 // Next returns the request that goes first, nil for none. Requests for which skip returns true are
-// left out, and those behind them in their organisation's list as well.
+// left out; if all of the first lookAhead in an organisation's list are, so are those behind them.
 func (q *Queue) Next(skip func(*Item) bool) *Item {
 	for _, late := range []bool{false, true} {
-		var first *account
+		var first *Item
 		for _, a := range q.backlogged {
 			list := a.list(late)
-			if len(list) == 0 || skip(list[0]) {
-				continue
-			}
-			if first == nil || q.compare(a, first, 0, 0) < 0 {
-				first = a
+			list = list[:min(len(list), lookAhead)]
+			i := slices.IndexFunc(list, func(it *Item) bool { return !skip(it) })
+			if i >= 0 && (first == nil || q.compare(a, first.account, 0, 0) < 0) {
+				first = list[i]
 			}
 		}
 		if first != nil {
-			return first.list(late)[0]
+			return first
 		}
 	}
 	return nil
--- a/flowcontrol/windows.go
+++ b/flowcontrol/windows.go
@@ -141,6 +141,20 @@
 	return false
 }
 
+// room reports whether a capable endpoint has room, and whether another one has.
+func (ws *windows) room(now time.Time) (capable, other bool) {
+	ws.current(func(w *Window) {
+		switch {
+		case !w.Room(now):
+		case ws.capable(w, now):
+			capable = true
+		default:
+			other = true
+		}
+	})
+	return capable, other
+}
+
 // withRoom returns the candidates that have room and suit a request, which depends on whether they
 // are capable.
 func (ws *windows) withRoom(candidates []fleet.Instance, now time.Time, suits func(capable bool) bool) []fleet.Instance {
--- a/forward/call.go
+++ b/forward/call.go
@@ -24,6 +24,8 @@
 	// service is the service that gets the request; gate is its gate, nil if it has none.
 	service string
 	gate    *serviceGate
+	// config is the configuration in force when the request arrived.
+	config *fleet.Config
 	// arrived is when the request arrived, deadline when its answer is due.
 	arrived, deadline time.Time
 	// age is how long before that the client first asked, as far as is known.
@@ -188,6 +190,9 @@
 	if !c.request.Deadline.IsZero() {
 		left = time.Until(c.request.Deadline)
 	}
+	if c.gate != nil { // it may have waited for long
+		left = min(left, time.Until(c.deadline)+answerSlack)
+	}
 	meterEnd := func() {}
 	if c.Meter != nil {
 		meterEnd = c.Meter(to)
--- a/forward/gatedrig_test.go
+++ b/forward/gatedrig_test.go
@@ -27,6 +27,8 @@
 	sent []string // ids of requests and endpoints, in order
 	// declining endpoints reject every send.
 	declining map[string]bool
+	// timeLeft is what the endpoints were told, by request.
+	timeLeft map[string]time.Duration
 }
 
 // heldSend is a send that waits for its answer.
@@ -52,7 +54,7 @@
 		}
 		config.Index()
 		view.SetConfig(config)
-		r := &gatedRig{t: t, declining: map[string]bool{}}
+		r := &gatedRig{t: t, declining: map[string]bool{}, timeLeft: map[string]time.Duration{}}
 		r.Forwarder = New(view, r, "here", observe.Discard(), observe.NewCounters())
 		r.Gates = NewGates(testSettings())
 		for i := range endpoints {
@@ -72,8 +74,9 @@
 }
 
 // Send implements Sender.
-func (r *gatedRig) Send(ctx context.Context, to fleet.Instance, q *Request, _ time.Duration) (*Answer, error) {
+func (r *gatedRig) Send(ctx context.Context, to fleet.Instance, q *Request, left time.Duration) (*Answer, error) {
 	r.mu.Lock()
+	r.timeLeft[q.ID] = left
 	r.sent = append(r.sent, q.ID+"@"+to.ID)
 	if r.declining[to.ID] {
 		r.mu.Unlock()
