Requests that have waited for 2 s are sent only if the configuration in force allows it

Cause: service and route are those of the arrival, and a request may wait for as long as its route's timeout. It then reached a service that the configuration had taken its route from. Such a request now ends as no_endpoint, not run. Requests in their first 2 s are not affected. Ruled out: sending it to the new service, since its gate, budget and place in the queue are of the old one. Test: TestWaitingRequestsFollowTheConfiguration (before: sent to the old service after 4 s).

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -200,7 +200,7 @@
 	}
 	bounded, cancel := context.WithTimeoutCause(ctx, limit, errTimeout)
 	c := &call{
-		Forwarder: f, request: r, fingerprint: r.fingerprint(), service: r.Route.Backend(r.ID), arrived: began, deadline: began.Add(limit),
+		Forwarder: f, request: r, fingerprint: r.fingerprint(), service: r.Route.Backend(r.ID), config: f.View.Snapshot().Config, arrived: began, deadline: began.Add(limit),
 		tried: map[fleet.Incarnation]bool{}, unanswered: map[fleet.Incarnation]abandonedSend{}, results: make(chan attempt, maxParallel),
 	}
 	if c.gate = f.Gates.of(c.service); c.gate != nil && !r.Deadline.IsZero() {
--- a/forward/gated.go
+++ b/forward/gated.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"math"
+	"net"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -22,6 +24,10 @@
 	tryTime = time.Millisecond
 	// queuedTime is the wait from which a request counts as queued.
 	queuedTime = time.Millisecond
+	// configGrace is the time after its arrival within which a request may still be sent by the
+	// configuration of then. Most requests have left the gate by then, and none of these is refused
+	// because of a change.
+	configGrace = 2 * time.Second
 )
 
 // Causes that end a wait in a gate before the request's own context.
@@ -159,7 +165,11 @@
 // failed or are silent are left out while there are others, since a full service would send its
 // requests there.
 func (c *call) candidates() []fleet.Instance {
-	all := c.View.Snapshot().OfService(c.gate.service)
+	snap := c.View.Snapshot()
+	if time.Since(c.arrived) > configGrace && !c.allowed(snap.Config) {
+		return nil
+	}
+	all := snap.OfService(c.gate.service)
 	if len(c.tried) > 0 {
 		all = slices.DeleteFunc(slices.Clone(all), func(i fleet.Instance) bool { return c.tried[i.Incarnation()] })
 	}
@@ -168,6 +178,27 @@
 	return c.picker.Trusted(c.gate.failing.sound(speaking, now), now)
 }
 
+// allowed reports whether a configuration sends the request to its service. It may have changed while
+// the request waited.
+func (c *call) allowed(config *fleet.Config) bool {
+	if config == nil || config == c.config {
+		return true
+	}
+	host := c.request.Host
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	path, _, _ := strings.Cut(c.request.Target, "?")
+	route := config.Match(host, path)
+	if route == nil || route.Kind != c.request.Route.Kind || route.Backend(c.request.ID) != c.service {
+		return false
+	}
+	if c.request.Organisation == "" {
+		return route.Anonymous || !config.HasOrganisations()
+	}
+	return route.Anonymous || config.OrganisationByName(c.request.Organisation) != nil
+}
+
 // ticket describes the request to the gate.
 func (c *call) ticket() flowcontrol.Ticket {
 	t := flowcontrol.Ticket{
