One client that states much time no longer makes the others of its organisation late

Cause: patience compared each request with the longest time left of its organisation and route. Change: the longest of the last 32 without the 3 longest, and at most half of it counts as age. Remaining: clients that state half to all of the usual time count as returning ones and get little during a sustained overload.

--- a/forward/overload_test.go
+++ b/forward/overload_test.go
@@ -115,6 +115,8 @@
 	asked, inTime, refused, sends, rejected int
 	// inTimeAtFirst counts the answers within the objective of the client's first attempt.
 	inTimeAtFirst int
+	// inTimeLittle counts those of clients that state littleTime.
+	inTimeLittle int
 	// counted are the runs that usage reports would show.
 	counted int
 	// second counts hedges and repeats after a failure.
@@ -199,12 +201,12 @@
 }
 
 // ask sends a lookup, and once more after a refusal as not run.
-func (o *overload) ask(ctx context.Context, f *Forwarder, id string) {
+func (o *overload) ask(ctx context.Context, f *Forwarder, id string, stated time.Duration) {
 	began := time.Now()
 	var refusal *Refusal
 	for attempt := range 2 {
 		q := request(fleet.KindSafe)
-		q.ID, q.Deadline, q.Organisation = fmt.Sprint(id, "-", attempt), began.Add(1500*time.Millisecond), "guthi"
+		q.ID, q.Deadline, q.Organisation = fmt.Sprint(id, "-", attempt), began.Add(stated), "guthi"
 		q.Route.MaxAttempts = 3
 		asked := time.Now()
 		answer, err := f.Do(ctx, q)
@@ -214,6 +216,9 @@
 		}
 		if err == nil && answer.Status == http.StatusOK && time.Since(began) <= q.Route.Objective {
 			o.inTimeAtFirst++
+			if stated == littleTime {
+				o.inTimeLittle++
+			}
 		}
 		if err != nil && attempt == 1 {
 			o.refused++
@@ -229,6 +234,17 @@
 // simulateOverload sends a service of four endpoints, one of them five times as slow, a multiple of
 // its capacity for some time, through several entries.
 func simulateOverload(t *testing.T, times float64, length time.Duration, gated bool, fault func(string, int) fault) *overload {
+	return simulateOverloadOf(t, times, length, gated, fault, func() time.Duration { return usualDeadline })
+}
+
+// Times that clients state.
+const (
+	usualDeadline = 1500 * time.Millisecond
+	littleTime    = 250 * time.Millisecond
+)
+
+// simulateOverloadOf is simulateOverload with clients that state the given times.
+func simulateOverloadOf(t *testing.T, times float64, length time.Duration, gated bool, fault func(string, int) fault, deadline func() time.Duration) *overload {
 	o := &overload{endpoints: map[string]*queueEndpoint{}, fault: fault}
 	synctest.Test(t, func(t *testing.T) {
 		const entries = 8
@@ -256,7 +272,8 @@
 		var all sync.WaitGroup
 		for began := time.Now(); time.Since(began) < length; o.asked++ {
 			f, id := forwarders[rng.IntN(entries)], fmt.Sprint("r", o.asked)
-			all.Go(func() { o.ask(t.Context(), f, id) })
+			stated := deadline()
+			all.Go(func() { o.ask(t.Context(), f, id, stated) })
 			time.Sleep(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
 		}
 		all.Wait()
--- a/forward/patience.go
+++ b/forward/patience.go
@@ -1,41 +1,105 @@
 package forward
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
 
-// patienceMemory is the time for which the longest time left of a client's requests is remembered,
-// at least.
-const patienceMemory = 30 * time.Second
-
-// maxPatiences bounds the kinds of clients that are remembered at a time.
-const maxPatiences = 4096
+const (
+	// patienceMemory is half of the time for which the time left of a client's request is remembered.
+	patienceMemory = 30 * time.Second
+	// patienceSamples is the number of requests that are remembered for each kind of clients.
+	patienceSamples = 32
+	// rareShare is the part of the requests, one in rareShare, that may state more time than the
+	// usual: a single client which states an hour must not make all others returning ones.
+	rareShare = 10
+	// maxAgeShare is the part of the usual time after which a client returns at the latest: it is
+	// refused early in an overload and honours a Retry-After of a third of its time. One that has
+	// less time left states less of its own accord.
+	maxAgeShare = 2
+	// maxPatiences bounds the kinds of clients that are remembered at a time.
+	maxPatiences = 4096
+)
 
 // patience estimates when a client first asked. A client that returns after a refusal has less time
-// left than at first, so the longest time left of recent requests of its organisation and route,
-// less its own, is how long ago it began. It is 0 for clients that begin their time anew or state
-// none. It is safe for concurrent use.
+// left than at first, so the usual time of its organisation's requests for the route, less its own,
+// is how long ago it began. It is 0 for clients that begin their time anew or state none. It is safe
+// for concurrent use.
 type patience struct {
-	mu        sync.Mutex
-	rotatedAt time.Time
-	// longest holds the longest times left since rotatedAt, former those of the time before.
-	longest, former map[patienceKey]time.Duration
+	mu       sync.Mutex
+	prunedAt time.Time
+	recent   map[patienceKey]*timesLeft
 }
 
 // patienceKey identifies clients that are expected to wait equally long.
 type patienceKey struct{ organisation, route string }
 
-func newPatience() *patience { return &patience{longest: map[patienceKey]time.Duration{}} }
+// timesLeft holds the newest requests of a kind of clients, in a ring.
+type timesLeft struct {
+	samples [patienceSamples]struct {
+		left time.Duration
+		at   time.Time
+	}
+	next int
+	last time.Time
+}
+
+func newPatience() *patience { return &patience{recent: map[patienceKey]*timesLeft{}} }
 
 // age records a request that arrives with some time left, and returns how long ago its client first
 // asked.
 func (p *patience) age(key patienceKey, left time.Duration, now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if now.Sub(p.rotatedAt) >= patienceMemory || len(p.longest) >= maxPatiences {
-		p.former, p.longest, p.rotatedAt = p.longest, map[patienceKey]time.Duration{}, now
+	p.prune(now)
+	kind := p.recent[key]
+	if kind == nil {
+		kind = &timesLeft{}
+		p.recent[key] = kind
+	}
+	kind.add(left, now)
+	usual := kind.usual(now)
+	if age := usual - left; age <= usual/maxAgeShare {
+		return max(0, age)
+	}
+	return 0
+}
+
+// prune forgets the clients that have not asked for long, and all if there are too many. The caller
+// holds p.mu.
+func (p *patience) prune(now time.Time) {
+	if len(p.recent) >= maxPatiences {
+		clear(p.recent)
+	}
+	if now.Sub(p.prunedAt) < patienceMemory {
+		return
+	}
+	p.prunedAt = now
+	for key, kind := range p.recent {
+		if now.Sub(kind.last) >= 2*patienceMemory {
+			delete(p.recent, key)
+		}
+	}
+}
+
+// add records a request.
+func (t *timesLeft) add(left time.Duration, now time.Time) {
+	t.samples[t.next].left, t.samples[t.next].at = left, now
+	t.next = (t.next + 1) % patienceSamples
+	t.last = now
+}
+
+// usual returns the longest time left, without the rare ones.
+func (t *timesLeft) usual(now time.Time) time.Duration {
+	var known [patienceSamples]time.Duration
+	n := 0
+	for _, s := range t.samples {
+		if !s.at.IsZero() && now.Sub(s.at) < 2*patienceMemory {
+			known[n] = s.left
+			n++
+		}
 	}
-	p.longest[key] = max(p.longest[key], left)
-	return max(p.longest[key], p.former[key]) - left
+	slices.Sort(known[:n])
+	return known[n-1-n/rareShare]
 }
