An endpoint whose sends were all cut off early does not count as stalled

Cause: a client that left during its send, or a hedge's loser, left silentSince set at an idle endpoint. A second later the endpoint got one request per 500 ms and endpoint of the service until it answered: of 2 requests to an endpoint of 4 slots, 1 still waited after 400 ms. Change: an endpoint with nothing open that has not been silent for long enough owes no answer. Sends that were open for longer still count. Test: TestClientThatLeavesDoesNotStallItsEndpoint.

--- a/flowcontrol/window.go
+++ b/flowcontrol/window.go
@@ -236,7 +236,8 @@
 	open := w.open
 	w.open--
 	w.common.open--
-	if load != nil || declined || took > 0 {
+	if load != nil || declined || took > 0 || w.open == 0 && !w.stalled(now) {
+		// An endpoint whose requests were all cut off early has no answer outstanding.
 		w.silentSince = time.Time{}
 	}
 	if load != nil && load.Slots > 0 {
--- a/forward/gatedchange_test.go
+++ b/forward/gatedchange_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -63,3 +64,22 @@
 		}
 	})
 }
+
+// TestClientThatLeavesDoesNotStallItsEndpoint guards against requests that wait beside an idle endpoint
+// because the only answer that it owed was that to a client which had left.
+func TestClientThatLeavesDoesNotStallItsEndpoint(t *testing.T) {
+	inGatedRig(t, 1, func(t *testing.T, r *gatedRig) {
+		ctx, leave := context.WithCancel(r.ctx)
+		gone := r.start(ctx, r.request("gone", fleet.KindUnsafe))
+		leave()
+		<-gone
+		time.Sleep(3 * time.Second)
+		r.open = nil
+		r.start(r.ctx, r.request("a", fleet.KindUnsafe))
+		r.start(r.ctx, r.request("b", fleet.KindUnsafe))
+		if n := r.waiting(); n != 0 {
+			t.Errorf("%d of 2 requests wait beside an endpoint of 4 slots", n)
+		}
+		r.answerAll(whole)
+	})
+}
