mulberryctl load, GET /load of the metrics listener, and decisions in explain

explain tells the lines 'request not admitted' and 'groups deferred' as decision and figures. The processes serve an empty load until the gates are connected.

--- a/loadview/document.go
+++ b/loadview/document.go
@@ -6,6 +6,14 @@
 // merged into one Load, which Load.Write prints.
 package loadview
 
+import (
+	"math"
+
+	"github.com/sirupsen/logrus"
+
+	"mulberryscale.example/observe"
+)
+
 // Path is the HTTP path of a process's Document on its metrics listener.
 const Path = "/load"
 
@@ -111,4 +119,21 @@
 	// computed. They differ while processes know different rows.
 	Least int `json:"least"`
 	Most  int `json:"most"`
+	// DueInSeconds is the time left until the job is due; it is negative after that.
+	DueInSeconds float64 `json:"due_in_seconds"`
+	// WorkSeconds is the slot time that the job's groups and those that go before them take,
+	// CapacitySeconds that which the engines have until the job is due.
+	WorkSeconds     float64 `json:"work_seconds"`
+	CapacitySeconds float64 `json:"capacity_seconds"`
 }
+
+// LogFields returns the fields of the log line observe.MessageGroupsDeferred.
+func (d Deferral) LogFields() logrus.Fields {
+	return logrus.Fields{
+		observe.FieldJob: d.Job, observe.FieldOrganisation: d.Organisation, observe.FieldService: d.Service, observe.FieldRank: d.Rank,
+		observe.FieldGroups: d.Groups, observe.FieldWanted: d.Wanted, observe.FieldDeferred: d.Most, observe.FieldDueIn: milliseconds(d.DueInSeconds),
+		observe.FieldWork: milliseconds(d.WorkSeconds), observe.FieldCapacity: milliseconds(d.CapacitySeconds),
+	}
+}
+
+func milliseconds(seconds float64) int64 { return int64(math.Round(seconds * 1000)) }
--- a/loadview/merge.go
+++ b/loadview/merge.go
@@ -17,7 +17,8 @@
 
 // Merge returns the load of several processes. Counts, rates and windows are added up by service,
 // class and endpoint. Of an engine's paces the youngest counts. Deferrals are the same at all
-// processes that know the same rows, so they are not added up.
+// processes that know the same rows, so they are not added up: of each job the one with the most
+// deferred groups is kept.
 func Merge(documents []Document) Load {
 	merged := Load{Services: []Service{}}
 	services := map[string][]Service{}
@@ -53,9 +54,16 @@
 
 func mergeDeferral(deferrals map[deferralKey]Deferral, f Deferral) {
 	key := deferralKey{f.Service, f.Job}
-	if known, ok := deferrals[key]; ok {
-		f.Least, f.Most = min(f.Least, known.Least), max(f.Most, known.Most)
+	known, ok := deferrals[key]
+	if !ok {
+		deferrals[key] = f
+		return
 	}
+	least := min(known.Least, f.Least)
+	if known.Most > f.Most {
+		f = known
+	}
+	f.Least = least
 	deferrals[key] = f
 }
 
--- a/loadview/print.go
+++ b/loadview/print.go
@@ -58,13 +58,13 @@
 			rows = append(rows, []string{e.Address, "unknown", "-", "-"})
 			continue
 		}
-		rows = append(rows, []string{e.Address, fmt.Sprint(e.Pace), fmt.Sprint(e.Spread), fmt.Sprintf("%.1fs", e.AgeSeconds)})
+		rows = append(rows, []string{e.Address, fmt.Sprint(e.Pace), fmt.Sprint(e.Spread), seconds(e.AgeSeconds)})
 	}
 	writeTable(b, rows)
 }
 
 func writeDeferrals(b *strings.Builder, deferrals []Deferral) {
-	rows := [][]string{{"SERVICE", "RANK", "ORGANISATION", "JOB", "GROUPS", "WANTED", "DEFERRED"}}
+	rows := [][]string{{"SERVICE", "RANK", "ORGANISATION", "JOB", "GROUPS", "WANTED", "DEFERRED", "DUE IN", "WORK", "CAPACITY"}}
 	for _, d := range deferrals {
 		deferred := fmt.Sprint(d.Most)
 		if d.Least != d.Most {
@@ -72,11 +72,14 @@
 		}
 		rows = append(rows, []string{
 			d.Service, fmt.Sprint(d.Rank), cmp.Or(d.Organisation, "-"), d.Job, fmt.Sprint(d.Groups), fmt.Sprint(d.Wanted), deferred,
+			seconds(d.DueInSeconds), seconds(d.WorkSeconds), seconds(d.CapacitySeconds),
 		})
 	}
 	writeTable(b, rows)
 }
 
+func seconds(s float64) string { return fmt.Sprintf("%.1fs", s) }
+
 // writeTable prints rows with aligned columns and an indent. A table of only its header is left
 // out.
 func writeTable(b *strings.Builder, rows [][]string) {
--- a/logstory/logstory.go
+++ b/logstory/logstory.go
@@ -71,6 +71,8 @@
 	// Dependencies are the lines about lost and regained dependencies, starts and
 	// stops at the processes in Lines, during the timeline.
 	Dependencies []Line
+	// Decisions tells the decisions under overload in Lines, one message each.
+	Decisions []string
 	// Missing describes expected lines that are absent, one message each.
 	Missing []string
 	// Unreadable is the number of input lines that are not log lines.
@@ -139,6 +141,7 @@
 	if len(s.Lines) > 0 {
 		s.Dependencies = dependencies(lines, processes, s.Lines[0].Time, s.Lines[len(s.Lines)-1].Time)
 	}
+	s.Decisions = decisions(s.Lines)
 	s.Missing = missing(s.Lines, id)
 	return s
 }
@@ -220,6 +223,9 @@
 	}
 	section("story of "+s.ID, s.Lines)
 	section("meanwhile at these processes", s.Dependencies)
+	for _, d := range s.Decisions {
+		fmt.Fprintf(&b, "decision: %s\n", d)
+	}
 	for _, m := range s.Missing {
 		fmt.Fprintf(&b, "missing: %s\n", m)
 	}
--- a/observe/fields.go
+++ b/observe/fields.go
@@ -21,6 +21,31 @@
 	FieldReward = "reward"
 )
 
+// Messages of the log lines about decisions under overload; package logstory explains them.
+const (
+	// MessageNotAdmitted is logged for a request that a gate has not admitted.
+	MessageNotAdmitted = "request not admitted"
+	// MessageGroupsDeferred is logged for a batch job when the number of its groups that are
+	// deferred, because they cannot be done in time, changes.
+	MessageGroupsDeferred = "groups deferred"
+)
+
+// Fields of the log lines about decisions under overload.
+const (
+	FieldService    = "service"
+	FieldRank       = "rank" // 0 is the highest
+	FieldReason     = "reason"
+	FieldWaiting    = "waiting"        // requests that wait at the process
+	FieldRate       = "rate"           // requests a second that the process's windows allow
+	FieldRetryAfter = "retry_after_ms" // time after which the client is told to return
+	FieldGroups     = "groups"         // groups of a job
+	FieldWanted     = "wanted"         // groups that the job's trainer waits for
+	FieldDeferred   = "deferred"       // groups of a job that are deferred
+	FieldDueIn      = "due_in_ms"      // time left until a job is due
+	FieldWork       = "work_ms"        // slot time of a job's groups and those that go before them
+	FieldCapacity   = "capacity_ms"    // slot time that the engines have until a job is due
+)
+
 // Fields added by the repeat filter and by daemons.
 const (
 	FieldSuppressed = "suppressed" // identical lines dropped since the last one that was written
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -15,6 +15,7 @@
 
 	"mulberryscale.example/batch"
 	"mulberryscale.example/fleet"
+	"mulberryscale.example/loadview"
 	"mulberryscale.example/observe"
 	"mulberryscale.example/platform/duties"
 	"mulberryscale.example/platform/metastore"
@@ -29,6 +30,7 @@
 type base struct {
 	settings    *nodefile.Settings
 	incarnation string
+	role        string
 	metricsPort int
 	log         *logrus.Entry
 	bounded     *observe.LogLimiter
@@ -43,6 +45,9 @@
 	ledger *batch.Ledger
 	// quarantine tracks the requests that any process has seen crash endpoints.
 	quarantine *quarantine.Tracker
+	// load returns the load as this process sees it; nil for none. It is set before the process
+	// runs.
+	load func() loadview.Load
 }
 
 // Options are the settings that are not part of the platform's settings file.
@@ -59,7 +64,7 @@
 		return nil, err
 	}
 	b := &base{
-		settings: settings, metricsPort: options.MetricsPort, bounded: observe.LimitLog(logger), incarnation: newIncarnation(), counters: observe.NewCounters(),
+		settings: settings, role: role, metricsPort: options.MetricsPort, bounded: observe.LimitLog(logger), incarnation: newIncarnation(), counters: observe.NewCounters(),
 		store: metastore.New(settings.Store), duties: duties.New(settings.Duties), peers: &peers{}, view: fleet.NewView(),
 	}
 	b.store.Traffic = b.countTraffic
