--- a/e2e/soak_config_test.go
+++ b/e2e/soak_config_test.go
@@ -18,6 +18,7 @@
 		Store: addr(m.ip, portStore+m.activeStoreLink), RowBytes: 64 << 10, ObjectBytes: 8 << 20, StoreWrites: 800,
 		Grace: 8 * time.Second, KeepResults: 2 * time.Minute, Zones: soakZones,
 		Duties: addr(m.ip, portDuties), ReportUsage: true, Lease: soakLease, UsageWindow: soakUsageWindow, UsageDue: soakUsageDue,
+		Pressure: w.crowded,
 	})
 	if err != nil {
 		w.t.Error(err)
@@ -49,10 +50,10 @@
 func soakConfig(version uint64, desk string) *fleetview.Config {
 	c := &fleetview.Config{
 		Version:       version,
-		Organisations: organisationsOf(int(version)),
+		Organisations: append(organisationsOf(int(version)), crowdOrganisationsOf()...),
 		Services: []fleetview.Service{
 			{Name: serviceEngines, MaxConns: 200, Models: soakModels}, {Name: serviceDesk, MaxConns: 100}, {Name: serviceDesk2, MaxConns: 100},
-			{Name: serviceKiosk, MaxConns: 100},
+			{Name: serviceKiosk, MaxConns: 100}, {Name: serviceHall, MaxConns: 100},
 		},
 		Limits: fleetview.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 4 << 20, HeaderTimeout: 5 * time.Second, IdleTimeout: 10 * time.Second},
 	}
@@ -65,6 +66,7 @@
 	add(fleetview.Route{Name: "look", Prefix: prefixLook, Kind: fleetview.KindSafe, Timeout: short, Objective: objective}, desk)
 	add(fleetview.Route{Name: "book", Prefix: prefixBook, Kind: fleetview.KindUnsafe, MaxAttempts: 2, Timeout: short, Objective: objective}, serviceDesk)
 	add(fleetview.Route{Name: "peek", Prefix: prefixPeek, Kind: fleetview.KindSafe, Timeout: short, Objective: objective}, serviceKiosk)
+	add(fleetview.Route{Name: "crowd", Prefix: prefixCrowd, Kind: fleetview.KindSafe, Timeout: short, Objective: objective}, serviceHall)
 	add(fleetview.Route{Name: "tell", Prefix: prefixTell, Kind: fleetview.KindStream, Timeout: long, Objective: objective, Resumable: true}, serviceEngines)
 	add(fleetview.Route{Name: "say", Prefix: prefixSay, Kind: fleetview.KindStream, Timeout: long, Objective: objective}, serviceEngines)
 	add(fleetview.Route{Name: "score", Prefix: prefixScore, Kind: fleetview.KindSafe, Timeout: short, Objective: objective, MaxAttempts: soakRewardAttempts}, serviceDesk)
--- a/e2e/soak_engine_test.go
+++ b/e2e/soak_engine_test.go
@@ -53,6 +53,14 @@
 	heartbeats  uint64
 }
 
+// slots returns the number of requests that the engine runs at a time.
+func (e *soakEngine) slots() int {
+	if e.service == serviceHall {
+		return hallSlots
+	}
+	return soakSlots
+}
+
 // start starts an incarnation, with the previous one's id if sameID is set and a new id
 // otherwise.
 func (e *soakEngine) start(sameID bool) error {
@@ -150,7 +158,7 @@
 func (e *soakEngine) nextRegistration() (i fleetview.Instance, heartbeats uint64) {
 	e.heartbeats++
 	return fleetview.Instance{
-		ID: e.id, StartedAt: e.startedAt, Service: e.service, Addr: e.addr, Zone: e.zone, Slots: soakSlots, Draining: e.draining,
+		ID: e.id, StartedAt: e.startedAt, Service: e.service, Addr: e.addr, Zone: e.zone, Slots: e.slots(), Draining: e.draining,
 		Versions: maps.Clone(e.versions),
 	}, e.heartbeats
 }
@@ -216,7 +224,7 @@
 	case e.incarnation == 0 || (a.Instance != "" && a.Instance != e.id):
 		w.Decline(true)
 		return "", 0, false
-	case e.running >= soakSlots || e.loading[a.Model]:
+	case e.running >= e.slots() || e.loading[a.Model]:
 		w.Decline(false)
 		return "", 0, false
 	}
@@ -262,7 +270,8 @@
 		w.Fail(false)
 	case strings.HasPrefix(a.Target, prefixScore):
 		e.score(ctx, a, w)
-	case strings.HasPrefix(a.Target, prefixLook) || strings.HasPrefix(a.Target, prefixBook) || strings.HasPrefix(a.Target, prefixPeek):
+	case strings.HasPrefix(a.Target, prefixLook) || strings.HasPrefix(a.Target, prefixBook) || strings.HasPrefix(a.Target, prefixPeek) ||
+		strings.HasPrefix(a.Target, prefixCrowd):
 		e.answer(ctx, a, w)
 	default:
 		e.streamEvents(ctx, incarnation, a, w)
--- a/e2e/soak_record_test.go
+++ b/e2e/soak_record_test.go
@@ -84,6 +84,13 @@
 	r.counts[what]++
 }
 
+// add adds to a count.
+func (r *record) add(what string, n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counts[what] += n
+}
+
 // requestSent records a request. It is called before the request is sent.
 func (r *record) requestSent(id string, q *request) {
 	r.mu.Lock()
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -61,7 +61,7 @@
 func soak(t *testing.T, seed uint64, kinds int) {
 	soakWorldSlots <- struct{}{}
 	defer func() { <-soakWorldSlots }()
-	w := startSoak(t, seed)
+	w := startSoakWith(t, seed, crowded(seed, kinds))
 	ctx, cancel := context.WithCancel(t.Context())
 	var callers sync.WaitGroup
 	for i := range soakCallers {
@@ -72,6 +72,9 @@
 	for _, model := range soakModels {
 		callers.Go(func() { (&soakTrainer{soakClient: w.client("trainer-" + model), model: model}).run(ctx) })
 	}
+	if w.crowded {
+		callers.Go(func() { w.sendCrowd(ctx) })
+	}
 	w.injectFaults(kinds)
 	cancel()
 	callers.Wait()
--- a/e2e/soak_world_test.go
+++ b/e2e/soak_world_test.go
@@ -77,6 +77,7 @@
 	seed      uint64
 	dir       string
 	octet     int // third octet of all its addresses
+	crowded   bool
 	store     *soakStore
 	server    *http.Server
 	entries   []*soakInstance
@@ -84,6 +85,7 @@
 	desks     []*soakEngine
 	deskLinks []*link
 	kiosks    []*soakEngine
+	halls     []*soakEngine
 	duties    *soakDuties
 	record    *record
 	registry  *registry
@@ -108,6 +110,8 @@
 		return []string{serviceDesk, serviceDesk2}
 	case strings.HasPrefix(target, prefixPeek):
 		return []string{serviceKiosk}
+	case strings.HasPrefix(target, prefixCrowd):
+		return []string{serviceHall}
 	}
 	return []string{serviceDesk}
 }
@@ -128,14 +132,16 @@
 
 func addr(ip string, port int) string { return net.JoinHostPort(ip, fmt.Sprint(port)) }
 
-// startSoak starts a deployment and waits until its entries are ready.
-func startSoak(t *testing.T, seed uint64) *soakWorld {
+// startSoak starts a deployment without a crowd and waits until its entries are ready.
+func startSoak(t *testing.T, seed uint64) *soakWorld { return startSoakWith(t, seed, false) }
+
+func startSoakWith(t *testing.T, seed uint64, crowded bool) *soakWorld {
 	soakWorlds.Lock()
 	soakWorlds.next++
 	octet := soakWorlds.next % 250
 	soakWorlds.Unlock()
 	w := &soakWorld{
-		t: t, seed: seed, dir: t.TempDir(), octet: octet, store: newSoakStore(), record: newRecord(), stop: make(chan struct{}),
+		t: t, seed: seed, dir: t.TempDir(), octet: octet, crowded: crowded, store: newSoakStore(), record: newRecord(), stop: make(chan struct{}),
 	}
 	w.duties = newSoakDuties(w.record)
 	w.registry = &registry{store: w.store, rng: rand.New(rand.NewPCG(seed, 1)), lastHeartbeat: map[string]time.Time{}}
@@ -155,6 +161,9 @@
 	for i := range soakKiosks {
 		w.startKiosk(110 + i)
 	}
+	for i := range hallEndpoints {
+		w.startHall(120 + i)
+	}
 	for _, e := range w.entries {
 		eventually(t, e.name+" is ready", func() error { return ready(e.ip) })
 	}
@@ -254,7 +263,7 @@
 	for _, m := range w.agents {
 		m.engine.crash()
 	}
-	for _, d := range slices.Concat(w.desks, w.kiosks) {
+	for _, d := range slices.Concat(w.desks, w.kiosks, w.halls) {
 		d.faultLock.Lock() // waits for a fault that still has to restart the engine
 		d.crash()
 		d.faultLock.Unlock()
