Entries report the load of their gates, by rank and organisation

forward counts each request of a service with a gate once: asked, waiting, in time, late, refused with its reason, failed. Entries serve the counts and the windows at GET /load.

--- a/e2e/soak_world_test.go
+++ b/e2e/soak_world_test.go
@@ -205,7 +205,7 @@
 		w.startDutyServer(m)
 	}
 	w.writeSettings(m)
-	m.process = startProcess(w.t, m.name, "mulberry-node", role, "--settings", m.settings, "--log-level", "debug")
+	m.process = startProcess(w.t, m.name, "mulberry-node", role, "--settings", m.settings, "--log-level", "debug", "--metrics-port", fmt.Sprint(portMetrics))
 	return m
 }
 
--- a/forward/call.go
+++ b/forward/call.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"mulberryscale.example/fleet"
+	"mulberryscale.example/loadview"
 	"mulberryscale.example/picker"
 	"mulberryscale.example/quarantine"
 )
@@ -24,6 +25,8 @@
 	// service is the service that gets the request; gate is its gate, nil if it has none.
 	service string
 	gate    *serviceGate
+	// counted is the request in the load that operators see; nil if it is not counted.
+	counted *loadview.Request
 	// arrived is when the request arrived, deadline when its answer is due.
 	arrived, deadline time.Time
 	// notAdmitted is the error of the last wait in the gate.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -204,6 +204,7 @@
 		tried: map[fleet.Incarnation]bool{}, unanswered: map[fleet.Incarnation]abandonedSend{}, results: make(chan attempt, maxParallel),
 	}
 	c.gate = f.Gates.of(c.service)
+	c.countArrival()
 	answer, err := c.admitAndRun(bounded)
 	r.Reached += c.sent
 	if err != nil {
@@ -215,6 +216,7 @@
 		cancel()
 	}
 	c.holdAnswer(answer)
+	c.countOutcome(answer, err, time.Since(began))
 	f.logOutcome(r, c, answer, err, time.Since(began))
 	return answer, err
 }
--- a/forward/gated.go
+++ b/forward/gated.go
@@ -108,7 +108,9 @@
 	}
 	defer c.Gates.held.release(size)
 	began := time.Now()
+	admitted := c.counted.Wait()
 	lease, err := c.waitForRoom(ctx, risky)
+	admitted()
 	c.notAdmitted = err
 	if err == nil {
 		c.countAdmitted(time.Since(began))
@@ -237,9 +239,10 @@
 	rank := c.rank()
 	c.Counters.NotAdmitted(rank, refused.Reason)
 	log.WithFields(logrus.Fields{
-		"service": c.gate.service, "rank": rank, "reason": refused.Reason, "waiting": c.gate.gate.Waiting(),
-		"rate": c.gate.currentRate(time.Now()), "retry_after_ms": refused.RetryAfter.Milliseconds(),
-	}).Warn("request not admitted")
+		observe.FieldService: c.gate.service, observe.FieldRank: rank, observe.FieldReason: refused.Reason,
+		observe.FieldWaiting: c.gate.gate.Waiting(), observe.FieldRate: c.gate.currentRate(time.Now()),
+		observe.FieldRetryAfter: refused.RetryAfter.Milliseconds(),
+	}).Warn(observe.MessageNotAdmitted)
 	return true
 }
 
--- a/forward/gates.go
+++ b/forward/gates.go
@@ -8,6 +8,7 @@
 
 	"mulberryscale.example/fleet"
 	"mulberryscale.example/flowcontrol"
+	"mulberryscale.example/loadview"
 	"mulberryscale.example/retrybudget"
 )
 
@@ -43,6 +44,7 @@
 type Gates struct {
 	settings GateSettings
 	held     heldBytes
+	account  *loadview.Account
 
 	mu        sync.Mutex
 	byService map[string]*serviceGate
@@ -50,7 +52,7 @@
 
 // NewGates returns gates with the given settings.
 func NewGates(settings GateSettings) *Gates {
-	return &Gates{settings: settings, held: heldBytes{limit: settings.MaxBytes}, byService: map[string]*serviceGate{}}
+	return &Gates{settings: settings, held: heldBytes{limit: settings.MaxBytes}, account: loadview.NewAccount(), byService: map[string]*serviceGate{}}
 }
 
 // errWithdrawn ends the waits at a gate whose service has no endpoints any more.
@@ -124,6 +126,7 @@
 		gate.endWaits()
 		if snap.Config != nil && !snap.Config.HasService(service) {
 			delete(g.byService, service)
+			g.account.Drop(service)
 		}
 	}
 }
--- a/loadview/account.go
+++ b/loadview/account.go
@@ -119,6 +119,16 @@
 	return list
 }
 
+// Drop forgets the counts of a service that was removed.
+func (a *Account) Drop(service string) {
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.byService, service)
+}
+
 // ServiceOf returns the load of a service from the status of its gate and its classes.
 func ServiceOf(name string, gate flowcontrol.Status, classes []Class) Service {
 	s := Service{
--- a/service/node/entry.go
+++ b/service/node/entry.go
@@ -71,6 +71,7 @@
 	}
 	options.Gates.Always = settings.Pressure
 	e.forwarder.Gates = forward.NewGates(options.Gates)
+	b.load = e.forwarder.Gates.Load
 	b.counters.Gauge(observe.NameGates, func() any { return e.forwarder.Gates.Status() })
 	e.handler = &ingress.Handler{
 		View:    b.view,
