--- a/e2e/soak_record_test.go
+++ b/e2e/soak_record_test.go
@@ -91,6 +91,13 @@
 	r.counts[what] += n
 }
 
+// countOf returns a count.
+func (r *record) countOf(what string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.counts[what]
+}
+
 // requestSent records a request. It is called before the request is sent.
 func (r *record) requestSent(id string, q *request) {
 	r.mu.Lock()
