--- a/forward/gateload.go
+++ b/forward/gateload.go
@@ -30,13 +30,14 @@
 	}
 }
 
-// countOutcome counts what became of the request.
+// countOutcome counts what became of the request. As the gate does, it takes the objective from when
+// the client first asked, as far as that is known.
 func (c *call) countOutcome(answer *Answer, err error, took time.Duration) {
 	var refused *flowcontrol.Refused
 	objective := c.request.Route.Objective
 	switch {
 	case err == nil && answer.Status < http.StatusInternalServerError:
-		c.counted.Answered(objective == 0 || took <= objective)
+		c.counted.Answered(objective == 0 || took+c.age <= objective)
 	case errors.As(err, &refused):
 		c.counted.Refused(refused.Reason)
 	default:
--- a/forward/gateload_test.go
+++ b/forward/gateload_test.go
@@ -11,7 +11,7 @@
 // TestLoadCountsWhatBecameOfRequests guards against requests that the operator's view misses or
 // counts twice: answered in time and late, refused at their deadline, failed, and waiting.
 func TestLoadCountsWhatBecameOfRequests(t *testing.T) {
-	inGatedRig(t, 1, func(r *gatedRig) {
+	inGatedRig(t, 1, func(t *testing.T, r *gatedRig) {
 		filled := r.fill()
 		late := r.request("late", fleet.KindUnsafe)
 		late.Organisation, late.Route.Objective = "second", 10*time.Millisecond
--- a/forward/gates.go
+++ b/forward/gates.go
@@ -63,6 +63,9 @@
 	service string
 	gate    *flowcontrol.Gate
 	budget  *retrybudget.Budget
+	failing *failing
+	// patience tells how long ago the clients first asked.
+	patience *patience
 
 	mu sync.Mutex
 	// served is cancelled when the service has no endpoints any more.
@@ -75,7 +78,7 @@
 
 func newServiceGate(service string, settings GateSettings) *serviceGate {
 	g := &serviceGate{
-		service: service, budget: retrybudget.New(settings.SecondSends),
+		service: service, budget: retrybudget.New(settings.SecondSends), patience: newPatience(), failing: newFailing(),
 		gate: flowcontrol.New(flowcontrol.Config{MaxBytes: settings.MaxBytes, MaxWait: settings.MaxWait}),
 	}
 	g.served, g.withdraw = context.WithCancel(context.Background())
@@ -95,6 +98,9 @@
 	return g.add(service)
 }
 
+// Has reports whether a service has a gate.
+func (g *Gates) Has(service string) bool { return g.of(service) != nil }
+
 // add gives a service a gate. The caller holds g.mu.
 func (g *Gates) add(service string) *serviceGate {
 	added := newServiceGate(service, g.settings)
@@ -120,6 +126,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for service, gate := range g.byService {
+		gate.failing.prune(snap)
 		if len(snap.OfService(service)) > 0 {
 			continue
 		}
