--- a/loadview/document.go
+++ b/loadview/document.go
@@ -98,11 +98,14 @@
 // time.
 type Engine struct {
 	Address string `json:"address"`
+	Service string `json:"service"`
 	// Pace is 0 if it is not known.
 	Pace   int `json:"pace"`
 	Spread int `json:"spread"`
 	// AgeSeconds is the time since the pace was written.
 	AgeSeconds float64 `json:"age_seconds"`
+	// Ignored is the reason why the pace counts as unknown; empty if it is used.
+	Ignored string `json:"ignored,omitempty"`
 }
 
 // Deferral is the number of groups of a batch job that are deferred since they cannot be done in
--- a/loadview/print.go
+++ b/loadview/print.go
@@ -52,13 +52,13 @@
 }
 
 func writeEngines(b *strings.Builder, engines []Engine) {
-	rows := [][]string{{"ENGINE", "PACE", "SPREAD", "AGE"}}
+	rows := [][]string{{"ENGINE", "SERVICE", "PACE", "SPREAD", "AGE", "IGNORED"}}
 	for _, e := range engines {
 		if e.Pace == 0 {
-			rows = append(rows, []string{e.Address, "unknown", "-", "-"})
+			rows = append(rows, []string{e.Address, cmp.Or(e.Service, "-"), "unknown", "-", "-", "-"})
 			continue
 		}
-		rows = append(rows, []string{e.Address, fmt.Sprint(e.Pace), fmt.Sprint(e.Spread), seconds(e.AgeSeconds)})
+		rows = append(rows, []string{e.Address, cmp.Or(e.Service, "-"), fmt.Sprint(e.Pace), fmt.Sprint(e.Spread), seconds(e.AgeSeconds), cmp.Or(e.Ignored, "-")})
 	}
 	writeTable(b, rows)
 }
