Running items are taken by averaged paces and remaining work where engines report a pace

Cause: engineState.eventInterval averages over some ten events, 50 ms at 8 running items. Engines that report a pace are 2.5 times as slow for periods of 10 ms to a second, so that busiestPeer took running items back and forth at slowRatio 1.6.

Change: the pace reported with the answer to each run, and the gaps between events in between, feed pace.Estimate: the median over 3 s of held time. An agent tells its pace and the time until its part of a job ends with its status. Running items are taken only from the engine that ends the job last, only those that end after the other engines, and only if each completes at least a second and a fifth sooner; four times that for each earlier move. The holder decides, since it knows the progress. Waiting items are shared by both paces.

Ruled out: a mean with a time constant of 3 s, which one second at 2.5 times the pace moves by 42 in 100.

Conclusion: engines that report no pace are treated as before.

--- a/batch/engine.go
+++ b/batch/engine.go
@@ -52,6 +52,13 @@
 	Close()
 }
 
+// PaceReporter is implemented by a Stream whose answer named the pace of its engine.
+type PaceReporter interface {
+	// Pace returns the time that work took at the engine when the run began, in hundredths of
+	// the usual time; 0 if it was not reported.
+	Pace() int
+}
+
 // Report is the state of an engine as it reports it.
 type Report struct {
 	// StartedAt is when the engine started, in Unix milliseconds; 0 if it does not say.
--- a/batch/enginestate.go
+++ b/batch/enginestate.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"mulberryscale.example/fleet"
+	"mulberryscale.example/pace"
 )
 
 const (
@@ -52,6 +53,8 @@
 	orderedAt time.Time
 	// eventInterval is the mean time between two events of a run, 0 while unknown.
 	eventInterval time.Duration
+	// speed is the estimated pace of the engine and what it takes for the work of items.
+	speed engineSpeed
 	// stepped is the newest MinVersion+1 of the jobs seen, by model: the version whose
 	// step has started.
 	stepped map[string]uint64
@@ -64,9 +67,10 @@
 // reset discards what was known of the former incarnation of a restarted engine, also the
 // order that was in progress on it.
 func (e *engineState) reset(startedAt int64) {
-	stepped := e.stepped // belongs to the jobs, not to the engine
+	stepped, speed := e.stepped, e.speed // what items take belongs to the jobs, not to the engine
+	speed.pace = pace.Estimate{}
 	*e = newEngineState()
-	e.startedAt, e.stepped = startedAt, stepped
+	e.startedAt, e.stepped, e.speed = startedAt, stepped, speed
 }
 
 // canServe reports whether the weights of the engine are recent enough for a job and not
--- a/batch/handover.go
+++ b/batch/handover.go
@@ -24,6 +24,9 @@
 // mostly the longest first, then running ones if the other agent asks for them. It is called
 // with w.mu held.
 func (w *Worker) pickForHandover(j *workJob, to string, ask *TakeRequest) []*task {
+	if ask.Pace > 0 && w.engine.speed.known() {
+		return w.pickFaster(j, to, ask)
+	}
 	var picked []*task
 	for _, t := range w.waiting {
 		if t.j == j && len(picked) < ask.Max && !slices.Contains(t.avoid, to) && !w.isQuarantined(t) {
@@ -91,7 +94,7 @@
 		}
 		handed.Items = append(handed.Items, HandoverItem{
 			Index: t.index, Text: t.text, Versions: t.versions, Failures: t.failures, Avoid: t.avoid,
-			Complete: t.complete, RewardFailures: t.rewardFailures,
+			Complete: t.complete, RewardFailures: t.rewardFailures, Moves: t.moves,
 		})
 		w.Log.WithFields(t.fields()).WithFields(logrus.Fields{"to": to, "why": why}).Info("item handed over")
 	}
@@ -117,7 +120,7 @@
 		}
 		t := &task{
 			index: h.Index, text: h.Text, versions: h.Versions, failures: h.Failures, avoid: h.Avoid,
-			complete: h.Complete, rewardFailures: h.RewardFailures,
+			complete: h.Complete, rewardFailures: h.RewardFailures, moves: h.Moves,
 		}
 		if w.enqueue(j, t) {
 			w.Log.WithFields(t.fields()).WithField("from", from).Info("item taken over")
--- a/batch/rebalance.go
+++ b/batch/rebalance.go
@@ -237,20 +237,13 @@
 // stealFrom takes items from the agents that have the most to hand over, and returns how
 // many.
 func (w *Worker) stealFrom(ctx context.Context, jobs []*workJob, statuses map[string]*Status, free int) int {
-	w.mu.Lock()
-	interval := w.engine.eventInterval
-	w.mu.Unlock()
 	taken := 0
 	for _, j := range jobs {
 		if taken >= free || !w.engineCanServe(j) {
 			continue
 		}
-		engine, running, n := busiestPeer(j.job.ID, statuses, interval)
-		if n == 0 {
-			continue
-		}
-		ask := &TakeRequest{Job: j.job.ID, Max: min(free-taken, (n+1)/2), Running: running}
-		if !w.load(j, false) {
+		engine, ask, ok := w.takeFrom(j, statuses, free-taken)
+		if !ok || !w.load(j, false) {
 			continue
 		}
 		reply, err := w.call(ctx, engine, &PeerRequest{Take: ask})
--- a/batch/rig_test.go
+++ b/batch/rig_test.go
@@ -16,6 +16,7 @@
 	"mulberryscale.example/fleet"
 	"mulberryscale.example/internal/standin/rowstore"
 	"mulberryscale.example/observe"
+	"mulberryscale.example/pace"
 	"mulberryscale.example/store/relay"
 )
 
@@ -43,10 +44,13 @@
 }
 
 type fakeEngine struct {
-	startedAt    int64
-	version      uint64
-	sequence     uint64
-	slowdown     float64 // factor of eventGap; below 1 counts as 1
+	startedAt int64
+	version   uint64
+	sequence  uint64
+	slowdown  float64 // factor of eventGap; below 1 counts as 1
+	// paceAt is the pace by time; nil stands for the usual one. It is reported if reportsPace is set.
+	paceAt       func(time.Time) int
+	reportsPace  bool
 	down         bool
 	unresponsive bool
 	// startErrors are the errors of the next runs of an item, by its id.
@@ -81,7 +85,11 @@
 		length = f.crashSoon(e)
 	}
 	e.openStreams++
-	s := &fakeStream{ctx: ctx, f: f, e: e, item: r.Item.ID, next: r.LastEventID + 1, length: length, eventsUntilBreak: -1, engineStartedAt: e.startedAt}
+	reported := 0
+	if e.reportsPace {
+		reported = e.paceNow()
+	}
+	s := &fakeStream{pace: reported, ctx: ctx, f: f, e: e, item: r.Item.ID, next: r.LastEventID + 1, length: length, eventsUntilBreak: -1, engineStartedAt: e.startedAt}
 	if n, ok := e.breakAfter[r.Item.ID]; ok {
 		s.eventsUntilBreak = n
 		delete(e.breakAfter, r.Item.ID)
@@ -97,6 +105,18 @@
 	next, length     int
 	eventsUntilBreak int   // negative for a run that does not break off
 	engineStartedAt  int64 // when the engine had started, at the start of the run
+	pace             int   // as reported at the start of the run
+}
+
+// Pace implements PaceReporter.
+func (s *fakeStream) Pace() int { return s.pace }
+
+// paceNow returns the current pace of an engine.
+func (e *fakeEngine) paceNow() int {
+	if e.paceAt == nil {
+		return pace.Usual
+	}
+	return e.paceAt(time.Now())
 }
 
 func (s *fakeStream) Close() {
@@ -128,7 +148,7 @@
 
 func (s *fakeStream) Next() (Event, error) {
 	s.f.mu.Lock()
-	gap := time.Duration(float64(eventGap) * max(1, s.e.slowdown))
+	gap := time.Duration(float64(eventGap) * max(1, s.e.slowdown) * float64(s.e.paceNow()) / pace.Usual)
 	silent := s.e.unresponsive || s.e.stalledItems[s.item]
 	s.f.mu.Unlock()
 	if silent {
--- a/batch/run.go
+++ b/batch/run.go
@@ -45,6 +45,11 @@
 	}
 	defer s.Close()
 	last := time.Now()
+	if p, ok := s.(PaceReporter); ok {
+		w.mu.Lock()
+		w.engine.speed.pace.Observe(last, p.Pace())
+		w.mu.Unlock()
+	}
 	for {
 		event, err := s.Next()
 		if errors.Is(err, io.EOF) {
@@ -58,6 +63,9 @@
 		w.mu.Lock()
 		t.add(event)
 		w.engine.recordEvent(t.j.job.Model, event.Version, now.Sub(last), event.ID > run.LastEventID+1)
+		if event.ID > run.LastEventID+1 {
+			w.engine.speed.pace.ObserveGap(now, now.Sub(last))
+		}
 		allowed := t.textAllowed()
 		w.mu.Unlock()
 		last = now
@@ -94,6 +102,7 @@
 		w.engine.up = true
 		if resumedFrom == 0 {
 			w.pace.observe(t.item.expectedWork(), took)
+			w.engine.speed.recordRun(time.Now(), t.item.expectedWork(), len(t.text), took)
 		}
 		log.Info("item done")
 		w.scoreOrFinish(t)
--- /dev/null
+++ b/batch/steal_test.go
@@ -0,0 +1,90 @@
+package batch
+
+import (
+	"testing"
+	"time"
+)
+
+// TestShortSlowPeriodsDoNotMoveItems has engines of two speeds that are also slow for periods of up
+// to a second. Without reported paces running items were moved back and forth; it compares both.
+func TestShortSlowPeriodsDoNotMoveItems(t *testing.T) {
+	paces := []int{70, 70, 70, 70, 170, 170}
+	var took [2]time.Duration
+	var aborted [2]float64
+	for i, reported := range []bool{false, true} {
+		bubble(t, func(t *testing.T) {
+			rig := newPacedRig(t, paces, reported, true)
+			rig.runSteps(2, 0.9) // until the engines are known
+			took[i], aborted[i] = rig.runSteps(8, 0.9)
+		})
+	}
+	t.Logf("without paces: step %v, aborted %.3f; with paces: %v, %.3f", took[0], aborted[0], took[1], aborted[1])
+	if aborted[1] > 0.12 { // the slow engines own as many items as the others
+		t.Errorf("%.3f of the runs were aborted, want at most 0.12", aborted[1])
+	}
+	if float64(took[1]) > 1.1*float64(took[0]) {
+		t.Errorf("a step took %v, %v without paces", took[1], took[0])
+	}
+}
+
+// pacedStatus returns the status of an agent whose engine reports its pace.
+func pacedStatus(pace int, left time.Duration, waiting, running int) *Status {
+	s := statusOf(50*time.Millisecond, waiting, running)
+	job := s.Jobs["j"]
+	job.Left = left
+	s.Pace, s.Jobs["j"] = pace, job
+	return s
+}
+
+// TestRunningItemsAreTakenFromTheLastEngineOnly guards against moves that do not end a step
+// sooner: running items of an engine that is slower but not the last one stay there.
+func TestRunningItemsAreTakenFromTheLastEngineOnly(t *testing.T) {
+	const second = time.Second
+	for name, c := range map[string]struct {
+		statuses map[string]*Status
+		left     time.Duration // of the asking engine
+		engine   string
+		running  bool
+		horizon  time.Duration
+	}{
+		"slower and last":         {map[string]*Status{"slow": pacedStatus(170, 5*second, 0, 4), "fast": pacedStatus(70, 3*second, 0, 4)}, 0, "slow", true, 3 * second},
+		"slower but done sooner":  {map[string]*Status{"slow": pacedStatus(170, 2*second, 0, 4), "fast": pacedStatus(70, 3*second, 0, 4)}, 0, "", false, 0},
+		"last but not slower":     {map[string]*Status{"slow": pacedStatus(80, 5*second, 0, 4), "fast": pacedStatus(70, 3*second, 0, 4)}, 0, "", false, 0},
+		"own items end later":     {map[string]*Status{"slow": pacedStatus(170, 2*second, 0, 4)}, 4 * second, "", false, 0},
+		"nearly done":             {map[string]*Status{"slow": pacedStatus(170, second/2, 0, 4)}, 0, "", false, 0},
+		"waiting on the last":     {map[string]*Status{"a": pacedStatus(70, 5*second, 1, 4), "b": pacedStatus(70, 3*second, 3, 4)}, 0, "a", false, 3 * second},
+		"waiting on another one":  {map[string]*Status{"a": pacedStatus(70, 5*second, 0, 4), "b": pacedStatus(70, 3*second, 3, 4)}, 0, "b", false, 3 * second},
+		"time left is not known ": {map[string]*Status{"new": pacedStatus(170, 0, 2, 4)}, 0, "new", false, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			engine, ask, ok := latestPeer("j", c.statuses, 70, c.left)
+			if ok != (c.engine != "") || engine != c.engine {
+				t.Fatalf("got %q, %v; want %q", engine, ok, c.engine)
+			}
+			if ok && (ask.Running != c.running || ask.Horizon != c.horizon || ask.Pace != 70) {
+				t.Errorf("got %+v", *ask)
+			}
+		})
+	}
+}
+
+// TestMovedItemsNeedALargerGain guards against items that go back and forth between engines whose
+// paces vary.
+func TestMovedItemsNeedALargerGain(t *testing.T) {
+	w := &Worker{engine: newEngineState()}
+	s := &w.engine.speed
+	s.pace.Observe(time.Now(), 170)
+	for range minSpeedRuns {
+		s.recordRun(time.Now(), 100, 100, 1700*time.Millisecond) // 10 ms for each token at the usual pace
+	}
+	for _, c := range []struct {
+		work, moves, pace int
+		want              bool
+	}{{100, 0, 70, false}, {150, 0, 70, true}, {150, 1, 70, false}, {450, 1, 70, true}, {450, 2, 70, false}, {450, 0, 150, false}} {
+		task := &task{item: &Item{ExpectedTokens: c.work}, moves: c.moves}
+		end := s.duration(s.remainingWork(task), 170)
+		if got := w.worthMoving(task, c.pace, end); got != c.want {
+			t.Errorf("work %d, moved %d times, to pace %d: got %v", c.work, c.moves, c.pace, got)
+		}
+	}
+}
