--- a/cmd/mulberryctl/command.go
+++ b/cmd/mulberryctl/command.go
@@ -31,7 +31,7 @@
   mulberryctl status --operators 127.0.0.1:9400,127.0.0.1:9401 --wait 30s
   mulberryctl explain 9c41d07be2a35f68 entry-*.log agent-*.log
   mulberryctl jobs --store 10.200.1.7:8266     on the users' platform; also engines and config
-  mulberryctl load --metrics 10.200.1.7:9911,10.200.1.8:9911
+  mulberryctl load --metrics 10.200.1.7:9911,10.200.1.8:9911 --store 10.200.1.7:8266
 
 Exit status: 0 done, 1 failed or refused, 2 wrong usage or a table file with mistakes.`
 
--- a/cmd/mulberryctl/load.go
+++ b/cmd/mulberryctl/load.go
@@ -31,9 +31,10 @@
 	return &cli.Command{
 		Name:  "load",
 		Usage: "show what services were asked for, what waits and what was refused, windows, paces and deferred groups",
-		Description: "Counters are those of --interval, or with --interval 0s since each process has started. If processes do\n" +
+		Description: "With --store, the paces of the engines are read from the platform's store. Counters are those of --interval, or with --interval 0s since each process has started. If processes do\n" +
 			"not answer, the load of the others is shown and the exit status is 1.",
 		Flags: []cli.Flag{
+			storeFlag(),
 			&cli.StringFlag{
 				Name: flagMetrics, Usage: "addresses of the processes' metrics listeners, ip:port,...", Sources: cli.EnvVars(settings.EnvName(flagMetrics)), Required: true,
 			},
@@ -64,6 +65,11 @@
 		client.addresses = append(client.addresses, addr.String())
 	}
 	documents, err := client.loadOver(ctx, cmd.Duration(flagInterval))
+	if cmd.String(flagStore) != "" {
+		engines, pacesErr := storedPaces(ctx, cmd)
+		documents = append(documents, loadview.Document{Load: loadview.Load{Engines: engines}})
+		err = errors.Join(err, pacesErr)
+	}
 	if ctx.Err() != nil {
 		return trace.Wrap(ctx.Err(), "read the load")
 	}
--- a/cmd/mulberryctl/load_test.go
+++ b/cmd/mulberryctl/load_test.go
@@ -7,8 +7,13 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
+	"mulberryscale.example/fleet"
 	"mulberryscale.example/loadview"
+	"mulberryscale.example/pace"
+	"mulberryscale.example/platform/operator"
+	"mulberryscale.example/store"
 )
 
 // startLoadProcess serves the load of a process whose counters grow by one with each read.
@@ -56,3 +61,33 @@
 	run(t, "", "load", "--metrics", "here").want(t, 2, `--metrics: want ip:port, got "here"`)
 	run(t, "", "load", "--metrics", "127.0.0.1:1", "--interval", "-1s").want(t, 2, "want 0s or more")
 }
+
+// TestLoadShowsThePacesOfEngines shows a pace that is used, one of a former start, one that is too
+// old, and that of an engine that is not registered any more.
+func TestLoadShowsThePacesOfEngines(t *testing.T) {
+	rows, addr := startPlatformStore(t)
+	now, _ := rows.Now()
+	startedAt := map[string]int64{"10.1.0.1:80": 1000, "10.1.0.2:80": 2000, "10.1.0.3:80": 1000}
+	for engine, at := range startedAt {
+		row, err := operator.InstanceRow(fleet.Instance{ID: "i-" + engine, Service: "engines", Addr: engine, Zone: "patan", Slots: 8, StartedAt: at, Versions: map[string]uint64{"guide": 1}}, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rows.Put(row)
+	}
+	for engine, r := range map[string]pace.Row{
+		"10.1.0.1:80": {Pace: 70, Spread: 4, At: now, StartedAt: 1000}, "10.1.0.2:80": {Pace: 170, At: now, StartedAt: 1000},
+		"10.1.0.3:80": {Pace: 100, At: now - time.Hour, StartedAt: 1000}, "10.1.0.4:80": {Pace: 90, At: now, StartedAt: 1000},
+	} {
+		value, err := r.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		rows.Put(store.Row{Key: pace.Key(engine), Value: value})
+	}
+	front := startLoadProcess(t, "front-1")
+	run(t, "", "load", "--metrics", front, "--interval", "0s", "--store", addr).want(t, 0, "ENGINE SERVICE PACE SPREAD AGE IGNORED",
+		"10.1.0.1:80 engines 70 4", "10.1.0.2:80 engines 170 0", "of a former start", "10.1.0.3:80 engines 100 0 360", "older than 90 s",
+		"10.1.0.4:80 - 90 0", "not registered", "10.1.0.9:80 engines unknown - - -")
+	run(t, "", "load", "--metrics", front, "--interval", "0s", "--store", "127.0.0.1:1").want(t, 1, "1 guthi", "read the paces of the engines")
+}
