--- a/forward/gated.go
+++ b/forward/gated.go
@@ -16,8 +16,6 @@
 )
 
 const (
-	// reasonBytesHeld is the reason of a refusal because of the memory held for clients.
-	reasonBytesHeld = "bytes_held"
 	// reasonResumed is the reason under which denied sends of resumed streams are counted.
 	reasonResumed = "resumed"
 	// tryTime bounds the wait for room of a send that must not wait, such as a hedge.
@@ -63,9 +61,11 @@
 		restore()
 		return place{}, false
 	}
+	now := time.Now()
 	if reason == "" && c.request.Reached == 0 {
-		c.gate.budget.RecordFirst(time.Now())
+		c.gate.budget.RecordFirst(now)
 	}
+	c.gate.silence.sent(lease.To.Incarnation(), now)
 	return place{to: lease.To, lease: lease}, true
 }
 
@@ -104,7 +104,7 @@
 	}
 	size := c.request.size()
 	if !c.Gates.held.take(size) {
-		c.notAdmitted = &flowcontrol.Refused{Reason: reasonBytesHeld, RetryAfter: retryAfterHeld(time.Until(c.deadline))}
+		c.notAdmitted = &flowcontrol.Refused{Reason: flowcontrol.ReasonQueueFull, RetryAfter: retryAfterHeld(time.Until(c.deadline))}
 		return nil, c.notAdmitted
 	}
 	defer c.Gates.held.release(size)
@@ -149,39 +149,25 @@
 // enter enters the gate. The picker counts the send when the gate has it choose an endpoint.
 func (c *call) enter(ctx context.Context, risky bool) (*flowcontrol.Lease, error) {
 	avoidRisky := risky && c.riskyWait < maxRiskyWait
-	var chosen *fleet.Instance
-	withdraw := func() {
-		if chosen != nil {
-			c.picker.Withdraw(chosen.Incarnation(), risky)
-			chosen = nil
-		}
-	}
 	choose := func(withRoom []fleet.Instance) (fleet.Instance, bool) {
-		withdraw()
-		query := picker.Query{
+		return c.picker.Take(picker.Query{
 			Candidates: withRoom, Tried: c.tried, Zone: c.Zone, Request: c.request.ID, Now: time.Now(), AvoidRisky: avoidRisky,
-		}
-		to, ok := c.picker.Take(query, risky)
-		if ok {
-			chosen = &to
-		}
-		return to, ok
+		}, risky)
 	}
-	lease, err := c.gate.gate.Enter(ctx, c.ticket(), c.candidates, choose)
-	if err != nil {
-		withdraw() // it was admitted at the moment when its context ended
-	}
-	return lease, err
+	return c.gate.gate.Enter(ctx, c.ticket(), c.candidates, choose)
 }
 
 // candidates returns the endpoints that the request may be sent to. Those that have just
-// failed are left out while there are others, since a full service would send its requests there.
+// failed or are silent are left out while there are others, since a full service would send its
+// requests there.
 func (c *call) candidates() []fleet.Instance {
-	all := slices.DeleteFunc(slices.Clone(c.View.Snapshot().OfService(c.gate.service)), func(i fleet.Instance) bool {
-		return c.tried[i.Incarnation()]
-	})
+	all := c.View.Snapshot().OfService(c.gate.service)
+	if len(c.tried) > 0 {
+		all = slices.DeleteFunc(slices.Clone(all), func(i fleet.Instance) bool { return c.tried[i.Incarnation()] })
+	}
 	now := time.Now()
-	return c.picker.Trusted(c.gate.failing.sound(all, now), now)
+	speaking := c.gate.silence.speaking(all, c.request.Route, now)
+	return c.picker.Trusted(c.gate.failing.sound(speaking, now), now)
 }
 
 // ticket describes the request to the gate.
@@ -259,14 +245,17 @@
 	}
 	if answer != nil {
 		c.gate.failing.answered(next.to.Incarnation(), answer, time.Now())
+		c.gate.silence.answered(next.to.Incarnation())
 	}
 	switch {
 	case answer == nil:
 		next.lease.Done(nil, false, 0)
 	case answer.Stream != nil:
-		// The load that came with the first event is out of date by then.
-		began := time.Now().Add(-took)
-		context.AfterFunc(ctx, func() { next.lease.Done(nil, false, time.Since(began)) })
+		// The load that came with the first event is out of date by the end. The time until that
+		// event compares with the answer times of the service's other requests, the stream's own
+		// length does not.
+		next.lease.Answered()
+		context.AfterFunc(ctx, func() { next.lease.Done(nil, false, took) })
 	default:
 		next.lease.Done(answer.Load, answer.Declined, took)
 	}
