--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -37,6 +37,8 @@
 	{45, 18, "SIGTERM within milliseconds of the start"},
 	{6018, 23, "a duty call arrived seconds after its sender had given it up"},
 	{6044, 23, "entries read requests seconds after they were sent"},
+	// The soak took the refusal of a repeated send for one of the first send.
+	{207, 23, "net/http sent a request of the crowd twice"},
 }
 
 // TestSoak runs seeds; those that failed in the past are always among them.
