Entries follow the paces once a job of another entry states some

Cause: with 40 entries each one accepted a first job without paces, and one in 15 s asked too early.

Change: the watcher of jobs, which entries run anyway, reports the first job with paces.

Ruled out: reading the empty table more often, which deployments without paces would pay for.

Conclusion: after the first job with paces, all entries know them.

--- a/batch/demand.go
+++ b/batch/demand.go
@@ -22,6 +22,9 @@
 // Demand is the recent work of the jobs of each model. All processes compute it from the
 // same rows. It is safe for concurrent use.
 type Demand struct {
+	// OnPaces, if set, is called by the watcher for each job that states paces of engines.
+	OnPaces func()
+
 	mu       sync.Mutex
 	jobs     map[string][]demandJob // by model, the newest last
 	revision uint64                 // number of jobs added
@@ -114,5 +117,8 @@
 			continue
 		}
 		w.demand.Add(job)
+		if len(job.Paces) > 0 && w.demand.OnPaces != nil {
+			w.demand.OnPaces()
+		}
 	}
 }
--- a/pace/table.go
+++ b/pace/table.go
@@ -16,6 +16,9 @@
 	log logrus.FieldLogger
 	// wanted receives a value when a pace is asked for.
 	wanted chan struct{}
+	// reported is closed once it is known that engines report their paces.
+	reported     chan struct{}
+	reportedOnce sync.Once
 
 	mu   sync.Mutex
 	rows map[string]Row // by the engine's address
@@ -23,13 +26,19 @@
 
 // NewTable returns a table without rows.
 func NewTable(log logrus.FieldLogger) *Table {
-	return &Table{log: log, wanted: make(chan struct{}, 1), rows: map[string]Row{}}
+	return &Table{log: log, wanted: make(chan struct{}, 1), reported: make(chan struct{}), rows: map[string]Row{}}
 }
 
 // Wanted returns a channel that receives a value when a pace was asked for. Processes that need
 // no paces make no calls for them.
 func (t *Table) Wanted() <-chan struct{} { return t.wanted }
 
+// MarkReported records that engines of this deployment report their paces.
+func (t *Table) MarkReported() { t.reportedOnce.Do(func() { close(t.reported) }) }
+
+// Reported returns a channel that is closed once MarkReported was called.
+func (t *Table) Reported() <-chan struct{} { return t.reported }
+
 // Pace returns the pace of the engine at an address; 0 if it is unknown. startedAt is when the
 // engine started, in Unix milliseconds, 0 if not known; now is the store's clock, agents the
 // number of agents that write rows.
--- a/service/node/enginepaces.go
+++ b/service/node/enginepaces.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"mulberryscale.example/internal/pause"
 	"mulberryscale.example/pace"
 	"mulberryscale.example/store"
 )
@@ -24,20 +23,33 @@
 	wg.Go(func() { writer.Run(ctx) })
 }
 
-// followPaces keeps a table of paces up to date until ctx is cancelled, from the time on at which
-// it is asked for a pace and the store has any.
+// followPaces keeps a table of paces up to date until ctx is cancelled. It begins once the table is
+// asked for a pace and the store has a row, or once another entry has stated paces in a job.
 func followPaces(ctx context.Context, rows store.Rows, table *pace.Table) {
+	awaitPaces(ctx, rows, table)
+	if ctx.Err() == nil {
+		store.Follow(ctx, rows, enginePacesSource(), table)
+	}
+}
+
+// awaitPaces returns once the deployment is known to have paces, or ctx is cancelled.
+func awaitPaces(ctx context.Context, rows store.Rows, table *pace.Table) {
 	for !hasPaces(ctx, rows) {
-		if pause.Sleep(ctx, emptyTablePause) != nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-table.Reported():
 			return
+		case <-time.After(emptyTablePause):
 		}
 		select {
 		case <-ctx.Done():
 			return
+		case <-table.Reported():
+			return
 		case <-table.Wanted():
 		}
 	}
-	store.Follow(ctx, rows, enginePacesSource(), table)
 }
 
 // hasPaces reports whether the store has a row of an engine's pace.
--- a/service/node/enginepaces_test.go
+++ b/service/node/enginepaces_test.go
@@ -7,10 +7,12 @@
 	"testing/synctest"
 	"time"
 
+	"mulberryscale.example/batch"
 	"mulberryscale.example/internal/standin/rowstore"
 	"mulberryscale.example/observe"
 	"mulberryscale.example/pace"
 	"mulberryscale.example/store"
+	"mulberryscale.example/transport/codec"
 )
 
 // countingRows counts the reads of a store.
@@ -66,3 +68,40 @@
 		}
 	})
 }
+
+// TestEntriesLearnOfPacesFromJobs has another entry state paces in a job: entries that have accepted
+// none yet must know the paces at their first one.
+func TestEntriesLearnOfPacesFromJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, table := rowstore.New(), pace.NewTable(observe.Discard())
+		go followPaces(t.Context(), s, table)
+		time.Sleep(time.Minute)
+		demand := batch.NewDemand()
+		demand.OnPaces = table.MarkReported
+		watcher := demand.Watcher(&batch.Collector{Now: s.Now}, observe.Discard())
+		accept := func(id string, paces []int) {
+			t.Helper()
+			value, err := codec.Marshal(batch.Job{ID: id, Model: "m", Work: 1, Paces: paces})
+			if err != nil {
+				t.Fatal(err)
+			}
+			watcher.Apply(store.Snapshot{Rows: []store.Row{{Key: store.Key{Table: batch.TableJobs, Name: id}, Value: value}}})
+		}
+		now, _ := s.Now()
+		value, _ := pace.Row{Pace: 170, At: now}.Encode()
+		s.Put(store.Row{Key: pace.Key("10.0.0.1:80"), Value: value})
+		accept("without", nil)
+		time.Sleep(2 * emptyTablePause)
+		select {
+		case <-table.Reported():
+			t.Fatal("a job without paces counts as one with paces")
+		default:
+		}
+		accept("with", []int{0, 170})
+		time.Sleep(time.Second)
+		now, _ = s.Now()
+		if got := table.Pace("10.0.0.1:80", 0, now, 44); got != 170 {
+			t.Errorf("pace %d at the first job", got)
+		}
+	})
+}
--- a/service/node/entry.go
+++ b/service/node/entry.go
@@ -65,6 +65,7 @@
 		base: b, reader: batch.NewReader(b.ledger, b.store.Now, b.log), demand: batch.NewDemand(),
 		paces: pace.NewTable(b.log),
 	}
+	e.demand.OnPaces = e.paces.MarkReported
 	engines := enginehttp.New()
 	e.forwarder = forward.New(b.view, engines, settings.Zone, b.log, b.counters)
 	e.forwarder.Quarantine = b.newQuarantine(engines)
