An agent whose engine has reported its pace moves running items by pace only

Cause: between the first report of a pace and the fourth completed run, an agent decided by the interval between events, which follows periods of some 10 ms.

Change: the asking agent needs its pace only; the agent that is asked estimates the times.

Conclusion: TestAgentsThatHaveJustStartedMoveByPace; decisions without paces are unchanged.

--- a/batch/steal.go
+++ b/batch/steal.go
@@ -18,12 +18,12 @@
 // otherwise from the one that completes the job last.
 func (w *Worker) takesOf(j *workJob, statuses map[string]*Status, free int) []take {
 	w.mu.Lock()
-	interval, known := w.engine.eventInterval, w.engine.speed.known()
+	interval := w.engine.eventInterval
 	own := w.engine.speed.pace.Pace(time.Now())
 	left := j.timeLeft(w.taskEnds())
 	w.mu.Unlock()
 	paced, unpaced := splitByPace(statuses)
-	if !known {
+	if own == 0 {
 		paced, unpaced = nil, statuses
 	}
 	takes := pacedTakes(paced, TakeRequest{Job: j.job.ID, Max: free, Pace: own}, left)
--- a/batch/steal_test.go
+++ b/batch/steal_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"mulberryscale.example/fleet"
 )
 
 // TestShortSlowPeriodsDoNotMoveItems has engines of two speeds that are also slow for periods of up
@@ -100,3 +102,15 @@
 		}
 	}
 }
+
+// TestAgentsThatHaveJustStartedMoveByPace guards against moves by the interval between events in the
+// time between the first report of a pace and the first estimates.
+func TestAgentsThatHaveJustStartedMoveByPace(t *testing.T) {
+	w := NewWorker(WorkerConfig{View: fleet.NewView()})
+	w.engine.eventInterval = 10 * time.Millisecond
+	w.engine.speed.pace.Observe(time.Now(), 70)
+	statuses := map[string]*Status{"slow now": pacedStatus(70, 0, 0, 4)} // 50 ms between events
+	if takes := w.takesOf(&workJob{job: someJob("j", 9)}, statuses, 4); len(takes) > 0 {
+		t.Errorf("asked for %+v", takes)
+	}
+}
--- a/batch/unpaced_test.go
+++ b/batch/unpaced_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"mulberryscale.example/fleet"
 	"mulberryscale.example/observe"
 	"mulberryscale.example/pace"
@@ -68,9 +70,6 @@
 		w.engine.eventInterval = 40 * time.Millisecond
 		if r.IntN(2) == 0 { // an engine that reports its pace beside others that do not
 			w.engine.speed.pace.Observe(time.Now(), 100)
-			for range minSpeedRuns {
-				w.engine.speed.recordRun(time.Now(), 10, 10, time.Second)
-			}
 		}
 		wantEngine, wantRunning, n := busiestPeer("j", statuses, w.engine.eventInterval)
 		takes := w.takesOf(&workJob{job: someJob("j", 9)}, statuses, 4)
@@ -137,3 +136,23 @@
 		t.Errorf("an engine of unknown pace gets %.2f times the work of one of pace 170", ratio)
 	}
 }
+
+// TestAnyPacesGiveAnAssignment has jobs state any paces, also too few, too many and invalid ones, as
+// from a faulty entry: each group must have one owner, and all agents must agree on it.
+func TestAnyPacesGiveAnAssignment(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		job, items := someJob("j", 40), someItems(40)
+		job.Owners = names("e", rapid.IntRange(1, 9).Draw(t, "owners"))
+		job.Ready = rapid.IntRange(0, len(job.Owners)).Draw(t, "ready")
+		job.Paces = rapid.SliceOfN(rapid.IntRange(-5, 200_000), 0, 12).Draw(t, "paces")
+		owners := AssignItems(job, items)
+		for i, o := range owners {
+			if o < 0 || o >= len(job.Owners) || o != owners[i/4*4] {
+				t.Fatalf("item %d has owner %d, its group %d", i, o, owners[i/4*4])
+			}
+		}
+		if !slices.Equal(owners, AssignItems(job, items)) {
+			t.Fatal("two agents computed different owners")
+		}
+	})
+}
