edf.Order puts groups that can no longer be in time last, and keeps those that have begun

Groups that had begun were dropped when an item took longer than estimated. Work that runs was not counted if its group was not selected. Change: late groups come last, least work first, also if all groups are late and the backlog is above half of the longest item. A group that has begun is kept until its estimate exceeds the time left by far. Where the whole backlog cannot be done until the last deadline, one group more in time is enough to change the order; otherwise twice as many, as before. The simulation passes the two new fields of Group.

--- a/batch/startorder.go
+++ b/batch/startorder.go
@@ -58,7 +58,6 @@
 // openGroup is the part of a group that this agent holds and that its engine can run now.
 type openGroup struct {
 	key     groupKey
-	started bool    // one of its items has begun
 	waiting []*task // in the order of compareTasks
 	edf.Group
 }
@@ -116,7 +115,10 @@
 		remaining := w.remainingTime(t)
 		g.Work += remaining
 		g.Longest = max(g.Longest, remaining)
-		g.started = g.started || t.cancel != nil || len(t.text) > 0
+		g.Begun = g.Begun || t.cancel != nil || len(t.text) > 0
+		if t.cancel != nil {
+			g.Running += remaining
+		}
 		return g
 	}
 	for t := range w.running {
@@ -139,7 +141,7 @@
 // compareGroups orders groups as openGroups returns them.
 func compareGroups(a, b *openGroup) int {
 	startedFirst := func(g *openGroup) int {
-		if g.started {
+		if g.Begun {
 			return 0
 		}
 		return 1
--- a/edf/edf.go
+++ b/edf/edf.go
@@ -23,33 +23,80 @@
 	// Work is the estimated time that all its items take if one slot runs them one after the
 	// other, Longest that of its longest item.
 	Work, Longest time.Duration
+	// Running is the part of Work that runs now: it holds slots whatever is selected.
+	Running time.Duration
+	// Begun says that an item of the group has begun.
+	Begun bool
 }
 
-// selectionMargin is the factor by which estimates are increased for the groups to run first under
-// overload: lengths of items are known only to within a half, and a group that is late by one item
-// is late as a whole.
-const selectionMargin = 1.5
+const (
+	// selectionMargin is the factor by which the estimated work is increased for the groups to run
+	// first under overload: lengths of items are known only to within a half, and a group that is
+	// late by one item is late as a whole. longestMargin is the factor for the longest item, whose
+	// estimate has no others to average with.
+	selectionMargin = 1.5
+	longestMargin   = 1.6
+	// begunMargin replaces both for a group that has begun: it is kept until it is late by far more
+	// than its estimate may be wrong, since the work done on a group that is given up is lost.
+	begunMargin = 0.6
+)
 
 // minGain is how many times as many groups must be expected in time for the queue order to be
-// changed. Close to the capacity the queue order does most groups in time, and a deferred group holds
-// up its whole job.
+// changed, unless the engine is overloaded, see load.overloaded. Close to the capacity the queue order
+// does most groups in time, and a deferred group holds up its whole job.
 const minGain = 2
 
+// lateBacklog is the backlog, in shares of the longest item, from which on groups that are all late are
+// reordered. With less, the longest item decides when the last group is done and must start first.
+const lateBacklog = 0.5
+
 // Order returns the indexes of the groups in the order in which to run them, or false if the queue
 // order should be kept. The groups are given in queue order; those of one job are adjacent.
 // Which groups of a job are deferred depends on their queue order and not on their length, so
-// that long items are not served less often than short ones.
+// that long items are not served less often than short ones. Groups that can no longer be in time come
+// last, those with the least work first: their items hold slots that a new job needs, and their job
+// ends with the first groups that are complete.
 func Order(groups []Group, slots int) ([]int, bool) {
 	if slots <= 0 {
 		return nil, false
 	}
-	selected := selectInTime(groups, slots)
-	if len(selected) < minGain*countInTime(groups, slots) || len(selected) == 0 {
+	selected, inTime, total := selectInTime(groups, slots), countInTime(groups, slots), loadOf(groups, slots)
+	switch {
+	case len(selected) == 0 && !total.backlog():
+		return nil, false
+	case total.overloaded() && len(selected) < inTime+1 && inTime > 0:
+		return nil, false
+	case !total.overloaded() && len(selected) < minGain*inTime:
 		return nil, false
 	}
-	return append(selected, others(len(groups), selected)...), true
+	return append(selected, others(groups, selected)...), true
+}
+
+// load is what all groups of an engine take together.
+type load struct {
+	// work is the time in which the slots can do all work, longest that of the longest item.
+	work, longest time.Duration
+	// lastDue is the time left until the last deadline, 0 after it.
+	lastDue time.Duration
+}
+
+func loadOf(groups []Group, slots int) load {
+	var l load
+	for _, g := range groups {
+		l.work += g.Work
+		l.longest = max(l.longest, g.Longest)
+		l.lastDue = max(l.lastDue, g.Due)
+	}
+	l.work /= time.Duration(slots)
+	return l
 }
 
+// overloaded reports whether the work cannot be done until the last deadline in any order.
+func (l load) overloaded() bool { return l.work > l.lastDue }
+
+// backlog reports whether more work waits than can be done beside the longest item.
+func (l load) backlog() bool { return l.work > scale(l.longest, lateBacklog) }
+
 // countInTime returns how many groups are expected to be done in time if the engine runs all of them
 // in queue order. Items of one job start longest first, so its groups are done at about the same time.
 func countInTime(groups []Group, slots int) int {
@@ -71,18 +118,21 @@
 	return inTime
 }
 
-// selectInTime returns the indexes of groups that can be done in time if no other group runs
+// selectInTime returns the indexes of groups that can be done in time if no other group starts
 // before them, in the order in which to run them: by job, then those with the longest item first,
 // which have the least time to spare.
 func selectInTime(groups []Group, slots int) []int {
 	var selected []int
 	var work time.Duration
+	for _, g := range groups {
+		work += g.Running
+	}
 	for i, g := range groups {
-		estimate := max((work+g.Work)/time.Duration(slots), g.Longest)
-		if time.Duration(selectionMargin*float64(estimate)) > g.Due {
+		more := g.Work - g.Running
+		if !g.fits((work + more) / time.Duration(slots)) {
 			continue
 		}
-		work += g.Work
+		work += more
 		selected = append(selected, i)
 	}
 	firstOf := map[string]int{}
@@ -95,13 +145,32 @@
 	return selected
 }
 
-// others returns the indexes below n that are not selected, in ascending order.
-func others(n int, selected []int) []int {
-	var rest []int
-	for i := range n {
-		if !slices.Contains(selected, i) {
+// fits reports whether a group can be done in time if the slots have worked off all work up to its own
+// after the given time.
+func (g *Group) fits(worked time.Duration) bool {
+	forWork, forLongest := selectionMargin, longestMargin
+	if g.Begun {
+		forWork, forLongest = begunMargin, begunMargin
+	}
+	return scale(worked, forWork) <= g.Due && scale(g.Longest, forLongest) <= g.Due
+}
+
+// scale multiplies a duration by a factor.
+func scale(d time.Duration, by float64) time.Duration { return time.Duration(by * float64(d)) }
+
+// others returns the indexes of the groups that are not selected: those that may still be in time in
+// ascending order, then the late ones by ascending work.
+func others(groups []Group, selected []int) []int {
+	var rest, late []int
+	for i := range groups {
+		switch {
+		case slices.Contains(selected, i):
+		case groups[i].Longest <= groups[i].Due:
 			rest = append(rest, i)
+		default:
+			late = append(late, i)
 		}
 	}
-	return rest
+	slices.SortStableFunc(late, func(a, b int) int { return cmp.Compare(groups[a].Work, groups[b].Work) })
+	return append(rest, late...)
 }
--- a/edf/load_test.go
+++ b/edf/load_test.go
@@ -116,6 +116,10 @@
 		}
 		g.Work += s.remaining(i)
 		g.Longest = max(g.Longest, s.remaining(i))
+		g.Begun = g.Begun || i.group.begun
+		if i.running {
+			g.Running += s.remaining(i)
+		}
 	}
 	begun := func(g *simGroup) int {
 		if g.begun {
