edf.Select: the agents of all engines defer the same groups under overload (contract pressure)

Cause: each engine decides alone which groups it defers, earliest due first, without regard to rank (beyond a second of head start) and without regard to how much of its groups another trainer got. Change: Select computes from the rows of the open jobs and the engines the share of each job's groups that may start; a hash of job and group says which. Worker.startOrder puts deferred groups last (edf.OverloadOrder) and computes shares only when jobs or engines change. Counter batch_groups_deferred, two log lines. Without the contract nothing changes. submitGroups of the batch tests sets the job's Work, as entries do. Seen to fail: with groups never deferred, TestSharedSelectionDefersGroups; with deferred groups never run, it and TestAgentsWithDifferentSelections; without ranks, TestHigherRankIsDeferredLast and TestFleetServesHigherRanksFirst. Conclusion: kept for ranks and evenness; it does not raise goodput.

--- a/batch/startorder.go
+++ b/batch/startorder.go
@@ -59,6 +59,8 @@
 type openGroup struct {
 	key     groupKey
 	waiting []*task // in the order of compareTasks
+	// deferred is set if the group waits until a slot would be idle, see selection.
+	deferred bool
 	edf.Group
 }
 
@@ -71,12 +73,11 @@
 		w.noteOverload(false)
 		return slices.Clone(w.waiting)
 	}
-	groups := w.openGroups(now)
-	estimates := make([]edf.Group, len(groups))
-	for i, g := range groups {
-		estimates[i] = g.Group
+	if w.SharedSelection {
+		w.updateSelection()
 	}
-	order, reordered := edf.Order(estimates, slots)
+	groups := w.openGroups(now)
+	order, reordered := orderGroups(groups, slots)
 	w.noteOverload(reordered)
 	if !reordered {
 		return slices.Clone(w.waiting)
@@ -88,6 +89,21 @@
 	return list
 }
 
+// orderGroups returns the indexes of the groups in the order in which to run them, or false if the queue
+// order should be kept.
+func orderGroups(groups []*openGroup, slots int) ([]int, bool) {
+	estimates := make([]edf.Group, len(groups))
+	deferred := false
+	for i, g := range groups {
+		estimates[i] = g.Group
+		deferred = deferred || g.deferred
+	}
+	if deferred {
+		return edf.OverloadOrder(estimates, slots), true
+	}
+	return edf.Order(estimates, slots)
+}
+
 // noteOverload logs and counts that the engine cannot do all its groups in time, once for each
 // time that this begins. It is called with w.mu held.
 func (w *Worker) noteOverload(overloaded bool) {
@@ -103,7 +119,7 @@
 
 // openGroups returns the groups of the items that wait here and can run now, with what runs of
 // them, in queue order: by job, those that have started first, otherwise in an order that does
-// not depend on their length. It is called with w.mu held.
+// not depend on their length; deferred groups come last. It is called with w.mu held.
 func (w *Worker) openGroups(now time.Duration) []*openGroup {
 	byKey := map[groupKey]*openGroup{}
 	groupOf := func(t *task) *openGroup {
@@ -132,14 +148,29 @@
 	}
 	groups := make([]*openGroup, 0, len(byKey))
 	for _, g := range byKey {
+		// A group that has begun is kept: the work done on it would be lost.
+		if w.SharedSelection && !g.Begun && w.isDeferred(g.key) {
+			g.deferred = true
+			g.Job += deferredSuffix
+		}
 		groups = append(groups, g)
 	}
 	slices.SortFunc(groups, compareGroups)
 	return groups
 }
 
+// deferredSuffix makes the deferred groups of a job another job to package edf, so that they come after all
+// selected groups.
+const deferredSuffix = " deferred"
+
 // compareGroups orders groups as openGroups returns them.
 func compareGroups(a, b *openGroup) int {
+	deferredLast := func(g *openGroup) int {
+		if g.deferred {
+			return 1
+		}
+		return 0
+	}
 	startedFirst := func(g *openGroup) int {
 		if g.Begun {
 			return 0
@@ -147,10 +178,11 @@
 		return 1
 	}
 	return cmp.Or(
+		cmp.Compare(deferredLast(a), deferredLast(b)),
 		cmp.Compare(a.key.j.job.queueTime(), b.key.j.job.queueTime()),
 		cmp.Compare(a.Job, b.Job),
 		cmp.Compare(startedFirst(a), startedFirst(b)),
-		cmp.Compare(rank(a.Job, a.key.name), rank(b.Job, b.key.name)),
+		cmp.Compare(rank(a.key.j.job.ID, a.key.name), rank(b.key.j.job.ID, b.key.name)),
 		cmp.Compare(a.key.index, b.key.index),
 	)
 }
--- a/batch/startorder_test.go
+++ b/batch/startorder_test.go
@@ -20,6 +20,9 @@
 	}
 	job := someJob(id, len(items))
 	job.Model, job.MinVersion, job.GroupItems, job.RunTarget = "m", 1, size, 7500*time.Millisecond
+	for i := range items {
+		job.Work += items[i].expectedWork()
+	}
 	job.Owners = r.addrs()
 	job.Ready = len(job.Owners)
 	job.Accepted, _ = r.store.Now()
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -39,6 +39,11 @@
 	Peers   PeerClient
 	// Quarantine keeps items that crash engines away from them; nil disables that.
 	Quarantine *quarantine.Tracker
+	// SharedSelection makes the agents of all engines defer the same groups while the jobs ask for more
+	// than the engines can do in time, see edf.Select.
+	SharedSelection bool
+	// Speed is the speed of an engine as a multiple of the usual one; nil if speeds are unknown.
+	Speed func(engine string) float64
 	// Now returns the store's clock; false before it is known.
 	Now      func() (time.Duration, bool)
 	Log      logrus.FieldLogger
@@ -69,6 +74,7 @@
 	// be done in time are deferred.
 	pace       workPace
 	overloaded bool
+	selection  selection
 	// token is the fencing token of this incarnation's orders: the store's version at
 	// its start, so that it does not decrease over restarts.
 	token uint64
@@ -90,6 +96,10 @@
 	finished bool
 	ended    bool
 	outbox   *outbox
+	// positions are the positions of the groups in the order in which they are deferred, nil until
+	// needed; deferred are the groups that were counted as deferred here.
+	positions map[string]int
+	deferred  map[string]bool
 	// orphansChecked is when orphaned items of the job were last looked for.
 	orphansChecked time.Time
 }
--- a/edf/edf.go
+++ b/edf/edf.go
@@ -72,6 +72,16 @@
 	return append(selected, others(groups, selected)...), true
 }
 
+// OverloadOrder returns the order of Order under overload, whether the engine is overloaded or not. It is used
+// while groups are deferred by Select: what is left then often fits into the time of this engine.
+func OverloadOrder(groups []Group, slots int) []int {
+	if slots <= 0 {
+		return others(groups, nil)
+	}
+	selected := selectInTime(groups, slots)
+	return append(selected, others(groups, selected)...)
+}
+
 // load is what all groups of an engine take together.
 type load struct {
 	// work is the time in which the slots can do all work, longest that of the longest item.
--- a/edf/load_test.go
+++ b/edf/load_test.go
@@ -39,6 +39,8 @@
 	rank  uint64
 	open  int // items that are not done
 	begun bool
+	// position is that among the step's groups in the order of rank, in a fleetSimulation.
+	position int
 }
 
 type simStep struct {
@@ -47,6 +49,11 @@
 	groups   []*simGroup
 	done     int // groups
 	ended    bool
+	// The rest is of a fleetSimulation.
+	trainer  int
+	id       string
+	deferred string        // the job's name for its deferred groups
+	work     time.Duration // estimated
 }
 
 // simulation is an engine with one trainer.
--- a/observe/names.go
+++ b/observe/names.go
@@ -82,6 +82,9 @@
 	// NameBatchOverloads counts, by service, how often an engine's queue began to hold
 	// more groups than can be done in time.
 	NameBatchOverloads Name = "batch_overloads"
+	// NameBatchGroupsDeferred counts, by route, the groups held by an agent that were deferred by the
+	// selection of all engines, each once.
+	NameBatchGroupsDeferred Name = "batch_groups_deferred"
 )
 
 // Measures of reward calls.
--- a/service/node/agent.go
+++ b/service/node/agent.go
@@ -45,8 +45,8 @@
 		Rewards:        &reward.Caller{View: b.view, Forward: a.forwarder, Service: settings.Service},
 		Quarantine:     tracker,
 		JobsPace:       agentJobsPace(),
-		StoreWriteRate: settings.StoreWrites,
-		Now:            b.store.Now, Log: b.log, Counters: b.counters,
+		StoreWriteRate: settings.StoreWrites, SharedSelection: settings.Pressure,
+		Now: b.store.Now, Log: b.log, Counters: b.counters,
 	})
 	return a, nil
 }
