--- a/observe/names.go
+++ b/observe/names.go
@@ -86,6 +86,9 @@
 	NameItemsMoved Name = "batch_items_moved"
 	// NamePaceWritten counts the writes of an engine's pace; the row is empty.
 	NamePaceWritten Name = "pace_written"
+	// NameBatchGroupsDeferred counts, by route, the groups held by an agent that were deferred by the
+	// selection of all engines, each once.
+	NameBatchGroupsDeferred Name = "batch_groups_deferred"
 )
 
 // Measures of reward calls.
