--- a/flowcontrol/windows.go
+++ b/flowcontrol/windows.go
@@ -131,16 +131,6 @@
 	return !now.Add(need).After(it.Objective)
 }
 
-// anyRoom reports whether an endpoint has room.
-func (ws *windows) anyRoom(now time.Time) bool {
-	for _, w := range ws.byStart {
-		if ws.observedAt.Sub(w.listedAt) <= listedTime && w.Room(now) {
-			return true
-		}
-	}
-	return false
-}
-
 // room reports whether a capable endpoint has room, and whether another one has.
 func (ws *windows) room(now time.Time) (capable, other bool) {
 	ws.current(func(w *Window) {
