Operators see the deferred groups: agents report them at GET /load, and one log line tells the figures

Cause: mulberryctl load and explain have a table and a text for deferred groups that nothing filled; the selection logged a line of its own that explain does not know. Change: Worker.Deferrals, from the selection in use; the line is now "groups deferred" with the fields of loadview.Deferral, with 0 once none is deferred. Figures: TestSharedSelectionDefersGroups now checks what is shown: at least 12 of 24 groups, and more work than capacity.

--- a/batch/selection.go
+++ b/batch/selection.go
@@ -108,7 +108,7 @@
 
 func plannedEngine(i fleet.Instance) edf.Engine { return edf.Engine{Addr: i.Addr, Slots: i.Slots} }
 
-// logShare logs that a job's share has fallen below 1 or is back there.
+// logShare logs that a job's share has fallen below 1 or is back there; no group is deferred then.
 func (w *Worker) logShare(j *workJob, former map[string]float64) {
 	share, before := w.selection.shares[j.job.ID], 1.0
 	if s, known := former[j.job.ID]; known {
@@ -117,13 +117,9 @@
 	if (share < 1) == (before < 1) {
 		return
 	}
-	message := "groups of the job are deferred"
-	if share == 1 {
-		message = "groups of the job are no longer deferred"
-	}
-	w.Log.WithFields(logrus.Fields{
-		observe.FieldJob: j.job.ID, "share": share, "priority": j.job.Priority, "model": j.job.Model, "jobs": len(w.selection.ids),
-	}).Log(jobLogLevel(j.items != nil), message)
+	now, _ := w.Now()
+	w.Log.WithFields(w.deferralOf(j, now).LogFields()).WithFields(logrus.Fields{"share": share, "jobs": len(w.selection.ids)}).
+		Log(jobLogLevel(j.items != nil), observe.MessageGroupsDeferred)
 }
 
 // isDeferred reports whether a group waits until a slot would be idle, and counts it once. It is called with
--- a/batch/selection_test.go
+++ b/batch/selection_test.go
@@ -58,6 +58,10 @@
 		if share := shareOf(w, "j"); share <= 0 || share >= 0.5 {
 			t.Errorf("a third of the groups can be done in time, and the share is %.3f", share)
 		}
+		// An operator must see the same decision, with the work that does not fit.
+		if shown := w.Deferrals(); len(shown) != 1 || shown[0].Most < 12 || shown[0].Groups != 24 || shown[0].WorkSeconds <= shown[0].CapacitySeconds {
+			t.Errorf("shown to operators: %+v", shown)
+		}
 		if n := rig.completeGroups("j"); n < 6 {
 			t.Errorf("%d groups are done in time, want 6", n)
 		}
--- a/service/node/agent.go
+++ b/service/node/agent.go
@@ -9,6 +9,7 @@
 
 	"mulberryscale.example/batch"
 	"mulberryscale.example/forward"
+	"mulberryscale.example/loadview"
 	"mulberryscale.example/platform/enginehttp"
 	"mulberryscale.example/platform/nodefile"
 	"mulberryscale.example/reward"
@@ -48,6 +49,7 @@
 		StoreWriteRate: settings.StoreWrites, SharedSelection: settings.Pressure,
 		Now: b.store.Now, Log: b.log, Counters: b.counters,
 	})
+	b.load = func() loadview.Load { return loadview.Load{Deferrals: a.worker.Deferrals()} }
 	return a, nil
 }
 
