--- a/flowcontrol/window.go
+++ b/flowcontrol/window.go
@@ -83,9 +83,9 @@
 	// stallFactor is the number of usual answer times without any answer after which an endpoint
 	// counts as stalled.
 	stallFactor = 4
-	// firstPatience is the time without any answer after which an endpoint counts as stalled that
+	// firstStallTime is the time without any answer after which an endpoint counts as stalled that
 	// has never answered: its usual answer time may be long.
-	firstPatience = time.Second
+	firstStallTime = time.Second
 	// defaultObjective is used until a request with an objective arrives.
 	defaultObjective = 150 * time.Millisecond
 	// defaultPerSlot is Common.perSlot until an answer arrives.
@@ -212,11 +212,11 @@
 
 // stalled reports whether the endpoint has answered nothing for several usual answer times.
 func (w *Window) stalled(now time.Time) bool {
-	patience := max(w.common.Objective, stallFactor*w.took)
+	stallTime := max(w.common.Objective, stallFactor*w.took)
 	if w.took == 0 {
-		patience = max(patience, firstPatience)
+		stallTime = max(stallTime, firstStallTime)
 	}
-	return !w.silentSince.IsZero() && now.Sub(w.silentSince) > patience
+	return !w.silentSince.IsZero() && now.Sub(w.silentSince) > stallTime
 }
 
 // Sent records that a request is sent.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -204,7 +204,7 @@
 		tried: map[fleet.Incarnation]bool{}, unanswered: map[fleet.Incarnation]abandonedSend{}, results: make(chan attempt, maxParallel),
 	}
 	if c.gate = f.Gates.of(c.service); c.gate != nil && !r.Deadline.IsZero() {
-		c.age = c.gate.patience.age(patienceKey{r.Organisation, r.Route.Name}, r.Deadline.Sub(began), began)
+		c.age = c.gate.ages.age(clientKind{r.Organisation, r.Route.Name}, r.Deadline.Sub(began), began)
 	}
 	c.countArrival()
 	answer, err := c.admitAndRun(bounded)
--- a/forward/gates.go
+++ b/forward/gates.go
@@ -65,8 +65,8 @@
 	budget  *retrybudget.Budget
 	failing *failing
 	silence *silence
-	// patience tells how long ago the clients first asked.
-	patience *patience
+	// ages tells how long ago the clients first asked.
+	ages *ageEstimator
 
 	mu sync.Mutex
 	// served is cancelled when the service has no endpoints any more.
@@ -79,7 +79,7 @@
 
 func newServiceGate(service string, settings GateSettings) *serviceGate {
 	g := &serviceGate{
-		service: service, budget: retrybudget.New(settings.SecondSends), patience: newPatience(), failing: newFailing(), silence: newSilence(),
+		service: service, budget: retrybudget.New(settings.SecondSends), ages: newAgeEstimator(), failing: newFailing(), silence: newSilence(),
 		gate: flowcontrol.New(flowcontrol.Config{MaxBytes: settings.MaxBytes, MaxWait: settings.MaxWait}),
 	}
 	g.served, g.withdraw = context.WithCancel(context.Background())
