--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -130,6 +130,9 @@
 					if !returns && !slices.Equal(sender.sent, c.sent) {
 						t.Errorf("sent to %v, want %v", sender.sent, c.sent)
 					}
+					if reached := slices.Compact(slices.Sorted(slices.Values(sender.sent))); returns && !slices.Equal(reached, []string{"a", "b"}) {
+						t.Errorf("sent to %v, want each endpoint at least once", reached)
+					}
 					if c.status != 0 {
 						if err != nil || answer.Status != c.status {
 							t.Fatalf("got %v, %v", answer, err)
