Endpoints that fail or are silent are left out by one function

Cause: failing and silence each had the loop that leaves endpoints out unless that leaves none, and the one that forgets incarnations that are no longer listed. Ruled out: one type for both; what they remember and when it ends differs. Change: keepUnlessNone and deleteUnlisted. Conclusion: no behaviour changes.

--- a/forward/failing.go
+++ b/forward/failing.go
@@ -55,25 +55,15 @@
 	if len(f.failures) == 0 {
 		return endpoints
 	}
-	var left []fleet.Instance
-	for _, e := range endpoints {
-		if known := f.failures[e.Incarnation()]; known.count < failingCount || now.Sub(known.lastAt) >= failingTime {
-			left = append(left, e)
-		}
-	}
-	if len(left) == 0 {
-		return endpoints
-	}
-	return left
+	return keepUnlessNone(endpoints, func(i fleet.Incarnation) bool {
+		known := f.failures[i]
+		return known.count < failingCount || now.Sub(known.lastAt) >= failingTime
+	})
 }
 
 // prune forgets the endpoints that are no longer listed.
 func (f *failing) prune(snap *fleet.Snapshot) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for i := range f.failures {
-		if snap.Instances[i.ID].Incarnation() != i {
-			delete(f.failures, i)
-		}
-	}
+	deleteUnlisted(f.failures, snap)
 }
--- a/forward/silence.go
+++ b/forward/silence.go
@@ -66,26 +66,15 @@
 	if len(s.endpoints) == 0 {
 		return endpoints
 	}
-	var left []fleet.Instance
-	for _, e := range endpoints {
-		u, sent := s.endpoints[e.Incarnation()]
-		if !sent || now.Sub(u.since) < limit || now.Sub(u.last) >= probeInterval {
-			left = append(left, e)
-		}
-	}
-	if len(left) == 0 {
-		return endpoints
-	}
-	return left
+	return keepUnlessNone(endpoints, func(i fleet.Incarnation) bool {
+		u, sent := s.endpoints[i]
+		return !sent || now.Sub(u.since) < limit || now.Sub(u.last) >= probeInterval
+	})
 }
 
 // prune forgets the endpoints that are no longer listed.
 func (s *silence) prune(snap *fleet.Snapshot) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i := range s.endpoints {
-		if snap.Instances[i.ID].Incarnation() != i {
-			delete(s.endpoints, i)
-		}
-	}
+	deleteUnlisted(s.endpoints, snap)
 }
