An item at no engine is logged with the reason for which it waits; undelivered orphans get a line

Cause: of the three hypotheses of docs/incidents/item-at-no-engine.md only the first has a line of its own, once, at the agent that saw the third crash. In the next step an item that is quarantined, avoided, or waits for weights looks the same: no line. Change: the scheduler's reasons for not sending an item are one function, which it also logs: `item at no engine` with the reason, how long (carried over handovers) and how full the engine is, after two seconds and every four. Items that wait for a slot are counted only (`batch_items_idle` by reason). A delivery of orphaned items that was not taken whole has a line. Ruled out: no decision changes; the order of the checks is as it was.

--- a/batch/handover.go
+++ b/batch/handover.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -110,7 +111,7 @@
 		}
 		handed.Items = append(handed.Items, HandoverItem{
 			Index: t.index, Text: t.text, Versions: t.versions, Failures: t.failures, Avoid: t.avoid,
-			Complete: t.complete, RewardFailures: t.rewardFailures,
+			Complete: t.complete, RewardFailures: t.rewardFailures, Idle: time.Since(t.idleSince),
 		})
 		w.Log.WithFields(t.fields()).WithFields(logrus.Fields{"to": to, "why": why}).Info("item handed over")
 	}
@@ -141,7 +142,7 @@
 		}
 		t := &task{
 			index: h.Index, text: h.Text, versions: h.Versions, failures: h.Failures, avoid: h.Avoid,
-			complete: h.Complete, rewardFailures: h.RewardFailures,
+			complete: h.Complete, rewardFailures: h.RewardFailures, idleSince: time.Now().Add(-h.Idle),
 		}
 		if w.enqueue(j, t) {
 			w.Log.WithFields(t.fields()).WithField("from", from).Info("item taken over")
--- a/batch/messages.go
+++ b/batch/messages.go
@@ -84,4 +84,6 @@
 	RewardFailures int  `cbor:"7,keyasint,omitempty"`
 	// Avoid are the addresses of engines whose answers to the item broke off repeatedly.
 	Avoid []string `cbor:"5,keyasint,omitempty"`
+	// Idle is how long the item has been at no engine.
+	Idle time.Duration `cbor:"8,keyasint,omitempty"`
 }
--- a/batch/openjobs.go
+++ b/batch/openjobs.go
@@ -141,6 +141,9 @@
 		return false
 	}
 	t.j, t.item = j, &j.items[t.index]
+	if t.idleSince.IsZero() {
+		t.idleSince = time.Now()
+	}
 	t.beginLineage()
 	j.tasks[t.index] = t
 	if t.complete && t.textAllowed() {
--- a/batch/orphans.go
+++ b/batch/orphans.go
@@ -175,7 +175,15 @@
 		w.accept(w.Engine, items)
 		return
 	}
-	if _, err := w.call(ctx, engine, &PeerRequest{Give: items}); err != nil {
-		w.Log.WithError(err).WithFields(logrus.Fields{observe.FieldJob: items.Job, "to": engine}).Info("orphaned items not delivered")
+	reply, err := w.call(ctx, engine, &PeerRequest{Give: items})
+	if err == nil && reply.Taken == len(items.Items) {
+		return
+	}
+	taken := 0
+	if reply != nil {
+		taken = reply.Taken
 	}
+	w.Log.WithError(err).WithFields(logrus.Fields{
+		observe.FieldJob: items.Job, "to": engine, "items": len(items.Items), "taken": taken,
+	}).Warn("orphaned items not taken")
 }
--- a/batch/run.go
+++ b/batch/run.go
@@ -96,6 +96,9 @@
 	stopped := context.Cause(ctx)
 	t.cancel(nil)
 	t.cancel = nil
+	if !errors.Is(err, ErrNotRun) {
+		t.idleSince = time.Now()
+	}
 	log := w.Log.WithFields(t.fields()).WithField("took_ms", took.Milliseconds())
 	switch {
 	case err == nil:
--- a/batch/schedule.go
+++ b/batch/schedule.go
@@ -32,20 +32,21 @@
 	instance, ok := w.instance()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !ok || !w.engine.up || w.stopping {
+	now := time.Now()
+	w.logIdleItems(instance, ok, now)
+	if w.engineWaitReason(ok) != "" {
 		return scheduleInterval
 	}
-	now := time.Now()
 	next := scheduleInterval
 	for _, t := range w.startOrder(instance.Slots) {
 		if len(w.running) >= instance.Slots {
 			break
 		}
-		if wait := t.notBefore.Sub(now); wait > 0 {
-			next = min(next, wait)
-			continue
+		reason := w.itemWaitReason(t, now)
+		if reason == waitRetryPause {
+			next = min(next, t.notBefore.Sub(now))
 		}
-		if !w.engine.canServe(t.j.job) || w.isQuarantined(t) || w.awaitsOtherSuspect(t) {
+		if reason != "" {
 			continue
 		}
 		w.waiting = slices.DeleteFunc(w.waiting, func(o *task) bool { return o == t })
--- a/batch/task.go
+++ b/batch/task.go
@@ -42,6 +42,10 @@
 	savedFailures int
 	// avoid are the addresses of engines whose answers to the item broke off repeatedly.
 	avoid []string
+	// idleSince is since when the item has been at no engine, over all agents that have held it, as far as
+	// is known; idleLogged is when that was last logged here.
+	idleSince  time.Time
+	idleLogged time.Time
 	// notBefore is the earliest time of the next run.
 	notBefore time.Time
 	// cancel cancels the run, or the scoring of a complete text; nil if neither is in
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -70,6 +70,8 @@
 	scoring  map[*task]struct{} // tasks with complete text that wait for their score
 	stopping bool
 	engine   engineState
+	// idleChecked is when items that are at no engine were last looked for.
+	idleChecked time.Time
 	// pace is how long the engine takes for items; overloaded is set while groups that cannot
 	// be done in time are deferred.
 	pace       workPace
--- a/observe/names.go
+++ b/observe/names.go
@@ -84,6 +84,9 @@
 	NameBatchOverloads Name = "batch_overloads"
 	// NameItemsMoved counts, by reason, the items that an agent handed over to others.
 	NameItemsMoved Name = "batch_items_moved"
+	// NameItemsIdle counts, by the reason for which they wait, the items that an agent found to have been at
+	// no engine for seconds, every few seconds of an item once.
+	NameItemsIdle Name = "batch_items_idle"
 	// NamePaceWritten counts the writes of an engine's pace; the row is empty.
 	NamePaceWritten Name = "pace_written"
 	// NameBatchGroupsDeferred counts, by route, the groups held by an agent that were deferred by the
