Items of batch jobs are never quarantined: one under which engines crashed is placed again

What callers saw: a trainer's step ran out of time while one of its items was at no engine, though the engines were calm and had room; and so did the next step, which had the item again. Cause: at the third crash under an item its agent no longer sent it, handed it to nobody, and the history followed its content into later jobs for 24 hours. The items were sound. Change: batch asks the quarantine nothing and tells it nothing. The rule that items with two crashes run one at a time per engine goes with it: with more such items than engines, some waited though there was room.

--- a/batch/handover.go
+++ b/batch/handover.go
@@ -46,7 +46,7 @@
 	}
 	var picked []*task
 	for _, t := range w.waiting {
-		if t.j == j && len(picked) < ask.Max && !slices.Contains(t.avoid, to) && !w.isQuarantined(t) {
+		if t.j == j && len(picked) < ask.Max && !slices.Contains(t.avoid, to) {
 			picked = append(picked, t)
 		}
 	}
--- a/batch/rebalance.go
+++ b/batch/rebalance.go
@@ -118,7 +118,7 @@
 func (w *Worker) repeatedlyBroken() map[*workJob][]*task {
 	byJob := map[*workJob][]*task{}
 	for _, t := range w.waiting {
-		if t.brokenAnswers >= maxBrokenAnswers && !w.isQuarantined(t) {
+		if t.brokenAnswers >= maxBrokenAnswers {
 			byJob[t.j] = append(byJob[t.j], t)
 		}
 	}
--- a/batch/rig_test.go
+++ b/batch/rig_test.go
@@ -134,10 +134,9 @@
 	client := r.store.Client()
 	r.storeClients[addr] = client
 	withFallback := &relay.Store{Direct: client, Peers: &rigPeers{r, addr}}
-	tracker := r.newTracker(withFallback)
 	w := NewWorker(WorkerConfig{
-		Direct: client, Quarantine: tracker,
-		Node: fmt.Sprint("agent-", i), Incarnation: fmt.Sprint(time.Now().UnixNano()), Engine: addr, Service: "svc",
+		Direct: client,
+		Node:   fmt.Sprint("agent-", i), Incarnation: fmt.Sprint(time.Now().UnixNano()), Engine: addr, Service: "svc",
 		PeerPort: 7000, View: r.view, Ledger: newLedger(withFallback), Demand: NewDemand(), Engines: r.engines, Peers: r.peers, Rewards: r.rewards,
 		Now: r.store.Now, Log: observe.Discard(), Counters: observe.NewCounters(),
 	})
@@ -148,7 +147,6 @@
 	ctx, cancel := context.WithCancel(r.t.Context())
 	r.stops[addr] = cancel
 	go w.Run(ctx)
-	go tracker.Run(ctx)
 	return w
 }
 
--- a/batch/rigengines_test.go
+++ b/batch/rigengines_test.go
@@ -21,10 +21,8 @@
 	lengths map[string]int // number of events of an item, by id; 10 by default
 	// runs are all runs that were started, in order.
 	runs []fakeRun
-	// crashing are the items that crash each engine that runs them; crashes counts the
-	// crashes.
-	crashing map[string]bool
-	crashes  int
+	// crashesLeft is, by item id, how many engines still crash while they run the item.
+	crashesLeft map[string]int
 }
 
 type fakeRun struct {
@@ -72,7 +70,8 @@
 	if n, ok := f.lengths[r.Item.ID]; ok {
 		length = n
 	}
-	if f.crashing[r.Item.ID] {
+	if f.crashesLeft[r.Item.ID] > 0 {
+		f.crashesLeft[r.Item.ID]--
 		length = f.crashSoon(e)
 	}
 	e.openStreams++
--- a/batch/run.go
+++ b/batch/run.go
@@ -7,8 +7,6 @@
 	"slices"
 	"strings"
 	"time"
-
-	"mulberryscale.example/observe"
 )
 
 // Causes for which a run is cancelled.
@@ -159,10 +157,6 @@
 	}
 	at, _ := slices.BinarySearchFunc(w.waiting, t, compareTasks)
 	w.waiting = slices.Insert(w.waiting, at, t)
-	if w.isQuarantined(t) {
-		w.Quarantine.CountRefused()
-		w.Log.WithFields(t.fields()).WithField(observe.FieldContent, t.fingerprint).Warn("item quarantined: engines have crashed under it")
-	}
 }
 
 // finish puts a task's result into the outbox. It is called with w.mu held.
--- a/batch/schedule.go
+++ b/batch/schedule.go
@@ -75,7 +75,6 @@
 		began := time.Now()
 		err := w.stream(ctx, t, run)
 		took := time.Since(began)
-		w.recordOutcome(ctx, t, instance, err, took)
 		w.handleRunEnd(ctx, t, run.LastEventID, err, took)
 	}()
 }
--- a/batch/speed.go
+++ b/batch/speed.go
@@ -104,7 +104,7 @@
 		}
 		waiting++
 		there := s.duration(s.remainingWork(t), ask.Pace) + moveCost
-		if there < ends[t] && !slices.Contains(t.avoid, to) && !w.isQuarantined(t) {
+		if there < ends[t] && !slices.Contains(t.avoid, to) {
 			picked = append(picked, t)
 		}
 	}
--- a/batch/task.go
+++ b/batch/task.go
@@ -11,7 +11,6 @@
 
 	"mulberryscale.example/fleet"
 	"mulberryscale.example/observe"
-	"mulberryscale.example/quarantine"
 )
 
 // task is an item that this agent holds: it waits, runs, is scored, or its result is
@@ -55,9 +54,6 @@
 	stopped chan struct{}
 	// sentTo is the incarnation of the engine to which the item was last sent.
 	sentTo fleet.Incarnation
-	// fingerprint identifies the item's content to the quarantine; empty until fingerprintOf
-	// computes it.
-	fingerprint quarantine.Fingerprint
 	// handingOver is true while the item is being handed over to another agent.
 	handingOver bool
 	// finished is true if the result is in the outbox.
--- a/batch/waitreason.go
+++ b/batch/waitreason.go
@@ -18,8 +18,6 @@
 	waitEngineDown waitReason = "engine_down"       // the engine answers nothing
 	waitWeights    waitReason = "weights"           // the engine's weights are too old or being changed
 	waitRetryPause waitReason = "retry_pause"       // backoff after a run that failed
-	waitQuarantine waitReason = "quarantined"       // engines have crashed under the item
-	waitSuspect    waitReason = "other_suspect"     // another item under which engines have crashed runs here
 	waitSlot       waitReason = "slot"              // all slots of the engine are taken
 )
 
@@ -44,10 +42,6 @@
 		return waitRetryPause
 	case !w.engine.canServe(t.j.job):
 		return waitWeights
-	case w.isQuarantined(t):
-		return waitQuarantine
-	case w.awaitsOtherSuspect(t):
-		return waitSuspect
 	}
 	return ""
 }
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -9,7 +9,6 @@
 
 	"mulberryscale.example/fleet"
 	"mulberryscale.example/observe"
-	"mulberryscale.example/quarantine"
 	"mulberryscale.example/store"
 )
 
@@ -37,8 +36,6 @@
 	// Rewards scores complete texts; nil if no job has reward calls.
 	Rewards RewardClient
 	Peers   PeerClient
-	// Quarantine keeps items that crash engines away from them; nil disables that.
-	Quarantine *quarantine.Tracker
 	// SharedSelection makes the agents of all engines defer the same groups while the jobs ask for more
 	// than the engines can do in time, see edf.Select.
 	SharedSelection bool
--- a/service/node/agent.go
+++ b/service/node/agent.go
@@ -44,7 +44,6 @@
 		Node: settings.Node, Incarnation: b.incarnation, Engine: settings.Engine, Service: settings.Service,
 		PeerPort: settings.PeerPort, View: b.view, Ledger: b.ledger, Direct: b.store, Demand: batch.NewDemand(), Engines: engines, Peers: a.peers,
 		Rewards:        &reward.Caller{View: b.view, Forward: a.forwarder, Service: settings.Service},
-		Quarantine:     tracker,
 		JobsPace:       agentJobsPace(),
 		StoreWriteRate: settings.StoreWrites, SharedSelection: settings.Pressure,
 		Now: b.store.Now, Log: b.log, Counters: b.counters,
