Samples of the own interface are never quarantined either

The same cause on the other path: an entry refused a sample for good at the third crash under it, and a sample with two crashes waited for an agent that ran no other such one. Samples of a step are handed in for later as items are, so they are owed. Change: the rollout package neither asks nor tells the quarantine; lookups keep it.

--- a/rollout/move.go
+++ b/rollout/move.go
@@ -138,13 +138,12 @@
 	return sorted[len(sorted)/2]
 }
 
-// measureRates returns the movable runs whose token rate is known. Crash suspects do not move:
-// reserve does not check that the target runs no other.
+// measureRates returns the movable runs whose token rate is known.
 func measureRates(tasks []*task, now time.Time) []measuredRun {
 	var runs []measuredRun
 	for _, t := range tasks {
 		r := t.current.Load()
-		if r == nil || t.suspect.Load() || t.moved.Load() >= maxMoves {
+		if r == nil || t.moved.Load() >= maxMoves {
 			continue
 		}
 		if perSecond, known := r.tokenRate(now); known {
@@ -196,7 +195,7 @@
 	if err != nil {
 		return nil
 	}
-	return p.newPlacement(agent, false)
+	return p.newPlacement(agent)
 }
 
 // empty reports whether no sample waits for an agent.
--- a/rollout/placer.go
+++ b/rollout/placer.go
@@ -20,11 +20,9 @@
 type waiter struct {
 	req      *routing.Request
 	priority priority
-	// suspect is true for a crash suspect; see suspectCounts.
-	suspect bool
-	order   int // arrival number, breaks ties of priority
-	reply   chan *placement
-	index   int
+	order    int // arrival number, breaks ties of priority
+	reply    chan *placement
+	index    int
 }
 
 // priority orders waiting samples by level, then by work, smaller values first.
@@ -62,8 +60,6 @@
 	router  routing.Picker
 	rng     *rand.Rand
 	backlog int
-	// suspects counts the crash suspects of all steps.
-	suspects *suspectCounts
 
 	mu        sync.Mutex
 	queue     waiterQueue
@@ -78,14 +74,14 @@
 		backlog = DefaultBacklog
 	}
 	return &placer{
-		view: r.View, router: r.Router, rng: rng, backlog: backlog, suspects: &r.suspects,
+		view: r.View, router: r.Router, rng: rng, backlog: backlog,
 		unstarted: map[string]int{}, wake: make(chan struct{}, 1),
 	}
 }
 
-// place waits for an agent, a crash suspect for one that runs no other. The error is that of ctx.
-func (p *placer) place(ctx context.Context, req *routing.Request, pr priority, suspect bool) (*placement, error) {
-	w := &waiter{req: req, priority: pr, suspect: suspect, reply: make(chan *placement, 1)}
+// place waits for an agent. The error is that of ctx.
+func (p *placer) place(ctx context.Context, req *routing.Request, pr priority) (*placement, error) {
+	w := &waiter{req: req, priority: pr, reply: make(chan *placement, 1)}
 	p.mu.Lock()
 	w.order = p.order
 	p.order++
@@ -141,8 +137,7 @@
 }
 
 // placeAll places waiters in order of priority. A waiter that fits no agent does not
-// block those behind it, up to maxUnplaced such waiters. Crash suspects do not count towards
-// these: there may be as many of them as an engine has slots, and one runs at an agent at a time.
+// block those behind it, up to maxUnplaced such waiters.
 func (p *placer) placeAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -153,12 +148,10 @@
 		agent := p.pick(w, snap)
 		if agent == nil {
 			unplaced = append(unplaced, w)
-			if !w.suspect {
-				blocked++
-			}
+			blocked++
 			continue
 		}
-		w.reply <- p.newPlacement(agent, w.suspect)
+		w.reply <- p.newPlacement(agent)
 	}
 	for _, w := range unplaced {
 		heap.Push(&p.queue, w)
@@ -166,17 +159,12 @@
 }
 
 // newPlacement counts a run at the agent. The caller holds p.mu.
-func (p *placer) newPlacement(agent *membership.Agent, suspect bool) *placement {
-	removeSuspect := func() {}
-	if suspect {
-		removeSuspect = p.suspects.add(agent.ID)
-	}
+func (p *placer) newPlacement(agent *membership.Agent) *placement {
 	agent.InFlight.Begin()
 	p.unstarted[agent.ID]++
 	started := sync.OnceFunc(func() { p.started(agent.ID) })
 	release := sync.OnceFunc(func() {
 		agent.InFlight.End()
-		removeSuspect()
 		started()
 		p.signal()
 	})
@@ -192,9 +180,6 @@
 	narrowed.NeedFree = true
 	narrowed.Unstarted = p.unstarted
 	narrowed.Backlog = p.backlog
-	if w.suspect {
-		narrowed.Accept = p.suspects.accepts
-	}
 	agent, err := p.router.Pick(&narrowed, snap, p.rng)
 	if err != nil {
 		return nil
--- a/rollout/runner.go
+++ b/rollout/runner.go
@@ -15,7 +15,6 @@
 	"mulberryscale.example/attempt"
 	"mulberryscale.example/membership"
 	"mulberryscale.example/observe"
-	"mulberryscale.example/quarantine"
 	"mulberryscale.example/retry"
 	"mulberryscale.example/routing"
 	"mulberryscale.example/table"
@@ -50,10 +49,6 @@
 	Seed uint64
 	// Policy says how samples are placed and moved.
 	Policy Policy
-	// Quarantine refuses samples that crash endpoints.
-	Quarantine *quarantine.Tracker
-
-	suspects suspectCounts
 }
 
 // Policy says how the samples of a step are placed and moved.
--- a/rollout/task.go
+++ b/rollout/task.go
@@ -49,8 +49,6 @@
 	// parks signals that the sample should free its slot; parked counts how often it did.
 	parks  chan struct{}
 	parked atomic.Int32
-	// suspect is whether the current attempt is that of a crash suspect.
-	suspect atomic.Bool
 }
 
 func newTask(s *step, req *api.SampleRequest) *task {
@@ -105,12 +103,8 @@
 	}
 	delays := retry.NewBackoff(initialDelay, maxDelay)
 	for {
-		if refusal := t.checkQuarantine(); refusal != nil {
-			return nil, refusal
-		}
-		before, began := t.progress.Tokens(), time.Now()
+		before := t.progress.Tokens()
 		done, refusal := t.attempt(ctx)
-		t.reportOutcome(refusal, time.Since(began))
 		if refusal == nil && generation.Fresh(done.Spans, t.s.minVersion) {
 			t.s.recordLength(generation.CountTokens(done.Spans))
 			t.s.tokens.Add(int64(generation.CountTokens(done.Spans)))
@@ -152,8 +146,7 @@
 	}
 	route := t.routeRequest()
 	route.Exclude = t.avoid
-	t.suspect.Store(t.isCrashSuspect())
-	pl, err := t.s.placer.place(ctx, route, t.priority(), t.suspect.Load())
+	pl, err := t.s.placer.place(ctx, route, t.priority())
 	if err != nil {
 		return nil, t.refusal(api.CodeCancelled, err, api.NotRunUnknown)
 	}
--- a/service/entry/entry.go
+++ b/service/entry/entry.go
@@ -150,8 +150,7 @@
 	return &rollout.Runner{
 		ID: e.cfg.ID, Zone: e.cfg.Zone, Client: e.client, View: e.view,
 		Router: e.cfg.Training, Policy: e.cfg.Policy, Budget: e.budget, Scorer: &scorer{e},
-		Quarantine: e.quarantine,
-		Retention:  e.cfg.Retention, Counters: e.cfg.Counters, Log: e.cfg.Log, Seed: e.cfg.Seed,
+		Retention: e.cfg.Retention, Counters: e.cfg.Counters, Log: e.cfg.Log, Seed: e.cfg.Seed,
 	}
 }
 
