Reward calls are never quarantined: they are part of their items

Cause: an agent forwards reward calls by the package that serves lookups, with its quarantine at two crashes. Change: reward.NewCaller builds the forwarder with a tracker that still checks whether an endpoint has crashed and records nothing. Agents follow and write the table `quarantine` no longer; entries do as before. Test: TestRewardCallUnderWhichEndpointsCrashedIsSentAgain (1, 2, 3, 6 rounds of crashes). With the tracker as it was: `batch: not run: forward: held` after the first round.

--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -40,6 +40,8 @@
 	synced    chan struct{}
 	// claiming are the contents for which this process is claiming a trial.
 	claiming map[Fingerprint]bool
+	// disabled trackers record nothing, so that every content stays clear.
+	disabled bool
 }
 
 // New returns a tracker without any events. Its exported fields are set before it is used.
@@ -56,11 +58,12 @@
 	return t
 }
 
-// Empty reports whether no content has any events.
-func (t *Tracker) Empty() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.histories.byFingerprint) == 0
+// Disabled returns a tracker that checks whether endpoints have crashed and quarantines nothing. It is for work
+// that is handed in for later, which is owed whatever crashes under it.
+func Disabled(prober Prober, log logrus.FieldLogger, counters *observe.Counters) *Tracker {
+	t := Local(prober, log, counters)
+	t.disabled = true
+	return t
 }
 
 // State returns the state of a content and, for a quarantined one, how long it stays so.
@@ -120,6 +123,9 @@
 }
 
 func (t *Tracker) recordCrash(r BrokenRun, at time.Duration) {
+	if t.disabled {
+		return
+	}
 	e := event{fingerprint: r.Fingerprint, endpoint: r.Endpoint, trial: -1, value: rowValue{At: at, Ran: r.Took, By: t.Process}}
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/reward/caller.go
+++ b/reward/caller.go
@@ -10,11 +10,14 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"mulberryscale.example/background"
 	"mulberryscale.example/batch"
 	"mulberryscale.example/fleet"
 	"mulberryscale.example/forward"
 	"mulberryscale.example/observe"
+	"mulberryscale.example/quarantine"
 )
 
 // Caller implements batch.RewardClient. It is safe for concurrent use.
@@ -28,6 +31,20 @@
 	gates map[string]*background.Gate // by scoring service
 }
 
+// NewCaller returns a caller that sends through the given sender. Reward calls are part of their items, which are
+// owed, so they are never quarantined.
+func NewCaller(view *fleet.View, sender Sender, zone, service string, log logrus.FieldLogger, counters *observe.Counters) *Caller {
+	f := forward.New(view, sender, zone, log, counters)
+	f.Quarantine = quarantine.Disabled(sender, log, counters)
+	return &Caller{View: view, Forward: f, Service: service}
+}
+
+// Sender sends reward calls to endpoints and checks whether these have crashed.
+type Sender interface {
+	forward.Sender
+	quarantine.Prober
+}
+
 // gate returns the gate for calls to a scoring service, creating it if needed.
 func (c *Caller) gate(service string) *background.Gate {
 	c.mu.Lock()
--- a/reward/caller_test.go
+++ b/reward/caller_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"mulberryscale.example/batch"
@@ -26,6 +27,9 @@
 	return s.answer, s.err
 }
 
+// Refuses implements quarantine.Prober: every endpoint that broke off a call has crashed.
+func (s *fakeSender) Refuses(context.Context, string) bool { return true }
+
 // newTestCaller returns a caller of a service with two endpoints.
 func newTestCaller(s *fakeSender) *Caller {
 	view := fleet.NewView()
@@ -39,7 +43,7 @@
 		{ID: "a", Service: "scores", Addr: "10.0.0.1:1", Slots: 4}, {ID: "b", Service: "scores", Addr: "10.0.0.2:1", Slots: 4},
 		{ID: "c", Service: "others", Addr: "10.0.0.3:1", Slots: 4},
 	}, nil)
-	return &Caller{View: view, Forward: forward.New(view, s, "z", observe.Discard(), observe.NewCounters())}
+	return NewCaller(view, s, "z", "engines", observe.Discard(), observe.NewCounters())
 }
 
 // newRequest returns a reward call with ten seconds left.
@@ -116,3 +120,25 @@
 		t.Fatalf("changed route: got %v, sent to %v", err, s.to)
 	}
 }
+
+// TestRewardCallUnderWhichEndpointsCrashedIsSentAgain guards against a reward call that is refused, and with it an
+// item that never gets its score, because endpoints have crashed under the call. A reward call is exempt from what its
+// item is exempt from.
+func TestRewardCallUnderWhichEndpointsCrashedIsSentAgain(t *testing.T) {
+	for _, crashes := range []int{1, 2, 3, 6} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &fakeSender{err: fmt.Errorf("%w: reset", forward.ErrBroken)}
+			caller := newTestCaller(s)
+			for range crashes {
+				if _, err := caller.Score(t.Context(), newRequest("/s/1")); !errors.Is(err, batch.ErrBroken) {
+					t.Fatalf("while endpoints crash: %v", err)
+				}
+				time.Sleep(time.Second)
+			}
+			s.answer, s.err = &forward.Answer{Status: 200, Signature: "s"}, nil
+			if got, err := caller.Score(t.Context(), newRequest("/s/1")); err != nil || got.Score != "s" {
+				t.Errorf("after %d sends with crashes: %q, %v", len(s.sent)-1, got.Score, err)
+			}
+		})
+	}
+}
--- a/service/node/agent.go
+++ b/service/node/agent.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"mulberryscale.example/batch"
-	"mulberryscale.example/forward"
 	"mulberryscale.example/loadview"
 	"mulberryscale.example/platform/enginehttp"
 	"mulberryscale.example/platform/nodefile"
@@ -25,8 +24,8 @@
 type Agent struct {
 	*base
 	worker *batch.Worker
-	// forwarder sends reward calls.
-	forwarder *forward.Forwarder
+	// rewards sends reward calls.
+	rewards *reward.Caller
 }
 
 // NewAgent returns an agent with the given settings. Run starts it.
@@ -37,13 +36,11 @@
 	}
 	a := &Agent{base: b}
 	engines := enginehttp.New()
-	a.forwarder = forward.New(b.view, engines, settings.Zone, b.log, b.counters)
-	tracker := b.newQuarantine(engines)
-	a.forwarder.Quarantine = tracker
+	a.rewards = reward.NewCaller(b.view, engines, settings.Zone, settings.Service, b.log, b.counters)
 	a.worker = batch.NewWorker(batch.WorkerConfig{
 		Node: settings.Node, Incarnation: b.incarnation, Engine: settings.Engine, Service: settings.Service,
 		PeerPort: settings.PeerPort, View: b.view, Ledger: b.ledger, Direct: b.store, Demand: batch.NewDemand(), Engines: engines, Peers: a.peers,
-		Rewards:        &reward.Caller{View: b.view, Forward: a.forwarder, Service: settings.Service},
+		Rewards:        a.rewards,
 		JobsPace:       agentJobsPace(),
 		StoreWriteRate: settings.StoreWrites, SharedSelection: settings.Pressure,
 		Now: b.store.Now, Log: b.log, Counters: b.counters,
@@ -63,7 +60,6 @@
 	a.orderEndpoints(working, &wg)
 	wg.Go(func() { a.worker.Run(working) })
 	a.writePace(working, &wg)
-	wg.Go(func() { a.forwarder.WatchCrashes(working) })
 	wg.Go(func() { a.servePeers(working) })
 	<-ctx.Done()
 	a.log.Info("draining")
--- a/service/node/entry.go
+++ b/service/node/entry.go
@@ -18,6 +18,7 @@
 	"mulberryscale.example/platform/enginehttp"
 	"mulberryscale.example/platform/ingress"
 	"mulberryscale.example/platform/nodefile"
+	"mulberryscale.example/quarantine"
 	"mulberryscale.example/scaling"
 	"mulberryscale.example/store"
 )
@@ -91,6 +92,14 @@
 	return e, nil
 }
 
+// newQuarantine creates the tracker of the requests that any entry has seen crash endpoints, which checks endpoints
+// with the given prober.
+func (b *base) newQuarantine(prober quarantine.Prober) *quarantine.Tracker {
+	tracker := quarantine.New()
+	tracker.Rows, tracker.Clock, tracker.Prober, tracker.Process, tracker.Log, tracker.Counters = b.rows, b.store.Now, prober, b.settings.Node, b.log, b.counters
+	return tracker
+}
+
 // Run serves until ctx is cancelled, then drains. It returns an error if it cannot
 // listen.
 func (e *Entry) Run(ctx context.Context) error {
@@ -107,6 +116,7 @@
 		e.reportLoad(working, &wg, meter, nil)
 	}
 	wg.Go(func() { e.reader.Run(working) })
+	wg.Go(func() { e.forwarder.Quarantine.Run(working) })
 	wg.Go(func() { e.forwarder.WatchCrashes(working) })
 	wg.Go(func() { e.forwarder.WatchGates(working) })
 	collector := &batch.Collector{Ledger: e.ledger, Retention: e.settings.KeepResults, Now: e.store.Now, Log: e.log}
@@ -173,7 +183,7 @@
 // start.
 func (e *Entry) awaitQuarantine(ctx context.Context) {
 	select {
-	case <-e.quarantine.Synced():
+	case <-e.forwarder.Quarantine.Synced():
 	case <-time.After(quarantineWait):
 		e.log.Warn("serving before the quarantine is known")
 	case <-ctx.Done():
--- a/service/node/gates_test.go
+++ b/service/node/gates_test.go
@@ -23,7 +23,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if agent.forwarder.Gates != nil {
+		if agent.rewards.Forward.Gates != nil {
 			t.Errorf("with pressure %t the agent has gates", pressure)
 		}
 	}
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -22,7 +22,6 @@
 	"mulberryscale.example/platform/metastore"
 	"mulberryscale.example/platform/nodefile"
 	"mulberryscale.example/platform/operator"
-	"mulberryscale.example/quarantine"
 	"mulberryscale.example/store"
 	"mulberryscale.example/store/relay"
 )
@@ -44,8 +43,6 @@
 	peers  *peers
 	view   *fleet.View
 	ledger *batch.Ledger
-	// quarantine tracks the requests that any process has seen crash endpoints.
-	quarantine *quarantine.Tracker
 	// load returns the load as this process sees it; nil for none. It is set before the process
 	// runs.
 	load func() loadview.Load
@@ -82,15 +79,6 @@
 	return b, nil
 }
 
-// newQuarantine creates the process's quarantine tracker, which checks endpoints with
-// the given prober.
-func (b *base) newQuarantine(prober quarantine.Prober) *quarantine.Tracker {
-	tracker := quarantine.New()
-	tracker.Rows, tracker.Clock, tracker.Prober, tracker.Process, tracker.Log, tracker.Counters = b.rows, b.store.Now, prober, b.settings.Node, b.log, b.counters
-	b.quarantine = tracker
-	return tracker
-}
-
 // logRelayed logs when calls to the store begin or cease to go through agents.
 func (b *base) logRelayed(relayed bool) {
 	log := b.log.WithField("dependency", "store")
@@ -139,13 +127,12 @@
 }
 
 // startBackground starts the tasks that both programs run until ctx is cancelled:
-// metrics, traffic logs, the quarantine, and watches that keep the view up to date.
+// metrics, traffic logs, and watches that keep the view up to date.
 func (b *base) startBackground(ctx context.Context, wg *sync.WaitGroup) {
 	config := &configWatcher{view: b.view, log: b.log}
 	instances := newInstanceWatcher(b.view, b.log)
 	wg.Go(func() { b.serveMetrics(ctx, b.metricsPort) })
 	wg.Go(func() { b.logTraffic(ctx) })
-	wg.Go(func() { b.quarantine.Run(ctx) })
 	wg.Go(func() {
 		store.Follow(ctx, b.rows, store.Source{Table: operator.TableOperator, Pace: operatorPace(b.settings)}, config)
 	})
