quarantine: one limit of crashes, since only requests are quarantined

A type and a parameter told requests from items; items and samples ask no more. The two rows of TestHistoryStates on an item's own limit go with the limit.

--- a/forward/crash_test.go
+++ b/forward/crash_test.go
@@ -128,7 +128,7 @@
 			cancel()
 			time.Sleep(2 * crashDown)
 		}
-		if n := r.crashCount(); n > int(quarantine.RequestLimit)+2 { // two trials are due in that time
+		if n := r.crashCount(); n > quarantine.CrashLimit+2 { // two trials are due in that time
 			t.Errorf("%d endpoints crashed", n)
 		}
 	})
@@ -151,7 +151,7 @@
 			r.view.UpdateInstances(nil, []string{id})
 		}
 		time.Sleep(10 * time.Second)
-		if state, _ := r.entries[0].Quarantine.State(q.fingerprint(), quarantine.RequestLimit); state != quarantine.Clear {
+		if state, _ := r.entries[0].Quarantine.State(q.fingerprint()); state != quarantine.Clear {
 			t.Errorf("state %v", state)
 		}
 	})
@@ -168,7 +168,7 @@
 		}
 		time.Sleep(time.Second)
 		for i, f := range r.entries {
-			if state, _ := f.Quarantine.State(q.fingerprint(), quarantine.RequestLimit); state != quarantine.Clear {
+			if state, _ := f.Quarantine.State(q.fingerprint()); state != quarantine.Clear {
 				t.Errorf("entry %d: state %v", i, state)
 			}
 		}
@@ -203,7 +203,7 @@
 				}
 			}
 		}
-		if n := r.crashCount(); n != int(quarantine.RequestLimit) {
+		if n := r.crashCount(); n != quarantine.CrashLimit {
 			t.Fatalf("%d endpoints crashed", n)
 		}
 	})
--- a/forward/crashload_test.go
+++ b/forward/crashload_test.go
@@ -20,7 +20,7 @@
 		with := simulateCrashes(t, seed, true, false)
 		t.Logf("seed %d: %d crashes and %d of %d other requests unserved without the quarantine, %d and %d with it",
 			seed, without.crashes, without.unserved, without.others, with.crashes, with.unserved)
-		if with.crashes > int(quarantine.RequestLimit)+1 || with.unserved > 0 {
+		if with.crashes > quarantine.CrashLimit+1 || with.unserved > 0 {
 			t.Errorf("seed %d: %d endpoints crashed, %d of %d other requests unserved", seed, with.crashes, with.unserved, with.others)
 		}
 	}
@@ -32,7 +32,7 @@
 	for seed := range uint64(5) {
 		with := simulateCrashes(t, seed, true, true)
 		t.Logf("seed %d: %d crashes, %d of %d other requests unserved", seed, with.crashes, with.unserved, with.others)
-		if with.crashes > int(quarantine.RequestLimit)+1 || with.unserved > 0 {
+		if with.crashes > quarantine.CrashLimit+1 || with.unserved > 0 {
 			t.Errorf("seed %d: %d endpoints crashed, %d of %d other requests unserved", seed, with.crashes, with.unserved, with.others)
 		}
 	}
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -23,7 +23,7 @@
 // admitAndRun runs the request unless its content is quarantined. A quarantined request is
 // refused at once, so that it does not crash all endpoints of a service.
 func (c *call) admitAndRun(ctx context.Context) (*Answer, error) {
-	state, wait := c.Quarantine.Admit(ctx, c.fingerprint, quarantine.RequestLimit)
+	state, wait := c.Quarantine.Admit(ctx, c.fingerprint)
 	if state == quarantine.Quarantined {
 		c.Quarantine.CountRefused()
 		refusal := c.refusal(ReasonQuarantined, nil)
@@ -46,7 +46,7 @@
 
 // suspected reports whether an endpoint has crashed under the request's content.
 func (c *call) suspected() bool {
-	state, _ := c.Quarantine.State(c.fingerprint, quarantine.RequestLimit)
+	state, _ := c.Quarantine.State(c.fingerprint)
 	return state != quarantine.Clear
 }
 
@@ -54,7 +54,7 @@
 // content is suspect is sent to one endpoint at a time, so that a second crash is known before a
 // third endpoint has the request.
 func (c *call) maySendToAnother() bool {
-	state, _ := c.Quarantine.State(c.fingerprint, quarantine.RequestLimit)
+	state, _ := c.Quarantine.State(c.fingerprint)
 	switch state {
 	case quarantine.Clear:
 		return true
--- a/quarantine/gossip_test.go
+++ b/quarantine/gossip_test.go
@@ -29,7 +29,7 @@
 		trackers[1].MergeEvents(trackers[0].RecentEvents()) // received twice
 		trackers[2].MergeEvents(trackers[1].RecentEvents()) // passed on
 		for _, each := range trackers {
-			state, wait := each.State(content, RequestLimit)
+			state, wait := each.State(content)
 			if state != Quarantined || wait != trialDelays[0]-3*time.Second {
 				t.Errorf("state %v for %v", state, wait)
 			}
@@ -67,7 +67,7 @@
 		}
 		trackers[1].MergeEvents(trackers[0].RecentEvents())
 		time.Sleep(trialDelays[0])
-		if state, _ := trackers[0].Admit(t.Context(), content, RequestLimit); state != TrialDue {
+		if state, _ := trackers[0].Admit(t.Context(), content); state != TrialDue {
 			t.Fatalf("state %v", state)
 		}
 		trackers[1].MergeEvents(trackers[0].RecentEvents())
--- a/quarantine/histories.go
+++ b/quarantine/histories.go
@@ -22,12 +22,12 @@
 }
 
 // state returns the content's state and, for a quarantined one, how long it stays so.
-func (hs *histories) state(fp Fingerprint, limit Limit, now time.Duration) (State, time.Duration) {
+func (hs *histories) state(fp Fingerprint, now time.Duration) (State, time.Duration) {
 	h, known := hs.byFingerprint[fp]
 	if !known || h.expired(now) {
 		return Clear, 0
 	}
-	return h.state(limit, now)
+	return h.state(now)
 }
 
 // record adds an event and reports whether it was new.
--- a/quarantine/history.go
+++ b/quarantine/history.go
@@ -25,19 +25,10 @@
 	TrialDue
 )
 
-// Limit is the number of endpoint crashes at which a content is quarantined.
-type Limit int
-
-// Limits of the two kinds of work.
-const (
-	// RequestLimit quarantines a request at the second crash. One crash may be the endpoint's own
-	// fault, and requests that merely ran beside the one that caused it are served by a second
-	// send. The limit is not higher, since a service may have no more than three endpoints.
-	RequestLimit Limit = 2
-	// ItemLimit quarantines an item of a batch job at the third crash: up to a dozen other items
-	// run beside an item that crashes engines, and some of them run beside it at two crashes.
-	ItemLimit Limit = 3
-)
+// CrashLimit is the number of endpoint crashes at which a content is quarantined. One crash may be the endpoint's
+// own fault, and requests that merely ran beside the one that caused it are served by a second send. The limit is not
+// higher, since a service may have no more than three endpoints.
+const CrashLimit = 2
 
 // trialDelays are the times for which a quarantined content is not sent before each of its
 // trials. There are no further trials: a content that keeps crashing endpoints costs three more
@@ -101,11 +92,11 @@
 
 // state returns the content's state and, for a quarantined one, the time until its next trial is
 // due.
-func (h *history) state(limit Limit, now time.Duration) (state State, wait time.Duration) {
+func (h *history) state(now time.Duration) (state State, wait time.Duration) {
 	switch n := h.crashCount(); {
 	case n == 0:
 		return Clear, 0
-	case n < int(limit):
+	case n < CrashLimit:
 		return Suspect, 0
 	}
 	wait = h.lastEvent() + quarantineTTL - now
@@ -121,11 +112,11 @@
 // nextTrial returns the number of the next trial.
 func (h *history) nextTrial() int { return len(h.trials) }
 
-// expired reports whether the last event is longer ago than suspectTTL or, at RequestLimit crashes
+// expired reports whether the last event is longer ago than suspectTTL or, at CrashLimit crashes
 // or more, quarantineTTL.
 func (h *history) expired(now time.Duration) bool {
 	memory := suspectTTL
-	if h.crashCount() >= int(RequestLimit) {
+	if h.crashCount() >= CrashLimit {
 		memory = quarantineTTL
 	}
 	return now > h.lastEvent()+memory
--- a/quarantine/history_test.go
+++ b/quarantine/history_test.go
@@ -52,25 +52,22 @@
 	}
 	for name, c := range map[string]struct {
 		h     *history
-		limit Limit
 		after time.Duration
 		want  State
 		wait  time.Duration
 	}{
-		"nothing known":            {newHistory(), RequestLimit, 0, Clear, 0},
-		"one crash":                {sequentialCrashes(1, at), RequestLimit, 0, Suspect, 0},
-		"simultaneous crashes":     {simultaneousCrashes(5, at), RequestLimit, 0, Suspect, 0},
-		"overlapping sends":        {overlappingCrashes(at), RequestLimit, 10 * time.Second, Quarantined, 20 * time.Second},
-		"two crashes":              {sequentialCrashes(2, at), RequestLimit, 10 * time.Second, Quarantined, 20 * time.Second},
-		"two crashes of an item":   {sequentialCrashes(2, at), ItemLimit, 0, Suspect, 0},
-		"three crashes of an item": {sequentialCrashes(3, at), ItemLimit, 0, Quarantined, 30 * time.Second},
-		"first trial due":          {sequentialCrashes(2, at), RequestLimit, 30 * time.Second, TrialDue, 0},
-		"first trial claimed":      {withTrials(sequentialCrashes(2, at), at+30*time.Second), RequestLimit, 40 * time.Second, Quarantined, 5*time.Minute - 10*time.Second},
-		"second trial due":         {withTrials(sequentialCrashes(3, at), at+30*time.Second), RequestLimit, 6 * time.Minute, TrialDue, 0},
-		"no trial left":            {withTrials(sequentialCrashes(5, at), 1, 2, 3), RequestLimit, 23 * time.Hour, Quarantined, time.Hour},
+		"nothing known":        {newHistory(), 0, Clear, 0},
+		"one crash":            {sequentialCrashes(1, at), 0, Suspect, 0},
+		"simultaneous crashes": {simultaneousCrashes(5, at), 0, Suspect, 0},
+		"overlapping sends":    {overlappingCrashes(at), 10 * time.Second, Quarantined, 20 * time.Second},
+		"two crashes":          {sequentialCrashes(2, at), 10 * time.Second, Quarantined, 20 * time.Second},
+		"first trial due":      {sequentialCrashes(2, at), 30 * time.Second, TrialDue, 0},
+		"first trial claimed":  {withTrials(sequentialCrashes(2, at), at+30*time.Second), 40 * time.Second, Quarantined, 5*time.Minute - 10*time.Second},
+		"second trial due":     {withTrials(sequentialCrashes(3, at), at+30*time.Second), 6 * time.Minute, TrialDue, 0},
+		"no trial left":        {withTrials(sequentialCrashes(5, at), 1, 2, 3), 23 * time.Hour, Quarantined, time.Hour},
 	} {
 		t.Run(name, func(t *testing.T) {
-			got, wait := c.h.state(c.limit, at+c.after)
+			got, wait := c.h.state(at + c.after)
 			if got != c.want || wait != c.wait {
 				t.Errorf("got %v for %v, want %v for %v", got, wait, c.want, c.wait)
 			}
@@ -90,7 +87,7 @@
 			if h.expired(now) {
 				return
 			}
-			state, _ := h.state(RequestLimit, now)
+			state, _ := h.state(now)
 			if state == TrialDue {
 				h.trials[h.nextTrial()] = now
 				h.crashes[fleet.Incarnation{ID: "trial", StartedAt: int64(now)}] = span{now, now + time.Second}
--- a/quarantine/inspect.go
+++ b/quarantine/inspect.go
@@ -21,7 +21,7 @@
 	Trials int
 	// Since is the time since the last crash or trial.
 	Since time.Duration
-	// State is the state for requests (RequestLimit), Wait how long a quarantined content stays
+	// State is the state, Wait how long a quarantined content stays
 	// so.
 	State State
 	Wait  time.Duration
@@ -64,7 +64,7 @@
 			c.Endpoints = append(c.Endpoints, endpoint.ID)
 		}
 		slices.Sort(c.Endpoints)
-		c.State, c.Wait = h.state(RequestLimit, s.Now)
+		c.State, c.Wait = h.state(s.Now)
 		list = append(list, c)
 	}
 	return list, nil
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -67,11 +67,11 @@
 }
 
 // State returns the state of a content and, for a quarantined one, how long it stays so.
-func (t *Tracker) State(fp Fingerprint, limit Limit) (State, time.Duration) {
+func (t *Tracker) State(fp Fingerprint) (State, time.Duration) {
 	now, known := t.Clock()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	state, wait := t.histories.state(fp, limit, now)
+	state, wait := t.histories.state(fp, now)
 	if state == TrialDue && !known {
 		return Quarantined, trialDelays[0]
 	}
@@ -81,9 +81,9 @@
 // Admit returns the state in which a content may be sent now. For a quarantined one whose trial
 // is due it claims the trial for this process, and returns TrialDue if it gets it. A content that
 // is not admitted may come back after wait.
-func (t *Tracker) Admit(ctx context.Context, fp Fingerprint, limit Limit) (state State, wait time.Duration) {
-	state, wait = t.State(fp, limit)
-	if state != TrialDue || t.claim(ctx, fp, limit) {
+func (t *Tracker) Admit(ctx context.Context, fp Fingerprint) (state State, wait time.Duration) {
+	state, wait = t.State(fp)
+	if state != TrialDue || t.claim(ctx, fp) {
 		return state, wait
 	}
 	return Quarantined, trialDelays[0]
@@ -173,5 +173,5 @@
 	return true
 }
 
-// CountRefused counts a request or item that was refused because its content is quarantined.
+// CountRefused counts a request that was refused because its content is quarantined.
 func (t *Tracker) CountRefused() { t.Counters.Add(observe.NameQuarantine, rowRefused, 1) }
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -32,7 +32,7 @@
 
 func wantState(t *testing.T, tracker *Tracker, fp Fingerprint, want State) {
 	t.Helper()
-	if got, _ := tracker.State(fp, RequestLimit); got != want {
+	if got, _ := tracker.State(fp); got != want {
 		t.Fatalf("state %v, want %v", got, want)
 	}
 }
@@ -127,7 +127,7 @@
 		for _, each := range trackers {
 			for range 2 {
 				go func() {
-					state, _ := each.Admit(t.Context(), content, RequestLimit)
+					state, _ := each.Admit(t.Context(), content)
 					claims <- state
 				}()
 			}
@@ -158,7 +158,7 @@
 			tracker.ReportCrash(brokenRun(1))
 			time.Sleep(propagationTime + trialDelays[0])
 			s.QueueOutcomes(outcome)
-			if state, wait := tracker.Admit(t.Context(), content, RequestLimit); state != Quarantined || wait <= 0 {
+			if state, wait := tracker.Admit(t.Context(), content); state != Quarantined || wait <= 0 {
 				t.Fatalf("outcome %v: state %v, wait %v", outcome, state, wait)
 			}
 		})
@@ -175,7 +175,7 @@
 		time.Sleep(propagationTime + trialDelays[0])
 		s.Slow(time.Hour)
 		asked := time.Now()
-		if state, _ := tracker.Admit(t.Context(), content, RequestLimit); state != Quarantined {
+		if state, _ := tracker.Admit(t.Context(), content); state != Quarantined {
 			t.Fatalf("state %v", state)
 		}
 		if took := time.Since(asked); took > claimTimeout {
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -16,8 +16,8 @@
 const claimTimeout = 100 * time.Millisecond
 
 // claim claims the next trial of a content; only one of all processes gets it.
-func (t *Tracker) claim(ctx context.Context, fp Fingerprint, limit Limit) bool {
-	e, ok := t.beginClaim(fp, limit)
+func (t *Tracker) claim(ctx context.Context, fp Fingerprint) bool {
+	e, ok := t.beginClaim(fp)
 	if !ok {
 		return false
 	}
@@ -39,11 +39,11 @@
 
 // beginClaim returns the trial to claim, unless another request of this process is claiming it or
 // has claimed it, or the content was cleared meanwhile.
-func (t *Tracker) beginClaim(fp Fingerprint, limit Limit) (event, bool) {
+func (t *Tracker) beginClaim(fp Fingerprint) (event, bool) {
 	now, _ := t.Clock()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if state, _ := t.histories.state(fp, limit, now); state != TrialDue || t.claiming[fp] {
+	if state, _ := t.histories.state(fp, now); state != TrialDue || t.claiming[fp] {
 		return event{}, false
 	}
 	t.claiming[fp] = true
--- a/service/entry/quarantine.go
+++ b/service/entry/quarantine.go
@@ -13,7 +13,7 @@
 // quarantineRefusal returns a refusal if the call's content is quarantined because
 // endpoints crashed while running it, so that it does not crash all endpoints of its row.
 func (e *Entry) quarantineRefusal(ctx context.Context, c *call) *api.Refusal {
-	state, wait := e.quarantine.Admit(ctx, c.fingerprint, quarantine.RequestLimit)
+	state, wait := e.quarantine.Admit(ctx, c.fingerprint)
 	if state != quarantine.Quarantined {
 		return nil
 	}
@@ -24,7 +24,7 @@
 // mayTryAnother reports whether the quarantine allows to send a failed call to one more
 // endpoint.
 func (e *Entry) mayTryAnother(c *call) bool {
-	state, _ := e.quarantine.State(c.fingerprint, quarantine.RequestLimit)
+	state, _ := e.quarantine.State(c.fingerprint)
 	return state == quarantine.Clear || state == quarantine.Suspect
 }
 
