An item leaves an engine that cannot serve it, however fast that engine is

What callers see: on engines that report their pace, an item waits with an agent whose engine is still changing its weights, or never carries the order out, while engines beside it have room. Cause: an agent with room takes a waiting item only if it ends sooner there. The holder's estimate counted its engine as serving, so that an idle engine with old weights kept its items: they would end there at once. Change: an item that the engine cannot serve now has no end here, and is not shared by pace. TestWaitingItemsAreSharedByPace says now that its engine serves (it had never reported); its bounds stay.

--- a/batch/rig_test.go
+++ b/batch/rig_test.go
@@ -42,23 +42,25 @@
 // fakePeers calls the workers of a rig directly.
 type fakePeers struct {
 	mu            sync.Mutex
-	workers       map[string]*Worker // by host
-	unreachable   map[string]bool    // by host
-	callsByEngine map[string]int     // by the caller's engine
-	callsByPair   map[[2]string]int  // by the caller's engine and the called one's host
-	latency       time.Duration      // of each call
-	open          map[string]int     // calls that have no answer yet, by the caller's engine
-	mostOpen      int                // the most of these at a time
+	workers       map[string]*Worker   // by host
+	unreachable   map[string]bool      // by host
+	callsByEngine map[string]int       // by the caller's engine
+	callsByPair   map[[2]string]int    // by the caller's engine and the called one's host
+	latency       time.Duration        // of each call, to the agent and back
+	drawLatency   func() time.Duration // of the way to the agent, and of the way back; nil for latency
+	takesNothing  map[string]bool      // by host: agents that take no items from others, though they are up
+	open          map[string]int       // calls that have no answer yet, by the caller's engine
+	mostOpen      int                  // the most of these at a time
 }
 
 // wait lets a call take its time.
-func (p *fakePeers) wait(ctx context.Context, from string) {
+func (p *fakePeers) wait(ctx context.Context, from string, latency time.Duration) {
 	p.mu.Lock()
 	p.open[from]++
 	p.mostOpen = max(p.mostOpen, p.open[from])
 	p.mu.Unlock()
 	select {
-	case <-time.After(p.latency):
+	case <-time.After(latency):
 	case <-ctx.Done():
 	}
 	p.mu.Lock()
@@ -68,7 +70,11 @@
 
 func (p *fakePeers) Call(ctx context.Context, addr string, req *PeerRequest) (*PeerReply, error) {
 	if p.latency > 0 {
-		p.wait(ctx, req.From)
+		p.wait(ctx, req.From, p.latency)
+	}
+	if p.drawLatency != nil {
+		p.wait(ctx, req.From, p.drawLatency())
+		defer func() { p.wait(ctx, req.From, p.drawLatency()) }()
 	}
 	host, _, _ := net.SplitHostPort(addr)
 	p.mu.Lock()
@@ -79,6 +85,9 @@
 	if w == nil || isCut {
 		return nil, errors.New("silent")
 	}
+	if req.Give != nil && p.takesNothing[host] {
+		return &PeerReply{}, nil
+	}
 	return w.Serve(req), nil
 }
 
@@ -105,7 +114,7 @@
 	s := rowstore.New()
 	rig := &workerRig{
 		t: t, store: s, storeClients: map[string]*rowstore.Client{}, view: fleet.NewView(), stops: map[string]context.CancelFunc{}, ledger: newLedger(s),
-		engines: &fakeEngines{engines: map[string]*fakeEngine{}, lengths: map[string]int{}},
+		engines: &fakeEngines{engines: map[string]*fakeEngine{}, lengths: map[string]int{}, open: map[string]int{}, doubled: map[string]bool{}},
 		rewards: &fakeRewards{latency: 200 * time.Millisecond, nextErrors: map[string][]error{}, laterErrors: map[string]error{}},
 		peers:   &fakePeers{workers: map[string]*Worker{}, unreachable: map[string]bool{}, callsByEngine: map[string]int{}, callsByPair: map[[2]string]int{}, open: map[string]int{}},
 	}
--- a/batch/rigengines_test.go
+++ b/batch/rigengines_test.go
@@ -21,6 +21,9 @@
 	lengths map[string]int // number of events of an item, by id; 10 by default
 	// runs are all runs that were started, in order.
 	runs []fakeRun
+	// open counts the open runs of each item; doubled are the items that ran at two engines at once.
+	open    map[string]int
+	doubled map[string]bool
 	// crashesLeft is, by item id, how many engines still crash while they run the item.
 	crashesLeft map[string]int
 }
@@ -49,7 +52,8 @@
 	breakAfter    map[string]int
 	orders        []Order
 	loseNextOrder bool
-	openStreams   int // runs that have not been closed
+	ignoreOrders  bool // orders are accepted and not carried out
+	openStreams   int  // runs that have not been closed
 	// stalledItems are items whose runs get no events, though reports are answered.
 	stalledItems map[string]bool
 }
@@ -75,6 +79,10 @@
 		length = f.crashSoon(e)
 	}
 	e.openStreams++
+	f.open[r.Item.ID]++
+	if f.open[r.Item.ID] > 1 {
+		f.doubled[r.Item.ID] = true
+	}
 	reported := 0
 	if e.reportsPace {
 		reported = e.paceNow()
@@ -113,6 +121,7 @@
 	s.f.mu.Lock()
 	defer s.f.mu.Unlock()
 	s.e.openStreams--
+	s.f.open[s.item]--
 }
 
 func (s *fakeStream) Next() (Event, error) {
@@ -172,6 +181,9 @@
 		return ErrNotRun
 	}
 	e.sequence++
+	if e.ignoreOrders {
+		return nil
+	}
 	time.AfterFunc(900*time.Millisecond, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
--- a/batch/speed.go
+++ b/batch/speed.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -54,6 +55,9 @@
 	return time.Duration(work * s.took / s.work * float64(enginePace) / pace.Usual * float64(time.Second))
 }
 
+// notServed is the estimated end of items that the engine cannot serve now: any other is sooner.
+const notServed = time.Duration(math.MaxInt64)
+
 // taskEnds estimates the time until each task that runs or waits here is complete; nil if that
 // is not known. It is called with w.mu held.
 func (w *Worker) taskEnds() map[*task]time.Duration {
@@ -72,6 +76,10 @@
 		next++
 	}
 	for _, t := range w.waiting {
+		if !w.engine.canServe(t.j.job) {
+			ends[t] = notServed
+			continue
+		}
 		free := indexOfMin(slots)
 		slots[free] += s.duration(s.remainingWork(t), own)
 		ends[t] = slots[free]
@@ -108,7 +116,10 @@
 			picked = append(picked, t)
 		}
 	}
-	limit := min(ask.Max, takeShare(waiting, s.pace.Pace(time.Now()), ask.Pace))
+	limit := ask.Max
+	if w.engine.canServe(j.job) {
+		limit = min(limit, takeShare(waiting, s.pace.Pace(time.Now()), ask.Pace))
+	}
 	return picked[:min(len(picked), limit)]
 }
 
--- a/batch/steal_test.go
+++ b/batch/steal_test.go
@@ -37,6 +37,7 @@
 func TestWaitingItemsAreSharedByPace(t *testing.T) {
 	for _, c := range []struct{ own, other, items, want int }{{70, 170, 12, 9}, {170, 70, 12, 4}, {100, 100, 12, 6}, {70, 170, 1, 1}} {
 		w, j, all := newWaitingWorker(&acceptingPeers{}, c.items)
+		w.engine.reported = true // the engine serves items of the job
 		s := &w.engine.speed
 		s.pace.Observe(time.Now(), c.other)
 		for range minSpeedRuns {
