An item on its way between two agents is not taken for an orphan

Both copies finish, the item costs two engines' time and meets more crashes than it need. Cause: a scan asks all agents at about the same moment; the one that gave the item lists it no more, the one that takes it not yet. The log shows it: handed over at 24.8198 s, sent by its taker at 24.8247, found as an orphan at 24.9115 by a scan that began before. Change: an agent lists what it has handed over for 0.8 s, twice the limit of a call between agents. After the crash of an agent nothing changes; a handover whose reply is lost is found up to 0.8 s later. Ruled out: asking a second time before an orphan is given away, which delays each recovery.

--- a/batch/handover.go
+++ b/batch/handover.go
@@ -81,6 +81,7 @@
 			continue
 		}
 		t.handingOver = true
+		t.j.transfers[t.index] = time.Now()
 		detached = append(detached, t)
 		if t.cancel != nil {
 			t.stop(errHandedOver)
@@ -104,8 +105,10 @@
 	for _, t := range tasks {
 		if j.tasks[t.index] != nil || j.done[t.index] {
 			t.handingOver = false
+			delete(j.transfers, t.index)
 			continue // finished before it could be stopped
 		}
+		j.transfers[t.index] = time.Now()
 		if t.brokenAnswers >= maxBrokenAnswers {
 			t.avoid = append(t.avoid, w.Engine)
 		}
--- a/batch/handover_test.go
+++ b/batch/handover_test.go
@@ -23,7 +23,7 @@
 	w := NewWorker(WorkerConfig{
 		Engine: "10.0.0.1:80", View: fleet.NewView(), Peers: peers, Log: observe.Discard(), Counters: observe.NewCounters(),
 	})
-	j := &workJob{job: &Job{ID: "j"}, items: make([]Item, items), tasks: map[int]*task{}, done: map[int]bool{}}
+	j := &workJob{job: &Job{ID: "j"}, items: make([]Item, items), tasks: map[int]*task{}, done: map[int]bool{}, transfers: transfers{}}
 	w.jobs["j"] = j
 	for i := range items {
 		j.items[i].ID = string(rune('a' + i))
--- a/batch/messages.go
+++ b/batch/messages.go
@@ -53,6 +53,8 @@
 	AwaitingScore []int `cbor:"4,keyasint,omitempty"`
 	// Done are the items whose results are in the store.
 	Done []int `cbor:"3,keyasint,omitempty"`
+	// Transferred are the items that were handed over to another agent recently.
+	Transferred []int `cbor:"5,keyasint,omitempty"`
 }
 
 // TakeRequest asks for up to Max items of a job, to run them on the caller's engine.
--- a/batch/openjobs.go
+++ b/batch/openjobs.go
@@ -21,7 +21,7 @@
 	if _, known := w.jobs[job.ID]; known {
 		return
 	}
-	j := &workJob{job: job, tasks: map[int]*task{}, done: map[int]bool{}, orphansChecked: time.Now()}
+	j := &workJob{job: job, tasks: map[int]*task{}, done: map[int]bool{}, transfers: transfers{}, orphansChecked: time.Now()}
 	j.outbox = newOutbox(w, j)
 	w.jobs[job.ID] = j
 	owner := slices.Contains(job.Owners, w.Engine)
@@ -146,6 +146,7 @@
 	}
 	t.beginLineage()
 	j.tasks[t.index] = t
+	delete(j.transfers, t.index)
 	if t.complete && t.textAllowed() {
 		w.scoreOrFinish(t)
 		return true
--- a/batch/orphans.go
+++ b/batch/orphans.go
@@ -108,7 +108,7 @@
 }
 
 // orphansOf returns the indexes of the items that no agent that answered, nor this
-// one, holds or knows as done; finished is true if all items are done.
+// one, holds, has just handed over or knows as done; finished is true if all items are done.
 func (w *Worker) orphansOf(j *workJob, statuses map[string]*Status) (orphans []int, finished bool) {
 	held, done := map[int]bool{}, map[int]bool{}
 	w.mu.Lock()
@@ -116,7 +116,7 @@
 	w.mu.Unlock()
 	for _, s := range append(slices.Collect(maps.Values(statuses)), &Status{Jobs: map[string]JobStatus{j.job.ID: own}}) {
 		js := s.Jobs[j.job.ID]
-		for _, list := range [][]int{js.Waiting, js.Running, js.AwaitingScore} {
+		for _, list := range [][]int{js.Waiting, js.Running, js.AwaitingScore, js.Transferred} {
 			for _, i := range list {
 				held[i] = true
 			}
--- a/batch/peer.go
+++ b/batch/peer.go
@@ -77,6 +77,7 @@
 	for i := range j.done {
 		s.Done = append(s.Done, i)
 	}
+	s.Transferred = j.transfers.indexes(time.Now())
 	return s
 }
 
--- a/batch/placement_test.go
+++ b/batch/placement_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 )
 
-// These tests guard against items that are at no engine though all is calm and engines have room.
+// These tests guard against items that are at no engine, or at two, though all is calm and engines have room.
 
 // TestItemLeavesAnEngineWhoseWeightsDoNotChange guards against items that stay with an engine that cannot serve them,
 // since an agent with room is compared with the speed of that engine.
@@ -30,3 +32,37 @@
 		})
 	}
 }
+
+// TestItemBeingHandedOverIsNoOrphan guards against an item that an agent takes for an orphan, and gives to another
+// one, while it is on its way between two agents: two engines would run it.
+func TestItemBeingHandedOverIsNoOrphan(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				const agents, items = 9, 80
+				rng := rand.New(rand.NewPCG(seed, 0))
+				rig := newWorkerRig(t, agents)
+				var mu sync.Mutex
+				rig.peers.drawLatency = func() time.Duration {
+					mu.Lock()
+					defer mu.Unlock()
+					return time.Duration(rng.Int64N(int64(20 * time.Millisecond)))
+				}
+				for i := range items {
+					rig.engines.lengths[fmt.Sprintf("item-%03d", i)] = 20 + rng.IntN(60)
+				}
+				rig.submit("j", items, nil)
+				for i := range 10 {
+					time.Sleep(300 * time.Millisecond)
+					rig.engine(int(seed+uint64(i))%agents, func(e *fakeEngine) { rig.engines.crash(e, 400*time.Millisecond) })
+				}
+				rig.requireComplete(rig.await("j", items, 15*time.Second))
+				rig.engines.mu.Lock()
+				defer rig.engines.mu.Unlock()
+				for id := range rig.engines.doubled {
+					t.Errorf("item %s ran at two engines at once", id)
+				}
+			})
+		})
+	}
+}
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -90,6 +90,8 @@
 	// process has appended or found in the store.
 	tasks map[int]*task
 	done  map[int]bool
+	// transfers are the items that were handed over recently.
+	transfers transfers
 	// finished is true if all items are known to have results, ended if the client has
 	// ended the job.
 	finished bool
