An orphaned item stays with the agent that found it if the selected one takes nothing

What callers would see: an item that no agent holds is offered to the same agent by each scan, and to nobody else. Cause: a hash selects the agent for an orphaned item, so that two scans choose the same one. An agent that answers and takes nothing (it does not know the job yet, or cannot read its items) is selected again each time; only when it scans itself, in a fleet of 30 after 18 s in the mean, it takes the item. Change: if the selected agent took none, the finder keeps them; if its answer is lost, a later scan decides as before. Test: TestOrphanIsPlacedThoughAnAgentDoesNotTakeIt (30 agents, 10 of them take nothing, one is killed).

--- a/batch/orphans.go
+++ b/batch/orphans.go
@@ -168,8 +168,8 @@
 	}
 }
 
-// deliver hands orphaned items over to an agent. Those that it does not take are
-// found again by a later scan.
+// deliver hands orphaned items over to an agent. If it takes none, they stay here: each later scan would select
+// the same agent for them. If that is not known, a later scan finds those that it did not take.
 func (w *Worker) deliver(ctx context.Context, engine string, items *Handover) {
 	if engine == w.Engine {
 		w.accept(w.Engine, items)
@@ -186,4 +186,7 @@
 	w.Log.WithError(err).WithFields(logrus.Fields{
 		observe.FieldJob: items.Job, "to": engine, "items": len(items.Items), "taken": taken,
 	}).Warn("orphaned items not taken")
+	if err == nil && taken == 0 {
+		w.accept(w.Engine, items)
+	}
 }
--- a/batch/placement_test.go
+++ b/batch/placement_test.go
@@ -10,6 +10,28 @@
 
 // These tests guard against items that are at no engine, or at two, though all is calm and engines have room.
 
+// TestOrphanIsPlacedThoughAnAgentDoesNotTakeIt guards against an orphaned item that is offered to the same agent
+// again and again, one that answers and takes nothing: its job's items are not readable there, for instance.
+func TestOrphanIsPlacedThoughAnAgentDoesNotTakeIt(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		const agents, items, refusing = 30, 300, 10
+		rig := newWorkerRig(t, agents)
+		for i := range items {
+			rig.engines.lengths[fmt.Sprintf("item-%03d", i)] = 50 // two seconds
+		}
+		rig.submit("j", items, nil)
+		time.Sleep(time.Second)
+		rig.peers.mu.Lock()
+		rig.peers.takesNothing = map[string]bool{}
+		for i := range refusing {
+			rig.peers.takesNothing[fmt.Sprintf("10.0.0.%d", 2+i)] = true
+		}
+		rig.peers.mu.Unlock()
+		rig.kill(0)
+		rig.requireComplete(rig.await("j", items, 7*time.Second))
+	})
+}
+
 // TestItemLeavesAnEngineWhoseWeightsDoNotChange guards against items that stay with an engine that cannot serve them,
 // since an agent with room is compared with the speed of that engine.
 func TestItemLeavesAnEngineWhoseWeightsDoNotChange(t *testing.T) {
