Items that an engine cannot run go to the agents with the most room, and on to the next if one takes none

What was seen by reading: fewer items than agents were given to the last of the list, which has the least room (one item of three engines: the busiest of up to 16); an agent that took nothing was offered the same items each round. Change: the first agents of the list get a share each; a share that is not taken is offered to two more. Test: TestPushedItemsGoToTheAgentsWithMostRoom, before: 4 of 7 cases failed; after: none.

--- a/batch/handover_test.go
+++ b/batch/handover_test.go
@@ -76,3 +76,57 @@
 		})
 	}
 }
+
+// refusingPeers stands in for agents of which some take no items; it records who got which.
+type refusingPeers struct {
+	refuses map[string]bool // by address
+	offers  []string        // addresses, in order
+	taken   map[int]string  // address by item
+}
+
+func (g *refusingPeers) Call(_ context.Context, addr string, ask *PeerRequest) (*PeerReply, error) {
+	g.offers = append(g.offers, addr)
+	if g.refuses[addr] {
+		return &PeerReply{}, nil
+	}
+	for _, h := range ask.Give.Items {
+		g.taken[h.Index] = addr
+	}
+	return &PeerReply{Taken: len(ask.Give.Items)}, nil
+}
+
+// TestPushedItemsGoToTheAgentsWithMostRoom guards against a single item that is given to the agent with the least
+// room, and against items that are offered to one agent only, though it takes nothing.
+func TestPushedItemsGoToTheAgentsWithMostRoom(t *testing.T) {
+	const first, second, third = "10.0.0.2:0", "10.0.0.3:0", "10.0.0.4:0" // in the order of their free slots
+	for name, c := range map[string]struct {
+		items   int
+		refuses []string
+		want    []string // by item
+	}{
+		"one item":                   {1, nil, []string{first}},
+		"two items":                  {2, nil, []string{first, second}},
+		"three items":                {3, nil, []string{first, second, third}},
+		"one refuses":                {1, []string{first}, []string{second}},
+		"one of three refuses":       {3, []string{second}, []string{first, third, third}},
+		"two refuse":                 {1, []string{first, second}, []string{third}},
+		"all refuse, items are kept": {2, []string{first, second, third}, []string{"", ""}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			peers := &refusingPeers{refuses: map[string]bool{}, taken: map[int]string{}}
+			for _, addr := range c.refuses {
+				peers.refuses[addr] = true
+			}
+			w, j, all := newWaitingWorker(peers, c.items)
+			w.pushJobItems(t.Context(), j, all, []string{"10.0.0.2:80", "10.0.0.3:80", "10.0.0.4:80"})
+			for i, want := range c.want {
+				if peers.taken[i] != want {
+					t.Errorf("item %d went to %q, want %q; offers %v", i, peers.taken[i], want, peers.offers)
+				}
+				if held := j.tasks[i] != nil; held != (want == "") {
+					t.Errorf("item %d is held here: %v", i, held)
+				}
+			}
+		})
+	}
+}
--- a/batch/push.go
+++ b/batch/push.go
@@ -42,27 +42,42 @@
 	return slices.DeleteFunc(engines, func(e string) bool { return !statuses[e].Up })
 }
 
-// pushJobItems spreads items of one job over other agents. Items that an agent does not
-// accept wait here again, also while this process stops: its next round offers them to others.
+// maxOffers is how many agents are offered the same items in a round.
+const maxOffers = 3
+
+// pushJobItems spreads items of one job over other agents, given those with the most free slots first. Items that
+// no agent accepts wait here again, also while this process stops: its next round offers them again.
 func (w *Worker) pushJobItems(ctx context.Context, j *workJob, tasks []*task, engines []string) {
-	for i, e := range engines {
-		share := tasks[i*len(tasks)/len(engines) : (i+1)*len(tasks)/len(engines)]
-		if len(share) == 0 {
-			continue
-		}
+	used := min(len(engines), len(tasks))
+	for i := range used {
+		share := tasks[i*len(tasks)/used : (i+1)*len(tasks)/used]
 		w.mu.Lock()
 		detached, stopped := w.detach(share)
 		w.mu.Unlock()
-		handed := w.packDetached(j, detached, stopped, e, "engine takes no work")
+		handed := w.packDetached(j, detached, stopped, engines[i], "engine takes no work")
 		if len(handed.Items) == 0 {
 			continue
 		}
 		w.Counters.Add(observe.NameItemsMoved, moveUnavailable, int64(len(handed.Items)))
+		candidates := slices.Concat(engines[i:], engines[:i])
+		if !w.offer(ctx, handed, candidates[:min(maxOffers, len(candidates))]) {
+			w.enqueueHandover(j, w.Engine, handed)
+		}
+	}
+}
+
+// offer offers items to agents in order until one takes them, and reports whether one did. It ends as well if an
+// agent does not answer, since that one may have taken them, or has taken a part of them.
+func (w *Worker) offer(ctx context.Context, handed *Handover, engines []string) bool {
+	for _, e := range engines {
 		reply, err := w.call(ctx, e, &PeerRequest{Give: handed})
 		if err == nil && reply.Taken == len(handed.Items) {
-			continue
+			return true
+		}
+		w.Log.WithError(err).WithFields(logrus.Fields{observe.FieldJob: handed.Job, "to": e}).Warn("items not taken")
+		if err != nil || reply.Taken > 0 {
+			return false
 		}
-		w.Log.WithError(err).WithFields(logrus.Fields{observe.FieldJob: j.job.ID, "to": e}).Warn("items not taken")
-		w.enqueueHandover(j, w.Engine, handed)
 	}
+	return false
 }
