Bytes without end from an endpoint are broken off after a limit, for each reader and for all together

The users' term: bytes that are no answer may come without end, in a head or a body, until the caller closes. Not covered: the time of a head or a body without end; it is that of the call (the route's timeout, 1.5 s without an event, a second for reports and orders).

--- a/endpoint/httpendpoint/service.go
+++ b/endpoint/httpendpoint/service.go
@@ -13,8 +13,13 @@
 	"mulberryscale.example/internal/httponce"
 )
 
-// maxServiceBody limits the body of a plain service's response, in bytes.
-const maxServiceBody = 8 << 20
+const (
+	// maxServiceBody limits the body of a plain service's response, in bytes.
+	maxServiceBody = 8 << 20
+	// serviceMemory limits the bytes of all responses of a service that are being read, beside the first few of
+	// each.
+	serviceMemory = 2 * maxServiceBody
+)
 
 // hopHeaders are the hop-by-hop headers, which are not forwarded (RFC 9110, section 7.6.1).
 var hopHeaders = []string{
@@ -26,13 +31,15 @@
 type Service struct {
 	base string
 	once *httponce.Client
+	// memory is that of responses while they are read.
+	memory *httponce.AnswerMemory
 }
 
 var _ endpoint.Service = (*Service)(nil)
 
 // NewService returns a client of the plain service at baseURL ("http://ip:port").
 func NewService(baseURL string) *Service {
-	return &Service{base: strings.TrimSuffix(baseURL, "/"), once: httponce.New()}
+	return &Service{base: strings.TrimSuffix(baseURL, "/"), once: httponce.New(), memory: httponce.NewAnswerMemory(serviceMemory)}
 }
 
 // Call implements endpoint.Service. A response of any status is returned without
@@ -48,7 +55,7 @@
 		return out, trace.Wrap(mapUnsent(err), "service.call: service %s", s.base)
 	}
 	defer resp.Body.Close()
-	body, err := httponce.ReadBody(resp.Body, maxServiceBody)
+	body, err := s.memory.ReadBody(resp, maxServiceBody)
 	if err != nil {
 		return out, trace.Wrap(err, "service.call: service %s", s.base)
 	}
--- a/internal/httponce/httponce.go
+++ b/internal/httponce/httponce.go
@@ -9,8 +9,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"time"
-
-	"github.com/gravitational/trace"
 )
 
 // Limits of the connections.
@@ -102,15 +100,3 @@
 
 func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
 func (emptyBody) Close() error             { return nil }
-
-// ReadBody reads a whole body. It fails if that has more than limit bytes.
-func ReadBody(body io.Reader, limit int64) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(body, limit+1))
-	if err != nil {
-		return nil, trace.Wrap(err, "read body")
-	}
-	if int64(len(b)) > limit {
-		return nil, trace.LimitExceeded("body over %d bytes", limit)
-	}
-	return b, nil
-}
