Items leave an engine that refuses connections at once; nothing is sent to it until it answers

Cause: a refused connection counted as a run that the engine did not take, with a pause of 40 ms; only two failed reports, 0.2 to 0.4 s later, took the engine for down, and its items then waited for the next round of 250 ms. Change: a refused connection is an error of its own (ErrUnreachable); it takes the engine for down and starts a round at once. The next report that the engine answers takes it for up again, as before. Test: TestItemsLeaveAnEngineThatRefusesConnections.

--- a/batch/engine.go
+++ b/batch/engine.go
@@ -14,6 +14,8 @@
 	// ErrMisdirected says that another incarnation than the expected one answered. It wraps
 	// ErrNotRun.
 	ErrMisdirected = fmt.Errorf("%w: another incarnation answered", ErrNotRun)
+	// ErrUnreachable says that the engine refuses connections: it has crashed or left. It wraps ErrNotRun.
+	ErrUnreachable = fmt.Errorf("%w: the engine refuses connections", ErrNotRun)
 	// ErrFailed says that the engine failed the request, which may be retried.
 	ErrFailed = errors.New("batch: the engine failed the request")
 	// ErrImpossible says that the request can never succeed.
--- a/batch/enginestate.go
+++ b/batch/enginestate.go
@@ -220,6 +220,20 @@
 	return ok && listed.StartedAt >= startedAt
 }
 
+// markEngineDown notes that the engine refuses connections, so that nothing is sent to it until it answers a request
+// for its report, and its items go to other agents now. It is called with w.mu held.
+func (w *Worker) markEngineDown(err error) {
+	e := &w.engine
+	if e.up {
+		w.Log.WithError(err).WithField("engine", w.Engine).Warn("engine lost")
+	}
+	e.unanswered, e.up = maxUnanswered, false
+	select {
+	case w.engineLost <- struct{}{}:
+	default:
+	}
+}
+
 // checkOrder clears the order in progress once it is carried out or has timed out. It is
 // called with w.mu held.
 func (w *Worker) checkOrder(o *Order, r Report) {
--- a/batch/placement_test.go
+++ b/batch/placement_test.go
@@ -88,3 +88,32 @@
 		})
 	}
 }
+
+// TestItemsLeaveAnEngineThatRefusesConnections guards against an agent that sends its items to its crashed engine again
+// and again, until another agent happens to take them.
+func TestItemsLeaveAnEngineThatRefusesConnections(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		const items = 12 // as many as three engines have slots
+		rig := newWorkerRig(t, 6)
+		for i := range items {
+			rig.engines.lengths[fmt.Sprintf("item-%03d", i)] = 100
+		}
+		rig.submit("j", items, func(j *Job) { j.Owners, j.Ready = rig.addrs()[:3], 3 })
+		time.Sleep(500 * time.Millisecond)
+		crashed := time.Now()
+		rig.engine(0, func(e *fakeEngine) { rig.engines.crash(e, 3*time.Second) })
+		time.Sleep(300 * time.Millisecond)
+		running := 0
+		for i := range 6 {
+			running += rig.openStreams(i)
+		}
+		if running != items {
+			t.Errorf("%v after the crash %d of %d items run, though engines have room", time.Since(crashed), running, items)
+		}
+		rig.engine(0, func(e *fakeEngine) {
+			if e.refused > rigSlots {
+				t.Errorf("%d sends were refused by the crashed engine, want at most one for each item that it ran", e.refused)
+			}
+		})
+	})
+}
--- a/batch/rebalance.go
+++ b/batch/rebalance.go
@@ -8,8 +8,6 @@
 	"slices"
 	"sync"
 	"time"
-
-	"mulberryscale.example/internal/pause"
 )
 
 const (
@@ -37,7 +35,7 @@
 // that this engine cannot run, takes some from busier agents and reassigns orphaned ones.
 func (w *Worker) rebalance(ctx context.Context) {
 	h := &rebalancer{Worker: w, orphanScans: newOrphanScans(rand.Float64)}
-	for pause.Sleep(ctx, rebalanceInterval) == nil {
+	for w.awaitRebalance(ctx) == nil {
 		jobs := w.openJobs()
 		if len(jobs) == 0 {
 			continue
@@ -48,6 +46,19 @@
 	}
 }
 
+// awaitRebalance waits until the next round is due, or the engine is lost. It returns the cause of ctx if that is done.
+func (w *Worker) awaitRebalance(ctx context.Context) error {
+	timer := time.NewTimer(rebalanceInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	case <-timer.C:
+	case <-w.engineLost:
+	}
+	return nil
+}
+
 // rebalancer is the state that an agent keeps between rounds of rebalancing.
 type rebalancer struct {
 	*Worker
--- a/batch/rigengines_test.go
+++ b/batch/rigengines_test.go
@@ -53,6 +53,7 @@
 	orders        []Order
 	loseNextOrder bool
 	ignoreOrders  bool // orders are accepted and not carried out
+	refused       int  // runs that were sent while it was down
 	openStreams   int  // runs that have not been closed
 	// stalledItems are items whose runs get no events, though reports are answered.
 	stalledItems map[string]bool
@@ -63,7 +64,8 @@
 	defer f.mu.Unlock()
 	e := f.engines[r.Addr]
 	if e.down {
-		return nil, fmt.Errorf("%w: down", ErrNotRun)
+		e.refused++
+		return nil, fmt.Errorf("%w: down", ErrUnreachable)
 	}
 	if list := e.startErrors[r.Item.ID]; len(list) > 0 {
 		e.startErrors[r.Item.ID] = list[1:]
--- a/batch/run.go
+++ b/batch/run.go
@@ -139,6 +139,9 @@
 		if errors.Is(err, ErrMisdirected) {
 			w.View.ReportStale()
 		}
+		if errors.Is(err, ErrUnreachable) {
+			w.markEngineDown(err)
+		}
 		t.notBefore = t.notBefore.Add(runRetryPause)
 	case errors.Is(err, errVersion):
 		t.discardText()
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -54,6 +54,8 @@
 	WorkerConfig
 	// wakeup wakes the scheduler.
 	wakeup chan struct{}
+	// engineLost wakes the rebalancer when the engine refuses connections.
+	engineLost chan struct{}
 	// ctx is the context of Run; started is closed once it is set.
 	ctx     context.Context
 	started chan struct{}
@@ -108,7 +110,7 @@
 // NewWorker returns a worker; it does nothing until Run is called.
 func NewWorker(cfg WorkerConfig) *Worker {
 	return &Worker{
-		WorkerConfig: cfg, wakeup: make(chan struct{}, 1), started: make(chan struct{}), jobs: map[string]*workJob{},
+		WorkerConfig: cfg, wakeup: make(chan struct{}, 1), engineLost: make(chan struct{}, 1), started: make(chan struct{}), jobs: map[string]*workJob{},
 		running: map[*task]struct{}{}, scoring: map[*task]struct{}{}, engine: newEngineState(),
 	}
 }
