--- a/e2e/soak_faults_test.go
+++ b/e2e/soak_faults_test.go
@@ -57,6 +57,7 @@
 		w.duties.setUnavailable(false)
 	}},
 	{"request that crashes endpoints", func(w *soakWorld, rng *rand.Rand) { w.sendCrashingRequests(rng) }},
+	{"bursts of engine crashes", func(w *soakWorld, rng *rand.Rand) { w.crashInBursts(rng) }},
 }
 
 // injectFaults draws faults from the first kinds entries of soakFaults until the soak's time
--- a/e2e/soak_link_test.go
+++ b/e2e/soak_link_test.go
@@ -21,13 +21,13 @@
 
 // link is a loopback proxy between clients and one server.
 type link struct {
-	listener net.Listener
-	target   string
+	addr, target string
 
-	mu      sync.Mutex
-	changed *sync.Cond
-	state   linkState
-	pipes   map[*pipe]struct{}
+	mu       sync.Mutex
+	listener net.Listener
+	changed  *sync.Cond
+	state    linkState
+	pipes    map[*pipe]struct{}
 }
 
 // pipe is one connection through a link.
@@ -43,17 +43,37 @@
 	if err != nil {
 		return nil, err
 	}
-	k := &link{listener: l, target: target, pipes: map[*pipe]struct{}{}}
+	k := &link{addr: addr, listener: l, target: target, pipes: map[*pipe]struct{}{}}
 	k.changed = sync.NewCond(&k.mu)
-	go k.accept()
+	go k.accept(l)
 	return k, nil
 }
 
 func (k *link) close() {
-	k.listener.Close()
+	k.stopListening()
 	k.reset()
 }
 
+// stopListening makes the address refuse connections, as that of a crashed server does.
+func (k *link) stopListening() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.listener.Close()
+}
+
+// listenAgain accepts connections after stopListening.
+func (k *link) listenAgain() error {
+	l, err := net.Listen("tcp", k.addr)
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.listener = l
+	go k.accept(l)
+	return nil
+}
+
 // set changes the state of all connections.
 func (k *link) set(s linkState) {
 	k.mu.Lock()
@@ -96,9 +116,9 @@
 	k.changed.Broadcast()
 }
 
-func (k *link) accept() {
+func (k *link) accept(l net.Listener) {
 	for {
-		client, err := k.listener.Accept()
+		client, err := l.Accept()
 		if err != nil {
 			return
 		}
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -85,6 +85,7 @@
 	w.checkUsageReports()
 	if kinds == len(soakFaults) {
 		w.checkCrashingRequest("soak")
+		w.checkItemsAfterCrashes("soak")
 	}
 	w.checkSecrets()
 	for _, p := range w.record.problems {
