--- a/internal/httponce/answer.go
+++ b/internal/httponce/answer.go
@@ -155,16 +155,20 @@
 }
 
 // Next returns the next line with its line feed. At the end of the stream it returns what is left, and io.EOF. All
-// bytes since the former EndEvent count, also those of empty lines.
+// bytes since the former EndEvent count, also those of empty lines. The line is valid until the next call.
 func (l *EventLines) Next() ([]byte, error) {
 	var line []byte
 	for {
 		part, err := l.lines.ReadSlice('\n')
-		line = append(line, part...)
 		if tooLong := l.share.grow(len(part)); tooLong != nil {
 			return nil, tooLong
 		}
-		if !errors.Is(err, bufio.ErrBufferFull) {
+		whole := !errors.Is(err, bufio.ErrBufferFull)
+		if whole && line == nil {
+			return part, err
+		}
+		line = append(line, part...)
+		if whole {
 			return line, err
 		}
 	}
