--- a/service/node/entry.go
+++ b/service/node/entry.go
@@ -70,7 +70,7 @@
 	e.demand.OnPaces = e.paces.MarkReported
 	engines := enginehttp.New()
 	e.forwarder = forward.New(b.view, engines, settings.Zone, b.log, b.counters)
-	e.forwarder.Quarantine = b.newQuarantine(engines)
+	e.forwarder.Quarantine = e.newQuarantine(engines)
 	if options.Gates == (forward.GateSettings{}) {
 		options.Gates = forward.DefaultGateSettings()
 	}
@@ -94,9 +94,10 @@
 
 // newQuarantine creates the tracker of the requests that any entry has seen crash endpoints, which checks endpoints
 // with the given prober.
-func (b *base) newQuarantine(prober quarantine.Prober) *quarantine.Tracker {
+func (e *Entry) newQuarantine(prober quarantine.Prober) *quarantine.Tracker {
 	tracker := quarantine.New()
-	tracker.Rows, tracker.Clock, tracker.Prober, tracker.Process, tracker.Log, tracker.Counters = b.rows, b.store.Now, prober, b.settings.Node, b.log, b.counters
+	tracker.Rows, tracker.Clock, tracker.Prober = e.rows, e.store.Now, prober
+	tracker.Process, tracker.Log, tracker.Counters = e.settings.Node, e.log, e.counters
 	return tracker
 }
 
