The answer to a HEAD request is not too long for the length that it announces

Found by reading: the new limit looked at the announced length of an answer that has no body. Test: TestLengthWithoutABodyIsNoBody (failed before with: the answer is too long).

--- a/internal/httponce/answer.go
+++ b/internal/httponce/answer.go
@@ -54,7 +54,7 @@
 // ReadBody reads the whole body of an answer. It fails with ErrTooLong if that has more than limit bytes, or more than
 // the memory has left.
 func (m *AnswerMemory) ReadBody(resp *http.Response, limit int64) ([]byte, error) {
-	if resp.ContentLength > limit {
+	if resp.ContentLength > limit && resp.Body != http.NoBody { // the answer to a HEAD request has a length only
 		return nil, fmt.Errorf("%w: %d bytes announced, %d allowed", ErrTooLong, resp.ContentLength, limit)
 	}
 	taken := share{memory: m, limit: limit}
--- a/internal/httponce/answer_test.go
+++ b/internal/httponce/answer_test.go
@@ -140,3 +140,11 @@
 		t.Errorf("%d of %d events", n, events)
 	}
 }
+
+// TestLengthWithoutABodyIsNoBody guards against the answer to a HEAD request that counts as too long.
+func TestLengthWithoutABodyIsNoBody(t *testing.T) {
+	resp := &http.Response{Body: http.NoBody, ContentLength: 1 << 40}
+	if got, err := NewAnswerMemory(1).ReadBody(resp, 100); err != nil || len(got) > 0 {
+		t.Errorf("got %d bytes, %v", len(got), err)
+	}
+}
