--- a/e2e/soak_burst_test.go
+++ b/e2e/soak_burst_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -49,17 +50,13 @@
 
 // burstGroups returns groups of long items.
 func burstGroups(name string) [][]string {
-	var groups [][]string
-	for n := 0; len(groups) < soakGroups; n++ {
-		var group []string
-		for ; len(group) < soakGroupItems; n++ {
-			if id := fmt.Sprintf("burst-%s-%d", name, n); eventCountOf(id) >= minBurstEvents {
-				group = append(group, id)
-			}
+	var ids []string
+	for n := 0; len(ids) < soakGroups*soakGroupItems; n++ {
+		if id := fmt.Sprintf("burst-%s-%d", name, n); eventCountOf(id) >= minBurstEvents {
+			ids = append(ids, id)
 		}
-		groups = append(groups, group)
 	}
-	return groups
+	return slices.Collect(slices.Chunk(ids, soakGroupItems))
 }
 
 // runningItems returns the number of runs at all model engines.
@@ -99,7 +96,8 @@
 	t.endJob(j)
 }
 
-// TestItemsUnderWhichEnginesCrashedAreDone checks a sound job under repeated crashes without any other fault.
+// TestItemsUnderWhichEnginesCrashedAreDone guards against items that no engine gets any more because several engines
+// have crashed under them, without any other fault.
 func TestItemsUnderWhichEnginesCrashedAreDone(t *testing.T) {
 	w := startSoak(t, 1)
 	w.checkItemsAfterCrashes("calm")
