--- a/batch/crash_test.go
+++ b/batch/crash_test.go
@@ -115,8 +115,8 @@
 }
 
 // TestStepsAfterBurstsOfCrashes guards against items that a burst of crashes leaves at no engine: three engines
-// of nine crash every 0.4 s for two seconds, as on the users' day. The steps of that time and after it have to
-// be done a few seconds after the last crash.
+// of nine crash every 0.4 s for two seconds. The steps of that time and after it have to be done a few seconds after
+// the last crash.
 func TestStepsAfterBurstsOfCrashes(t *testing.T) {
 	for seed := range uint64(6) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
