--- a/cmd/mulberryctl/apply.go
+++ b/cmd/mulberryctl/apply.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"strings"
 
@@ -27,6 +28,9 @@
 
 const envUser = "USER"
 
+// maxReply is the longest reply to a question, in bytes.
+const maxReply = 1 << 10
+
 var errDeclined = errors.New("not applied: declined")
 
 // applyIDNamespace is the UUID namespace of the apply ids made here.
@@ -277,7 +281,8 @@
 		return nil
 	}
 	fmt.Fprintf(w, "%s [y/N] ", question)
-	answer, _ := bufio.NewReader(cmd.Root().Reader).ReadString('\n') // no answer is no
+	input := io.LimitReader(cmd.Root().Reader, maxReply)
+	answer, _ := bufio.NewReader(input).ReadString('\n') // no answer is no
 	if strings.TrimSpace(strings.ToLower(answer)) != "y" {
 		return errDeclined
 	}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -13,6 +13,7 @@
 	"github.com/gravitational/trace"
 
 	"mulberryscale.example/api"
+	"mulberryscale.example/internal/httponce"
 )
 
 // Refused is the error for a refusal, with the status and header of its HTTP response.
@@ -70,9 +71,12 @@
 	return nil, readRefusal(resp)
 }
 
+// maxBody is the largest body of an answer, in bytes.
+const maxBody = 32 << 20
+
 func readRefusal(resp *http.Response) error {
 	var body api.ErrorBody
-	if err := json.NewDecoder(resp.Body).Decode(&body); err != nil || body.Error == nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxBody)).Decode(&body); err != nil || body.Error == nil {
 		return trace.Errorf("status %d without a refusal", resp.StatusCode)
 	}
 	return &Refused{Refusal: body.Error, Status: resp.StatusCode, RetryAfter: resp.Header.Get("Retry-After")}
@@ -87,5 +91,5 @@
 		return nil, err
 	}
 	defer body.Close()
-	return io.ReadAll(body)
+	return httponce.ReadBody(body, maxBody)
 }
--- a/internal/caller/completion.go
+++ b/internal/caller/completion.go
@@ -11,6 +11,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"mulberryscale.example/api"
+	"mulberryscale.example/internal/httponce"
 )
 
 // ErrTruncated is returned for a stream that stops before its closing event.
@@ -37,7 +38,7 @@
 	if req.Stream {
 		return readStream(body)
 	}
-	return parse(io.ReadAll(body))
+	return parse(httponce.ReadBody(body, maxBody))
 }
 
 // parse parses a completion, which must have exactly one choice, unless err is set.
