Orphaned items that this agent does not take itself are logged too

Cause: the result of accept was dropped where an agent keeps orphaned items: when it stops, its job has ended or its items are not readable, nothing said that the items are still at nobody. Ruled out: a loss by it; a later scan finds them again, as before. Change: one function offers orphans to an agent or to this one, and one line tells what was not taken.

--- a/batch/orphans.go
+++ b/batch/orphans.go
@@ -171,22 +171,26 @@
 // deliver hands orphaned items over to an agent. If it takes none, they stay here: each later scan would select
 // the same agent for them. If that is not known, a later scan finds those that it did not take.
 func (w *Worker) deliver(ctx context.Context, engine string, items *Handover) {
-	if engine == w.Engine {
-		w.accept(w.Engine, items)
-		return
-	}
-	reply, err := w.call(ctx, engine, &PeerRequest{Give: items})
-	if err == nil && reply.Taken == len(items.Items) {
+	taken, err := w.offerOrphans(ctx, engine, items)
+	if taken == len(items.Items) {
 		return
 	}
-	taken := 0
-	if reply != nil {
-		taken = reply.Taken
-	}
 	w.Log.WithError(err).WithFields(logrus.Fields{
 		observe.FieldJob: items.Job, "to": engine, "items": len(items.Items), "taken": taken,
 	}).Warn("orphaned items not taken")
-	if err == nil && taken == 0 {
-		w.accept(w.Engine, items)
+	if err == nil && taken == 0 && engine != w.Engine {
+		w.deliver(ctx, w.Engine, items)
+	}
+}
+
+// offerOrphans offers orphaned items to an agent, which may be this one, and returns how many it took.
+func (w *Worker) offerOrphans(ctx context.Context, engine string, items *Handover) (taken int, err error) {
+	if engine == w.Engine {
+		return w.accept(w.Engine, items), nil
+	}
+	reply, err := w.call(ctx, engine, &PeerRequest{Give: items})
+	if err != nil {
+		return 0, err
 	}
+	return reply.Taken, nil
 }
