An agent that stops refuses calls for a tenth of a second, also if it is idle

Cause: an idle agent's drain was over before entries had heard of it. A call that was on its way then was neither refused nor run. Change: Drain lasts drainNotice, 100 ms, at least; until then calls are refused as draining, not run. Test: TestIdleAgentRefusesCallsSentBeforeItsDrainIsKnown.

--- a/service/agent/drain.go
+++ b/service/agent/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/gravitational/trace"
 
@@ -10,19 +11,29 @@
 	"mulberryscale.example/wire"
 )
 
+// drainNotice is how long an agent that stops refuses calls at least: watchers hear of the drain some
+// milliseconds after its begin, and what they have sent until then is refused as not run.
+const drainNotice = 100 * time.Millisecond
+
 // Drain prepares a graceful stop. It notifies the watchers at once and refuses new
 // runs and queued training samples as not run, so that they are placed elsewhere.
 // Running requests, and queued interactive ones, which may have no other endpoint
 // when all agents stop at once, are completed and answered, and readers may attach
 // to them until then. Finished results are kept until they have been fetched, for at
-// most HandOverTimeout. Drain returns when no job and no reply is left; the caller
-// then cancels Run's context. The error is ctx's.
+// most HandOverTimeout. Drain returns when no job and no reply is left, and not before
+// drainNotice is over; the caller then cancels Run's context. The error is ctx's.
 func (a *Agent) Drain(ctx context.Context) error {
+	notice := time.NewTimer(drainNotice)
+	defer notice.Stop()
 	a.beginDrain("")
 	if err := a.awaitIdle(ctx); err != nil {
 		return err
 	}
 	a.handOver(ctx)
+	select {
+	case <-notice.C:
+	case <-ctx.Done():
+	}
 	return a.awaitIdle(ctx)
 }
 
--- a/service/agent/drain_test.go
+++ b/service/agent/drain_test.go
@@ -230,3 +230,39 @@
 		}
 	})
 }
+
+// TestIdleAgentRefusesCallsSentBeforeItsDrainIsKnown guards against a call that is on its way when an idle agent is
+// stopped: it broke, and its sender did not know whether it ran.
+func TestIdleAgentRefusesCallsSentBeforeItsDrainIsKnown(t *testing.T) {
+	for _, after := range []time.Duration{0, 5 * time.Millisecond, 50 * time.Millisecond} {
+		inBubble(t, engine.Options{}, nil, func(t *testing.T, r *rig) {
+			stopped := make(chan struct{})
+			go func() {
+				defer close(stopped)
+				if err := r.agent.Drain(context.Background()); err != nil {
+					t.Error(err)
+				}
+				r.stop() // as the daemon does
+			}()
+			defer func() { <-stopped }()
+			synctest.Wait()
+			time.Sleep(after)
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			s, err := r.dialer.Open(ctx, r.agent.Addr())
+			if err != nil {
+				t.Errorf("%v after the drain began: %v", after, err)
+				return
+			}
+			context.AfterFunc(ctx, func() { s.Close() })
+			var reply wire.Reply
+			err = s.Send(&wire.Request{Run: generation("new")})
+			if err == nil {
+				err = s.Recv(&reply)
+			}
+			if err != nil || reply.Refusal == nil || reply.Refusal.Code != api.CodeDraining || reply.Refusal.NotRun != api.NotRunTrue {
+				t.Errorf("%v after the drain began: %+v, %v", after, reply.Refusal, err)
+			}
+		})
+	}
+}
