One check for bytes without end serves both packages of readers

Cause: the loop over the 14 kinds of answers, the bound of the sockets' buffers and the verdict stood in two test files alike. Ruled out: fewer cases or wider bounds. Change: endless.Check takes a reader with its limit, and both tests list readers only. Conclusion: as strict, in fewer lines.

--- a/endpoint/httpendpoint/endless_test.go
+++ b/endpoint/httpendpoint/endless_test.go
@@ -1,7 +1,6 @@
 package httpendpoint_test
 
 import (
-	"maps"
 	"testing"
 
 	"mulberryscale.example/endpoint"
@@ -9,18 +8,14 @@
 	"mulberryscale.example/internal/standin/endless"
 )
 
-const (
-	// largestAnswer is the largest answer of an endpoint, in bytes, that is read.
-	largestAnswer = 8 << 20
-	// socketBuffers is what the sockets of a connection may hold beside what the client has read.
-	socketBuffers = 16 << 20
-)
+// largestAnswer is the largest answer of an endpoint, in bytes, that is read.
+const largestAnswer = 8 << 20
 
 // TestBytesWithoutEndAreBrokenOff guards against endpoints that send bytes without end, in a head or a body.
 func TestBytesWithoutEndAreBrokenOff(t *testing.T) {
-	readers := map[string]func(t *testing.T, url string) error{
-		"generate": func(t *testing.T, url string) error {
-			s, err := httpendpoint.NewEngine(url).Generate(t.Context(), request(1))
+	for name, call := range map[string]func(t *testing.T, addr string) error{
+		"generate": func(t *testing.T, addr string) error {
+			s, err := httpendpoint.NewEngine("http://"+addr).Generate(t.Context(), request(1))
 			if err != nil {
 				return err
 			}
@@ -28,29 +23,16 @@
 			_, _, err = readAll(s)
 			return err
 		},
-		"status": func(t *testing.T, url string) error {
-			_, err := httpendpoint.NewEngine(url).Status(t.Context())
+		"status": func(t *testing.T, addr string) error {
+			_, err := httpendpoint.NewEngine("http://" + addr).Status(t.Context())
 			return err
 		},
-		"service call": func(t *testing.T, url string) error {
-			_, err := httpendpoint.NewService(url).Call(t.Context(), serviceRequest("GET"))
+		"service call": func(t *testing.T, addr string) error {
+			_, err := httpendpoint.NewService("http://"+addr).Call(t.Context(), serviceRequest("GET"))
 			return err
 		},
-	}
-	answers := endless.Heads()
-	maps.Copy(answers, endless.Bodies())
-	for name, read := range readers {
-		for kind, answer := range answers {
-			t.Run(name+"/"+kind, func(t *testing.T) {
-				server := endless.Start(t, answer, nil)
-				if err := read(t, "http://"+server.Addr); err == nil {
-					t.Error("answered")
-				}
-				if sent := server.Sent(); sent > largestAnswer+socketBuffers {
-					t.Errorf("%d bytes were read, at most %d are allowed", sent, largestAnswer)
-				}
-			})
-		}
+	} {
+		endless.Check(t, name, endless.Reader{Limit: largestAnswer, Call: call})
 	}
 }
 
@@ -64,7 +46,7 @@
 	if err := engine.Load(t.Context(), endpoint.Order{}); err == nil {
 		t.Error("ordered")
 	}
-	if sent := server.Sent(); sent > 2*socketBuffers {
+	if sent := server.Sent(); sent > 4*largestAnswer {
 		t.Errorf("%d bytes were read", sent)
 	}
 }
--- a/internal/standin/endless/endless.go
+++ b/internal/standin/endless/endless.go
@@ -5,6 +5,8 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -46,6 +48,39 @@
 	}
 }
 
+// socketBuffers is what the sockets of a connection may hold beside what the client has read, in bytes.
+const socketBuffers = 16 << 20
+
+// Reader is one reader of an endpoint's bytes.
+type Reader struct {
+	// Limit is how many bytes of an answer it may read.
+	Limit int64
+	// Call makes a call to the server at addr ("ip:port") and reads its answer.
+	Call func(t *testing.T, addr string) error
+	// Want is the error that Call returns; nil stands for any.
+	Want error
+	// Headers are those of Start.
+	Headers func(*http.Request) http.Header
+}
+
+// Check checks that a reader breaks off all answers of this package, each after its limit.
+func Check(t *testing.T, name string, r Reader) {
+	answers := Heads()
+	maps.Copy(answers, Bodies())
+	for kind, answer := range answers {
+		t.Run(name+"/"+kind, func(t *testing.T) {
+			server := Start(t, answer, r.Headers)
+			err := r.Call(t, server.Addr)
+			if err == nil || (r.Want != nil && !errors.Is(err, r.Want)) {
+				t.Errorf("got %v, want %v", err, r.Want)
+			}
+			if sent := server.Sent(); sent > r.Limit+socketBuffers {
+				t.Errorf("%d bytes were read, at most %d are allowed", sent, r.Limit)
+			}
+		})
+	}
+}
+
 // maxSent is the number of bytes after which the server gives up, so that a client without a limit does not take all
 // memory of the machine.
 const maxSent = 192 << 20
