review: an entry that stops cuts off requests that it accepted more than 3 s after SIGTERM

It accepts requests on kept connections for 3.5 s and ends at 6.8 s of 8, so that a request of 4 s that comes in between is passed on and never answered.

--- a/review/_standin/extraanswer.go
+++ b/review/_standin/extraanswer.go
@@ -13,6 +13,8 @@
 var scenarios = map[string]func(*world) bool{
 	"extra-answer": extraAnswer,
 	"large-job":    largeJob,
+	"late-request": lateRequest,
+	"fuzz":         fuzz,
 }
 
 // extraAnswer sends requests of an unsafe route, at times more than two engines have room for, while
--- a/review/_standin/largejob.go
+++ b/review/_standin/largejob.go
@@ -105,7 +105,7 @@
 		itemCount     = 3000
 		slowTime      = 4500 * time.Millisecond
 		submitAt      = 3400 * time.Millisecond // after the store turns slow
-		finishTime    = 10 * time.Second // after the traffic, before jobs and bodies are read
+		finishTime    = 10 * time.Second        // after the traffic, before jobs and bodies are read
 	)
 	slow := &slowStore{next: w.storeHandler}
 	w.storeHandler = slow
