--- a/review/_standin/largejob.go
+++ b/review/_standin/largejob.go
@@ -104,8 +104,8 @@
 		jobs          = 3
 		itemCount     = 3000
 		slowTime      = 4500 * time.Millisecond
-		submitAt      = 3400 * time.Millisecond // after the store turns slow
-		finishTime    = 10 * time.Second        // after the traffic, before jobs and bodies are read
+		submitAt      = 3 * time.Second  // after the store turns slow
+		finishTime    = 10 * time.Second // after the traffic, before jobs and bodies are read
 	)
 	slow := &slowStore{next: w.storeHandler}
 	w.storeHandler = slow
