--- a/review/_standin/world.go
+++ b/review/_standin/world.go
@@ -276,6 +276,7 @@
 	processes, closers := w.processes, w.closers
 	w.mu.Unlock()
 	for _, p := range processes {
+		w.notePeakMemory(p)
 		_ = p.cmd.Process.Kill()
 	}
 	for _, p := range processes {
@@ -295,6 +296,19 @@
 	w.record.Close()
 }
 
+// notePeakMemory notes the peak resident memory of a running process.
+func (w *world) notePeakMemory(p *process) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		return
+	}
+	for line := range strings.Lines(string(text)) {
+		if strings.HasPrefix(line, "VmHWM:") {
+			w.note("%s: peak memory %s", p.name, strings.TrimSpace(line[len("VmHWM:"):]))
+		}
+	}
+}
+
 // answer is a client's answer.
 type answer struct {
 	status int
