--- a/review/_standin/world.go
+++ b/review/_standin/world.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -268,6 +269,15 @@
 	fail("the entry at %s is not ready", w.ip(machine))
 }
 
+// closeOnSignal ends everything when this program is asked to stop.
+func (w *world) closeOnSignal() {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	w.note("stopped by a signal: %s", <-stop)
+	w.close()
+	os.Exit(2)
+}
+
 // close ends all processes and removes the temporary folder.
 func (w *world) close() {
 	w.mu.Lock()
@@ -374,6 +384,7 @@
 	}()
 	w = newWorld(recordPath)
 	w.note("TROUBLE=%v", trouble())
+	go w.closeOnSignal()
 	if scenario(w) {
 		w.note("the rule was BROKEN")
 		fmt.Println("broken")
