A large job is accepted with the objects of one upload, named after their content

Its second object then did not fit the stored first one ("19218 bytes of extraneous data", 411 lines of agents and entries). Encodings differ since the pairs of Item.Headers are encoded in random order. That is only one way: attempts with objects of 256 and 512 KiB do the same.

Ruled out: objects that the store truncated or lost (digests read are those that the first attempt wrote), and a wrong number of chunks in the job (2 of 2).

Change: an upload row (batch_uploads) stands for the objects of one job. Objects are named after the upload and a digest of their content, so a name that is taken means the same bytes, whoever stored them. The transaction that accepts the job lists the names in it, deletes the row of the upload and requires that the row has not changed. A digest of all items stands in the job and is checked on reading, so that a mix is an error and no item runs with it. Jobs of earlier versions, with numbered objects, are still read and removed. The log line "job accepted" has the number of chunks and the digest.

Small jobs make the same calls as before; a large one makes one transaction more.

--- a/batch/intake.go
+++ b/batch/intake.go
@@ -87,6 +87,7 @@
 	log := in.Log.WithFields(logrus.Fields{
 		observe.FieldJob: job.ID, "route": s.Route.Name, "items": len(s.Items), "model": s.Model, "step": s.Step,
 		"min_version": s.MinVersion, "owners": len(job.Owners), "ready": job.Ready, "took_ms": took.Milliseconds(),
+		"chunks": job.Chunks, "in_objects": job.InObjects, "items_sum": fmt.Sprintf("%.8x", job.ItemsSum),
 	})
 	if err != nil {
 		log.WithError(err).Warn("job not accepted")
--- a/batch/job.go
+++ b/batch/job.go
@@ -65,6 +65,10 @@
 	// Chunks is the number of rows (objects if InObjects is set) that hold the items.
 	Chunks    int  `cbor:"15,keyasint"`
 	InObjects bool `cbor:"16,keyasint,omitempty"`
+	// Objects are the names of the objects, in the order of their content.
+	Objects []string `cbor:"24,keyasint,omitempty"`
+	// ItemsSum is the SHA-256 digest of the encoded items.
+	ItemsSum []byte `cbor:"25,keyasint,omitempty"`
 	// Work is the expected work of all items together, in generated tokens.
 	Work int `cbor:"17,keyasint,omitempty"`
 	// Organisation is the name of the organisation that owns the job; empty for none.
--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -1,7 +1,9 @@
 package batch
 
 import (
+	"bytes"
 	"context"
+	"crypto/sha256"
 	"errors"
 	"fmt"
 	"strings"
@@ -17,7 +19,7 @@
 //	batch_jobs     name ID: the Job; name ID/end: the client has ended the job
 //	batch_items    name ID/000…: the items, CBOR, split into rows
 //
-// Results and saved text have tables of their own, see results.go and progress.go.
+// Items that are too large for rows are stored in objects, see upload.go. Results and saved text have tables of their own, see results.go and progress.go.
 //
 // Jobs and their items share one part, so that one transaction can accept a job completely.
 const (
@@ -39,6 +41,9 @@
 	writeRetryPause = 100 * time.Millisecond
 )
 
+// errCorrupt means that the stored items are not those of the accepted job.
+var errCorrupt = errors.New("batch: stored items corrupt")
+
 // Ledger stores jobs, their items and their results. It is safe for concurrent use.
 type Ledger struct {
 	Store store.Store
@@ -55,19 +60,21 @@
 	if err != nil {
 		return fmt.Errorf("%w: encode items: %v", store.ErrInvalid, err)
 	}
-	tx := store.Tx{If: []store.Condition{{Key: jobKey(job.ID)}}}
+	sum := sha256.Sum256(data)
+	job.ItemsSum = sum[:]
 	if len(data) > maxInlineBytes {
-		job.InObjects = true
-		job.Chunks, err = l.putObjects(ctx, job.ID, data)
-		if err != nil {
-			return err
-		}
-	} else {
-		chunks := splitBytes(data, l.rowLimit())
-		job.Chunks = len(chunks)
-		for i, chunk := range chunks {
-			tx.Put = append(tx.Put, store.Row{Key: itemsKey(job.ID, i), Value: chunk})
-		}
+		return l.submitObjects(ctx, job, data)
+	}
+	return l.submitRows(ctx, job, data)
+}
+
+// submitRows accepts a job whose items are stored in rows, in the same transaction.
+func (l *Ledger) submitRows(ctx context.Context, job *Job, data []byte) error {
+	tx := store.Tx{If: []store.Condition{{Key: jobKey(job.ID)}}}
+	chunks := splitBytes(data, l.rowLimit())
+	job.Chunks = len(chunks)
+	for i, chunk := range chunks {
+		tx.Put = append(tx.Put, store.Row{Key: itemsKey(job.ID, i), Value: chunk})
 	}
 	head, err := codec.Marshal(job)
 	if err != nil {
@@ -77,45 +84,35 @@
 	return l.commitOnce(ctx, tx)
 }
 
-// commitOnce commits a transaction whose conditions can hold only once, and retries
-// it while its outcome is unknown. A conflict means that it, or an equivalent one,
-// was committed before.
+// commitOnce commits a transaction whose conditions can hold only once. A conflict means
+// that it, or an equivalent one, was committed before.
 func (l *Ledger) commitOnce(ctx context.Context, tx store.Tx) error {
+	_, err := l.commit(ctx, tx)
+	if errors.Is(err, store.ErrConflict) {
+		return nil
+	}
+	return err
+}
+
+// commit commits a transaction and retries it while it is refused or its outcome is unknown.
+// After store.ErrConflict, an earlier attempt of it may have been committed.
+func (l *Ledger) commit(ctx context.Context, tx store.Tx) (store.Snapshot, error) {
 	unknown := false // an earlier attempt may still be committed
 	for {
-		_, err := l.Store.Commit(ctx, tx)
+		s, err := l.Store.Commit(ctx, tx)
 		switch {
-		case err == nil, errors.Is(err, store.ErrConflict):
-			return nil
-		case errors.Is(err, store.ErrInvalid):
-			return err
+		case err == nil, errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrInvalid):
+			return s, err
 		case errors.Is(err, store.ErrUnknown):
 			unknown = true
 		}
 		if pause.Sleep(ctx, writeRetryPause) != nil {
 			if unknown {
-				return fmt.Errorf("%w: %v", store.ErrUnknown, err)
-			}
-			return err
-		}
-	}
-}
-
-func (l *Ledger) putObjects(ctx context.Context, id string, data []byte) (int, error) {
-	chunks := splitBytes(data, l.ObjectBytes)
-	for i, chunk := range chunks {
-		for {
-			err := l.Store.PutObject(ctx, objectName(id, i), chunk)
-			if err == nil || errors.Is(err, store.ErrConflict) {
-				break
-			}
-			// An object alone does not accept the job, so its outcome may stay unknown.
-			if errors.Is(err, store.ErrInvalid) || pause.Sleep(ctx, writeRetryPause) != nil {
-				return 0, fmt.Errorf("%w: %v", store.ErrRefused, err)
+				err = fmt.Errorf("%w: %v", store.ErrUnknown, err)
 			}
+			return store.Snapshot{}, err
 		}
 	}
-	return len(chunks), nil
 }
 
 // Job reads a job; found is false if it does not exist, ended is true if its client
@@ -153,6 +150,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := job.checkSum(data); err != nil {
+		return nil, err
+	}
 	var items []Item
 	if err := codec.Unmarshal(data, &items); err != nil {
 		return nil, fmt.Errorf("items of job %s: %w", job.ID, err)
@@ -163,16 +163,14 @@
 	return items, nil
 }
 
-func (l *Ledger) objects(ctx context.Context, job *Job) ([]byte, error) {
-	var data []byte
-	for i := range job.Chunks {
-		chunk, err := l.Store.GetObject(ctx, objectName(job.ID, i))
-		if err != nil {
-			return nil, err
-		}
-		data = append(data, chunk...)
+// checkSum returns an error if data are not the encoded items that were accepted. Jobs of
+// earlier versions have no digest.
+func (j *Job) checkSum(data []byte) error {
+	sum := sha256.Sum256(data)
+	if len(j.ItemsSum) == 0 || bytes.Equal(sum[:], j.ItemsSum) {
+		return nil
 	}
-	return data, nil
+	return fmt.Errorf("items of job %s: %w: %d bytes with the digest %x instead of %x", j.ID, errCorrupt, len(data), sum, j.ItemsSum)
 }
 
 func (l *Ledger) itemRows(ctx context.Context, job *Job) ([]byte, error) {
@@ -204,14 +202,14 @@
 // Remove deletes a job, its items, its results and its saved text.
 func (l *Ledger) Remove(ctx context.Context, job *Job) error {
 	tx := store.Tx{Delete: []store.Key{jobKey(job.ID), jobKey(job.ID + endSuffix)}}
-	for i := range job.Chunks {
-		if !job.InObjects {
-			tx.Delete = append(tx.Delete, itemsKey(job.ID, i))
-			continue
-		}
-		if err := l.Store.DeleteObject(ctx, objectName(job.ID, i)); err != nil {
+	if job.InObjects {
+		if err := l.removeObjects(ctx, job); err != nil {
 			return err
 		}
+	} else {
+		for i := range job.Chunks {
+			tx.Delete = append(tx.Delete, itemsKey(job.ID, i))
+		}
 	}
 	for _, table := range []string{resultsTable(job.ID), tableDone, tableProgress} {
 		if err := l.removePart(ctx, table, job.ID); err != nil {
@@ -264,8 +262,6 @@
 	return store.Key{Table: tableItems, Name: fmt.Sprintf("%s/%03d", id, i)}
 }
 
-func objectName(id string, i int) string { return fmt.Sprintf("items-%s-%03d", id, i) }
-
 func (l *Ledger) rowLimit() int { return int(rowFillShare * float64(l.RowBytes)) }
 
 // splitBytes splits data into chunks of at most limit bytes; empty data gives one empty chunk.
--- a/internal/standin/rowstore/rowstore.go
+++ b/internal/standin/rowstore/rowstore.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -168,6 +169,11 @@
 
 // Commit implements store.Rows.
 func (s *Store) Commit(ctx context.Context, tx store.Tx) (store.Snapshot, error) {
+	return s.write(ctx, func() (store.Snapshot, error) { return s.apply(tx) })
+}
+
+// write applies a write with the next queued outcome.
+func (s *Store) write(ctx context.Context, apply func() (store.Snapshot, error)) (store.Snapshot, error) {
 	if err := s.wait(ctx); err != nil {
 		return store.Snapshot{}, err
 	}
@@ -186,14 +192,14 @@
 		time.AfterFunc(LateBy, func() {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			_, _ = s.apply(tx) // the caller already got ErrUnknown
+			_, _ = apply() // the caller already got ErrUnknown
 		})
 		return store.Snapshot{}, store.ErrUnknown
 	case ReplyLost:
-		_, _ = s.apply(tx) // the reply is lost
+		_, _ = apply() // the reply is lost
 		return store.Snapshot{}, store.ErrUnknown
 	}
-	return s.apply(tx)
+	return apply()
 }
 
 // apply applies a transaction, or returns store.ErrConflict if one of its conditions does not
@@ -311,14 +317,15 @@
 }
 
 // PutObject implements store.Objects.
-func (s *Store) PutObject(_ context.Context, name string, body []byte) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if _, ok := s.objects[name]; ok {
-		return store.ErrConflict
-	}
-	s.objects[name] = slices.Clone(body)
-	return nil
+func (s *Store) PutObject(ctx context.Context, name string, body []byte) error {
+	_, err := s.write(ctx, func() (store.Snapshot, error) {
+		if _, ok := s.objects[name]; ok {
+			return store.Snapshot{}, store.ErrConflict
+		}
+		s.objects[name] = slices.Clone(body)
+		return store.Snapshot{}, nil
+	})
+	return err
 }
 
 // GetObject implements store.Objects.
@@ -333,11 +340,26 @@
 }
 
 // DeleteObject implements store.Objects.
-func (s *Store) DeleteObject(_ context.Context, name string) error {
+func (s *Store) DeleteObject(ctx context.Context, name string) error {
+	_, err := s.write(ctx, func() (store.Snapshot, error) {
+		delete(s.objects, name)
+		return store.Snapshot{}, nil
+	})
+	return err
+}
+
+// ListObjects implements store.Objects.
+func (s *Store) ListObjects(_ context.Context, prefix string) ([]string, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.objects, name)
-	return nil
+	var names []string
+	for name := range s.objects {
+		if strings.HasPrefix(name, prefix) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names, nil
 }
 
 // Client is one process's connection to the store. Its calls can be made to fail.
--- a/store/relay/relay.go
+++ b/store/relay/relay.go
@@ -87,6 +87,13 @@
 	return err
 }
 
+// ListObjects implements store.Objects.
+func (s *Store) ListObjects(ctx context.Context, prefix string) ([]string, error) {
+	return call(ctx, s, 0, func(ctx context.Context, via store.Store, _ time.Duration) ([]string, error) {
+		return via.ListObjects(ctx, prefix)
+	})
+}
+
 // result is the result of a call on one path.
 type result[T any] struct {
 	value  T
--- a/store/relay/relay_test.go
+++ b/store/relay/relay_test.go
@@ -116,6 +116,9 @@
 		if body, err := r.relayed.GetObject(t.Context(), "o"); err != nil || string(body) != "body" {
 			t.Errorf("get: %q, %v", body, err)
 		}
+		if names, err := r.relayed.ListObjects(t.Context(), "o"); err != nil || len(names) != 1 || names[0] != "o" {
+			t.Errorf("list: %q, %v", names, err)
+		}
 	})
 }
 
--- a/store/relay/wire.go
+++ b/store/relay/wire.go
@@ -17,6 +17,8 @@
 	Put    *ObjectCall  `cbor:"4,keyasint,omitempty"`
 	Get    *ObjectCall  `cbor:"5,keyasint,omitempty"`
 	Delete *ObjectCall  `cbor:"6,keyasint,omitempty"`
+	// Names lists the names of objects; its Name is their prefix.
+	Names *ObjectCall `cbor:"7,keyasint,omitempty"`
 }
 
 // FeedCall holds the arguments of store.Rows.Feed.
@@ -41,6 +43,7 @@
 	Detail   string         `cbor:"2,keyasint,omitempty"`
 	Snapshot store.Snapshot `cbor:"3,keyasint"`
 	Object   []byte         `cbor:"4,keyasint,omitempty"`
+	Names    []string       `cbor:"5,keyasint,omitempty"`
 }
 
 // Done reports whether the call succeeded.
@@ -82,6 +85,8 @@
 		r.Object, err = direct.GetObject(ctx, c.Get.Name)
 	case c.Delete != nil:
 		err = direct.DeleteObject(ctx, c.Delete.Name)
+	case c.Names != nil:
+		r.Names, err = direct.ListObjects(ctx, c.Names.Name)
 	default:
 		err = fmt.Errorf("%w: a call of no kind that is known here", store.ErrInvalid)
 	}
@@ -163,6 +168,15 @@
 	return err
 }
 
+// ListObjects implements store.Objects.
+func (r Remote) ListObjects(ctx context.Context, prefix string) ([]string, error) {
+	reply, err := r.do(ctx, &Call{Names: &ObjectCall{Name: prefix}})
+	if err != nil {
+		return nil, err
+	}
+	return reply.Names, nil
+}
+
 func (r Remote) snapshot(ctx context.Context, c *Call) (store.Snapshot, error) {
 	reply, err := r.do(ctx, c)
 	if err != nil {
--- a/store/store.go
+++ b/store/store.go
@@ -100,6 +100,8 @@
 	GetObject(ctx context.Context, name string) ([]byte, error)
 	// DeleteObject removes an object. It is no error if the object does not exist.
 	DeleteObject(ctx context.Context, name string) error
+	// ListObjects returns the names of all objects that begin with a prefix, in ascending order.
+	ListObjects(ctx context.Context, prefix string) ([]string, error)
 }
 
 // Store combines rows and objects.
