--- a/background/window_test.go
+++ b/background/window_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"mulberryscale.example/fleet"
+	_ "mulberryscale.example/internal/rapidseed" // the same draws in each run
 )
 
 var (
--- a/batch/assignment_test.go
+++ b/batch/assignment_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	_ "mulberryscale.example/internal/rapidseed" // the same draws in each run
 )
 
 func names(prefix string, n int) []string {
--- a/edf/edf_test.go
+++ b/edf/edf_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "mulberryscale.example/internal/rapidseed" // the same draws in each run
 )
 
 // TestQueueOrderIsKeptWhileAllIsInTime checks that nothing is reordered without overload.
--- a/flowcontrol/queue_test.go
+++ b/flowcontrol/queue_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "mulberryscale.example/internal/rapidseed" // the same draws in each run
 )
 
 var epoch = time.Unix(1e9, 0)
--- a/limits/fleet_sizes_test.go
+++ b/limits/fleet_sizes_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	_ "mulberryscale.example/internal/rapidseed" // the same draws in each run
 	"mulberryscale.example/table"
 )
 
--- a/quarantine/history_test.go
+++ b/quarantine/history_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"mulberryscale.example/fleet"
+	_ "mulberryscale.example/internal/rapidseed" // the same draws in each run
 )
 
 func incarnation(n int) fleet.Incarnation { return fleet.Incarnation{ID: fmt.Sprint("i-", n)} }
--- a/retrybudget/budget_test.go
+++ b/retrybudget/budget_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "mulberryscale.example/internal/rapidseed" // the same draws in each run
 )
 
 var start = time.Unix(1_000_000_000, 0)
