Objects of jobs that were never accepted are removed

Change: each entry looks through the rows of uploads once a minute. One that is older than two minutes is marked as abandoned, which keeps any attempt that is still running (or suspended) from accepting the job; half a minute later, when no late write is pending, its objects and then its row are deleted. Meanwhile the job is refused at once with 503. A job's own removal takes objects of losing attempts with it, since they have the same prefix.

Ruled out: removal by the attempt itself (another attempt may rely on the same objects, and a late write would come after it); removal by age alone, without the mark (a suspended process could accept a job whose objects are gone).

--- a/batch/collector.go
+++ b/batch/collector.go
@@ -18,12 +18,15 @@
 	// is how long jobs are kept beyond their retention.
 	collectInterval = 5 * time.Second
 	collectMargin   = 30 * time.Second
+	// uploadSweepInterval is the mean pause between two sweeps of uploads by one process.
+	uploadSweepInterval = time.Minute
 	// openRetention is the least retention of a job that its client has not ended.
 	openRetention = 15 * time.Minute
 )
 
-// Collector removes jobs that are past their retention, so that the store does not fill
-// up. Every entry runs one; removing a job twice does no harm. It implements store.Watcher
+// Collector removes jobs that are past their retention and uploads whose jobs were never
+// accepted, so that the store does not fill up. Every entry runs one; removing a job twice does
+// no harm. It implements store.Watcher
 // for TableJobs.
 type Collector struct {
 	Ledger *Ledger
@@ -79,15 +82,35 @@
 	}
 }
 
-// Run removes one expired job at a time until ctx is cancelled.
+// Run removes expired jobs and abandoned uploads until ctx is cancelled.
 func (c *Collector) Run(ctx context.Context) {
-	for pause.Sleep(ctx, time.Duration(float64(collectInterval)*(0.5+rand.Float64()))) == nil {
-		job := c.expired()
-		if job == nil {
-			continue
-		}
-		err := c.Ledger.Remove(ctx, job)
-		c.Log.WithError(err).WithField(observe.FieldJob, job.ID).Info("job removed")
+	var wg sync.WaitGroup
+	wg.Go(func() { repeat(ctx, collectInterval, c.removeExpired) })
+	wg.Go(func() { repeat(ctx, uploadSweepInterval, c.sweepUploads) })
+	wg.Wait()
+}
+
+// repeat calls a function until ctx is cancelled, with pauses of interval on average. Pauses are
+// random, so that the calls of several processes spread out.
+func repeat(ctx context.Context, interval time.Duration, do func(context.Context)) {
+	for pause.Sleep(ctx, time.Duration(float64(interval)*(0.5+rand.Float64()))) == nil {
+		do(ctx)
+	}
+}
+
+// removeExpired removes one expired job.
+func (c *Collector) removeExpired(ctx context.Context) {
+	job := c.expired()
+	if job == nil {
+		return
+	}
+	err := c.Ledger.Remove(ctx, job)
+	c.Log.WithError(err).WithField(observe.FieldJob, job.ID).Info("job removed")
+}
+
+func (c *Collector) sweepUploads(ctx context.Context) {
+	if err := c.Ledger.removeAbandonedUploads(ctx); err != nil {
+		c.Log.WithError(err).Warn("abandoned uploads not removed")
 	}
 }
 
--- a/batch/upload_test.go
+++ b/batch/upload_test.go
@@ -9,8 +9,13 @@
 	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 
+	"pgregory.net/rapid"
+
+	"mulberryscale.example/internal/pause"
 	"mulberryscale.example/internal/standin/rowstore"
+	"mulberryscale.example/observe"
 	"mulberryscale.example/store"
 )
 
@@ -150,3 +155,167 @@
 		t.Fatalf("objects left: %v, %v", names, err)
 	}
 }
+
+// Guards against objects of jobs that were never accepted filling the store.
+func TestObjectsOfRefusedJobAreRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := rowstore.New()
+		ctx, kill := context.WithCancel(t.Context())
+		l := newLedger(&mortalStore{Store: s, writes: 2, kill: kill})
+		l.ObjectBytes = 256 << 10
+		items := largeItems()
+		if err := l.Submit(ctx, someJob("j", len(items)), items); !errors.Is(err, store.ErrRefused) {
+			t.Fatalf("got %v", err)
+		}
+		c := &Collector{Ledger: newLedger(s), Now: s.Now, Log: observe.Discard()}
+		go c.Run(t.Context())
+		time.Sleep(uploadTimeout)
+		if names, _ := s.ListObjects(t.Context(), ""); len(names) != 1 {
+			t.Fatalf("%d objects while the upload may go on, want 1", len(names))
+		}
+		time.Sleep(lateWriteTime + 5*uploadSweepInterval)
+		requireNoObjects(t, s)
+		if rows := s.Rows(tableUploads); len(rows) != 0 {
+			t.Fatalf("rows left: %v", rows)
+		}
+		must(t, newLedger(s).Submit(t.Context(), someJob("j", len(items)), items)) // the id is free again
+		requireItems(t, l, "j", items)
+	})
+}
+
+// Guards against a process that was suspended while its upload was removed and that then accepts
+// the job without its objects.
+func TestAbandonedUploadCannotBeAccepted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := rowstore.New()
+		l := newLedger(s)
+		job := someJob("j", 40)
+		id, err := l.joinUpload(t.Context(), job)
+		must(t, err)
+		time.Sleep(uploadTimeout + time.Second)
+		must(t, l.removeAbandonedUploads(t.Context()))
+		if err := l.acceptUploaded(t.Context(), job, id); !errors.Is(err, store.ErrRefused) {
+			t.Fatalf("got %v", err)
+		}
+		if err := l.Submit(t.Context(), someJob("j", 40), largeItems()); !errors.Is(err, store.ErrRefused) {
+			t.Fatalf("submitted while its upload is removed: got %v", err)
+		}
+	})
+}
+
+// submitPlan is one of several submissions of the same job.
+type submitPlan struct {
+	after, timeout time.Duration
+	objectBytes    int
+	writes         int // before the process is killed
+}
+
+// uploadScenario is a series of submissions of one job to a store that fails.
+type uploadScenario struct {
+	items    []Item
+	outcomes []rowstore.Outcome
+	delay    time.Duration // of each call to the store
+	submits  []submitPlan
+}
+
+func drawUploadScenario(t *rapid.T) uploadScenario {
+	sc := uploadScenario{delay: time.Duration(rapid.IntRange(0, 400).Draw(t, "delay")) * time.Millisecond}
+	for i := range rapid.IntRange(1, 6).Draw(t, "items") {
+		item := Item{ID: fmt.Sprintf("item-%d", i), Path: "/p", Headers: map[string]string{}}
+		item.Body = []byte(strings.Repeat(fmt.Sprint(i), rapid.SampledFrom([]int{10, 50 << 10, 200 << 10, 300 << 10}).Draw(t, "body")))
+		for h := range rapid.IntRange(1, 12).Draw(t, "headers") {
+			item.Headers[fmt.Sprint("H", h)] = strings.Repeat("v", rapid.IntRange(0, 200).Draw(t, "value"))
+		}
+		sc.items = append(sc.items, item)
+	}
+	sc.outcomes = rapid.SliceOfN(rapid.SampledFrom([]rowstore.Outcome{
+		rowstore.Done, rowstore.Done, rowstore.Refused, rowstore.ReplyLost, rowstore.RequestLost, rowstore.Late,
+	}), 0, 30).Draw(t, "outcomes")
+	seconds := rapid.SampledFrom([]int{0, 1, 2, 3, 5, 119, 121, 150, 200})
+	for range rapid.IntRange(1, 5).Draw(t, "submissions") {
+		sc.submits = append(sc.submits, submitPlan{
+			after:       time.Duration(seconds.Draw(t, "after")) * time.Second,
+			timeout:     time.Duration(rapid.IntRange(300, 6000).Draw(t, "timeout")) * time.Millisecond,
+			objectBytes: rapid.SampledFrom([]int{100 << 10, 256 << 10, 1 << 20}).Draw(t, "object bytes"),
+			writes:      rapid.SampledFrom([]int{1, 2, 3, 4, 6, 1000}).Draw(t, "writes"),
+		})
+	}
+	return sc
+}
+
+// play runs a scenario, with sweeps of uploads all the time, and returns what was wrong.
+func (sc uploadScenario) play(t *testing.T) error {
+	s := rowstore.New()
+	s.QueueOutcomes(sc.outcomes...)
+	s.Slow(sc.delay)
+	sweeping, stop := context.WithCancel(t.Context())
+	go func() {
+		for pause.Sleep(sweeping, 20*time.Second) == nil {
+			_ = newLedger(s).removeAbandonedUploads(sweeping) // the next sweep goes on after an error
+		}
+	}()
+	results := make([]error, len(sc.submits))
+	var wg sync.WaitGroup
+	for i, p := range sc.submits {
+		wg.Go(func() {
+			time.Sleep(p.after)
+			ctx, cancel := context.WithTimeout(t.Context(), p.timeout)
+			defer cancel()
+			l := newLedger(&mortalStore{Store: s, writes: p.writes, kill: cancel})
+			l.ObjectBytes = p.objectBytes
+			job := someJob("j", len(sc.items))
+			job.Accepted, _ = s.Now()
+			results[i] = l.Submit(ctx, job, sc.items)
+		})
+	}
+	wg.Wait()
+	const sweepTime = 15 * time.Minute // a sweep for each outcome that is left
+	time.Sleep(uploadTimeout + lateWriteTime + sweepTime)
+	stop()
+	synctest.Wait()
+	s.Slow(0)
+	return sc.judge(t, s, results)
+}
+
+// judge returns an error if an accepted job can't be read, a refused one exists, or objects stay.
+func (sc uploadScenario) judge(t *testing.T, s *rowstore.Store, results []error) error {
+	l := newLedger(s)
+	accepted, refused := false, true
+	for _, err := range results {
+		accepted = accepted || err == nil
+		refused = refused && errors.Is(err, store.ErrRefused) && !errors.Is(err, errKilled)
+	}
+	job, _, found, err := l.Job(t.Context(), "j")
+	if err != nil {
+		return err
+	}
+	if refused && found {
+		return errors.New("a job that every attempt refused exists")
+	}
+	if accepted || found {
+		if err := checkItems(l, "j", sc.items); err != nil {
+			return err
+		}
+	}
+	for found && l.Remove(t.Context(), job) != nil { // at most once for each outcome that is left
+		time.Sleep(2 * rowstore.LateBy)
+	}
+	names, err := s.ListObjects(t.Context(), "")
+	if err != nil || len(names)+len(s.Rows(tableUploads)) > 0 {
+		return fmt.Errorf("%d objects and %d uploads stay, %v", len(names), len(s.Rows(tableUploads)), err)
+	}
+	return nil
+}
+
+// Guards against the loss of an accepted job of any size, whatever the store does to each write and
+// wherever the processes are killed that submit it: after an acceptance each item is as submitted.
+func TestAcceptedJobIsKeptWhole(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		sc := drawUploadScenario(rt)
+		var err error
+		synctest.Test(t, func(t *testing.T) { err = sc.play(t) })
+		if err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
