Equal values have one encoding

Cause: the codec encoded the pairs of a map in Go's random order. Two attempts to submit one job then have other bytes.

Change: pairs are sorted. TestEncodingIsTheSameEachTime failed before.

--- a/transport/codec/codec.go
+++ b/transport/codec/codec.go
@@ -30,6 +30,8 @@
 
 func encOptions() cbor.EncOptions {
 	return cbor.EncOptions{
+		// A map has one encoding, so that a retried write is the same write.
+		Sort: cbor.SortBytewiseLexical,
 		// The text format preserves a time's nanoseconds and zone.
 		Time:        cbor.TimeRFC3339Nano,
 		IndefLength: cbor.IndefLengthForbidden,
--- a/transport/codec/codec_test.go
+++ b/transport/codec/codec_test.go
@@ -131,3 +131,43 @@
 		}
 	})
 }
+
+type withMap struct {
+	Headers map[string]string `cbor:"1,keyasint"`
+}
+
+// Guards against two encodings of one value, with which a retried write is another write.
+func TestEncodingIsTheSameEachTime(t *testing.T) {
+	headers := map[string]string{}
+	for i := range 30 {
+		headers[strings.Repeat("h", i)] = "v"
+	}
+	first, err := Marshal(withMap{headers})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 20 {
+		if again, err := Marshal(withMap{headers}); err != nil || !bytes.Equal(first, again) {
+			t.Fatalf("another encoding of the same value, %v", err)
+		}
+	}
+}
+
+func BenchmarkMarshalItems(b *testing.B) {
+	type item struct {
+		ID      string            `cbor:"1,keyasint"`
+		Path    string            `cbor:"2,keyasint"`
+		Headers map[string]string `cbor:"3,keyasint,omitempty"`
+		Body    []byte            `cbor:"4,keyasint,omitempty"`
+	}
+	items := make([]item, 236)
+	for i := range items {
+		items[i] = item{"e5b2907c14da6f38", "/pufi791/3/91c4", map[string]string{
+			"X-Model": "daka510000", "X-Token-Usage": "1016,400", "X-Prompt-Prefix": "9c2e41:1000,5d07b8:16", "X-Length-Hint": "12"}, make([]byte, 600)}
+	}
+	for b.Loop() {
+		if _, err := Marshal(items); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
