--- a/batch/intake.go
+++ b/batch/intake.go
@@ -17,8 +17,13 @@
 	"mulberryscale.example/store"
 )
 
-// ErrMalformed says that a submission is invalid.
-var ErrMalformed = errors.New("batch: malformed job")
+// Errors of a submission that no retry can mend.
+var (
+	// ErrMalformed says that a submission is invalid.
+	ErrMalformed = errors.New("batch: malformed job")
+	// ErrTooLarge says that the encoded items of a job exceed a limit of package codec.
+	ErrTooLarge = errors.New("batch: job too large")
+)
 
 const (
 	// acceptTimeout bounds how long one entry tries to accept or end a job: twice what the
@@ -62,7 +67,7 @@
 	Counters *observe.Counters
 }
 
-// Submit accepts a job. Its error is ErrMalformed or one of Ledger.Submit.
+// Submit accepts a job. Its error is ErrMalformed, ErrTooLarge or another one of Ledger.Submit.
 func (in *Intake) Submit(ctx context.Context, s Submission) error {
 	if err := s.check(); err != nil {
 		return err
--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -54,9 +54,12 @@
 // Submit accepts a job: once it returns nil, the job and its items are stored. It
 // is idempotent: a job that was accepted before is accepted again. After an error
 // that wraps store.ErrRefused the job is not accepted and will not be by this call;
-// any other error leaves the outcome unknown.
+// after ErrTooLarge it never is. Any other error leaves the outcome unknown.
 func (l *Ledger) Submit(ctx context.Context, job *Job, items []Item) error {
 	data, err := codec.Marshal(items)
+	if errors.Is(err, codec.ErrTooLarge) {
+		return fmt.Errorf("%w: %d items: %v", ErrTooLarge, len(items), err)
+	}
 	if err != nil {
 		return fmt.Errorf("%w: encode items: %v", store.ErrInvalid, err)
 	}
--- a/transport/codec/codec.go
+++ b/transport/codec/codec.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 
 	"github.com/fxamacker/cbor/v2"
@@ -20,7 +21,7 @@
 	maxMapPairs      = 1 << 16
 )
 
-// ErrTooLarge is returned for a message of more than MaxMessage bytes.
+// ErrTooLarge is returned for a message that exceeds one of the limits.
 var ErrTooLarge = errors.New("codec: message too large")
 
 var (
@@ -57,8 +58,8 @@
 	return v
 }
 
-// Marshal encodes one message. It returns ErrTooLarge if the encoding exceeds
-// MaxMessage bytes.
+// Marshal encodes one message. It returns ErrTooLarge if the encoding exceeds a limit,
+// so that Unmarshal and Decoder can read all that it returns.
 func Marshal(msg any) ([]byte, error) {
 	data, err := encMode.Marshal(msg)
 	if err != nil {
@@ -67,6 +68,9 @@
 	if len(data) > MaxMessage {
 		return nil, trace.Wrap(ErrTooLarge, "codec: encode %T of %d bytes", msg, len(data))
 	}
+	if err := decMode.Wellformed(data); err != nil {
+		return nil, trace.Wrap(fmt.Errorf("%w: %v", ErrTooLarge, err), "codec: encode %T", msg)
+	}
 	return data, nil
 }
 
--- a/transport/codec/codec_test.go
+++ b/transport/codec/codec_test.go
@@ -136,6 +136,41 @@
 	Headers map[string]string `cbor:"1,keyasint"`
 }
 
+// Guards against a value that is accepted and stored but can't be decoded again.
+func TestMarshalRefusesWhatUnmarshalWould(t *testing.T) {
+	nested := any(1)
+	for range maxNestedLevels + 1 {
+		nested = []any{nested}
+	}
+	pairs := map[int]int{}
+	for i := range maxMapPairs + 1 {
+		pairs[i] = i
+	}
+	for name, msg := range map[string]any{
+		"elements": make([]int, maxArrayElements+1), "pairs": pairs, "levels": nested, "bytes": make([]byte, MaxMessage),
+	} {
+		t.Run(name, func(t *testing.T) {
+			if _, err := Marshal(msg); !errors.Is(err, ErrTooLarge) {
+				t.Fatalf("got %v", err)
+			}
+		})
+	}
+	for name, msg := range map[string]any{
+		"elements": make([]int, maxArrayElements), "empty": withMap{},
+	} {
+		t.Run("largest "+name, func(t *testing.T) {
+			data, err := Marshal(msg)
+			if err != nil {
+				t.Fatal(err)
+			}
+			back := reflect.New(reflect.TypeOf(msg))
+			if err := Unmarshal(data, back.Interface()); err != nil || !reflect.DeepEqual(back.Elem().Interface(), msg) {
+				t.Fatalf("got %v, %v", back.Elem().Interface(), err)
+			}
+		})
+	}
+}
+
 // Guards against two encodings of one value, with which a retried write is another write.
 func TestEncodingIsTheSameEachTime(t *testing.T) {
 	headers := map[string]string{}
