One text that is no valid UTF-8 no longer hides all results of its job

What callers would see: an engine's text with one invalid byte was stored, and from then on each read of its job's results failed (503) at every entry, for good.

Change: texts are decoded as they are. In answers to clients, which are JSON, bytes that are no text appear as the replacement character, as before for plain strings.

Tests: TestTextOfAnyBytesIsDecoded and TestResultsOfAnyBytesAreListed failed before ("cbor: invalid UTF-8 string").

--- a/batch/ledger_test.go
+++ b/batch/ledger_test.go
@@ -149,6 +149,16 @@
 	}
 }
 
+// Guards against a job whose results can't be listed since an engine's text is no valid UTF-8.
+func TestResultsOfAnyBytesAreListed(t *testing.T) {
+	l := newLedger(rowstore.New())
+	must(t, l.Append(t.Context(), "j", "w", []Result{{ID: "a", State: StateDone, Output: "a\xff"}, {ID: "b", State: StateDone}}))
+	listing, err := l.Results(t.Context(), "j")
+	if err != nil || len(listing.Results) != 2 || listing.Results[0].Output != "a\xff" {
+		t.Fatalf("got %v, %v", listing.Results, err)
+	}
+}
+
 func TestRemoveDeletesAllRows(t *testing.T) {
 	s := rowstore.New()
 	l := newLedger(s)
--- a/transport/codec/codec.go
+++ b/transport/codec/codec.go
@@ -48,6 +48,8 @@
 		IndefLength:      cbor.IndefLengthForbidden,
 		TagsMd:           cbor.TagsForbidden,
 		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		// An engine's text may hold any bytes, and Marshal writes it as it is.
+		UTF8: cbor.UTF8DecodeInvalid,
 	}
 }
 
--- a/transport/codec/codec_test.go
+++ b/transport/codec/codec_test.go
@@ -171,6 +171,21 @@
 	}
 }
 
+// Guards against the results of a job that can't be decoded since one text is no valid UTF-8.
+func TestTextOfAnyBytesIsDecoded(t *testing.T) {
+	type withText struct {
+		Text string `cbor:"1,keyasint"`
+	}
+	msg, got := withText{"a\xff\xfeb"}, withText{}
+	data, err := Marshal(msg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := Unmarshal(data, &got); err != nil || got != msg {
+		t.Fatalf("got %q, %v", got.Text, err)
+	}
+}
+
 // Guards against two encodings of one value, with which a retried write is another write.
 func TestEncodingIsTheSameEachTime(t *testing.T) {
 	headers := map[string]string{}
