Results without text no longer outgrow the transaction that appends them

What callers would see: of a job with many items that are given up at the same moment, those of one agent are never listed: its log says "results not appended".

Cause: a batch of results was bounded by its texts only. 40,000 failed results make 3.4 MB, where the store takes 1 MB: an invalid call, which isn't tried again.

Change: a batch is bounded by what its results take in the store, ids, groups and versions included. The stand-in for the store refuses transactions above the platform's limits (100 writes, 1 MB).

--- a/batch/outbox.go
+++ b/batch/outbox.go
@@ -70,7 +70,7 @@
 func (o *outbox) next() ([]pendingResult, string) {
 	n, bytes := 0, 0
 	for n < len(o.pending) {
-		bytes += len(o.pending[n].result.Output)
+		bytes += o.pending[n].result.storedBytes()
 		if n > 0 && bytes > maxAppendBytes {
 			break
 		}
--- a/batch/results.go
+++ b/batch/results.go
@@ -27,9 +27,20 @@
 	resultTables = 48
 )
 
-// maxAppendBytes bounds the output of the results in one append: the store limits a
-// transaction to 1 MB, in an encoding that needs four bytes for three.
-const maxAppendBytes = 512 << 10
+const (
+	// maxAppendBytes bounds the results in one append: the store limits a transaction to 1 MB,
+	// in an encoding that needs four bytes for three.
+	maxAppendBytes = 512 << 10
+	// maxResultOverhead is more than the encoding of a result needs beyond its texts.
+	maxResultOverhead = 32
+	// maxVersionBytes is the size of the largest encoded version.
+	maxVersionBytes = 9
+)
+
+// storedBytes bounds the size of a result in the store, where its ID stands twice.
+func (r *Result) storedBytes() int {
+	return len(r.Output) + 2*len(r.ID) + len(r.Group) + len(r.Score) + maxVersionBytes*len(r.Versions) + maxResultOverhead
+}
 
 // Append adds a batch of results to a job's list. The name identifies the batch: it
 // is unique to the batch and the same in each retry, so that the batch is appended
--- a/internal/standin/rowstore/rowstore.go
+++ b/internal/standin/rowstore/rowstore.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"context"
+	"encoding/base64"
 	"fmt"
 	"maps"
 	"slices"
@@ -167,8 +168,32 @@
 	}
 }
 
+// Limits of a transaction, those of the platform's store.
+const (
+	maxEntries = 100
+	maxTxBytes = 1_000_000 // of values, in an encoding that needs four bytes for three
+)
+
+// checkSize returns store.ErrInvalid for a transaction that exceeds a limit.
+func checkSize(tx store.Tx) error {
+	if n := len(tx.Put) + len(tx.Delete); n > maxEntries {
+		return fmt.Errorf("%w: %d writes", store.ErrInvalid, n)
+	}
+	bytes := 0
+	for _, row := range tx.Put {
+		bytes += base64.StdEncoding.EncodedLen(len(row.Value))
+	}
+	if bytes > maxTxBytes {
+		return fmt.Errorf("%w: %d bytes", store.ErrInvalid, bytes)
+	}
+	return nil
+}
+
 // Commit implements store.Rows.
 func (s *Store) Commit(ctx context.Context, tx store.Tx) (store.Snapshot, error) {
+	if err := checkSize(tx); err != nil {
+		return store.Snapshot{}, err
+	}
 	return s.write(ctx, func() (store.Snapshot, error) { return s.apply(tx) })
 }
 
