A job of thousands of groups fits into its row in a fleet of 10,000 engines

Cause: a job lists as owners as many engines as it has groups. Some 3,000 addresses take more than the 64 KiB of a row; the store then refuses the job as invalid, which the entry answers with 504 each time.

Change: at most 1,500 owners; other agents help as before.

Read, not run with real processes.

--- a/batch/intake.go
+++ b/batch/intake.go
@@ -33,6 +33,9 @@
 	// weightLoadTime is how long an engine may take to load a version: 0.9 s alone, twice
 	// that while several load.
 	weightLoadTime = 2 * time.Second
+	// maxOwners bounds the owners of a job, which its row must hold. Each address takes some
+	// 20 bytes of the row's 64 KiB.
+	maxOwners = 1500
 	// answerReserve is the part of the client's deadline that is kept for writing the
 	// answer.
 	answerReserve = 100 * time.Millisecond
@@ -171,7 +174,7 @@
 	if config := snap.Config.Service(service); config != nil && s.Model != "" {
 		engines, ready = orderOwners(snap, service, s, AssignEngines(engines, config.Models, in.Demand)[s.Model])
 	}
-	engines, ready = limitOwners(s.scopedID(), engines, ready, len(groupItems(s.Items)))
+	engines, ready = limitOwners(s.scopedID(), engines, ready, min(maxOwners, len(groupItems(s.Items))))
 	work := 0
 	for i := range s.Items {
 		work += s.Items[i].expectedWork()
--- a/batch/owners_test.go
+++ b/batch/owners_test.go
@@ -44,27 +44,32 @@
 	})
 }
 
+// fleetJob returns the job of a submission of groups of items to a fleet of engines.
+func fleetJob(engines, groups, groupItems int) *Job {
+	view := fleet.NewView()
+	view.SetConfig(&fleet.Config{Version: 1, Services: []fleet.Service{{Name: "svc", Models: []string{"m"}}}})
+	var list []fleet.Instance
+	for i := range engines {
+		list = append(list, fleet.Instance{ID: fmt.Sprint("e", i), Service: "svc", Addr: engineAddr(i), Slots: 6, Versions: map[string]uint64{"m": 1}})
+	}
+	view.UpdateInstances(list, nil)
+	s := rowstore.New()
+	in := &Intake{View: view, Ledger: newLedger(s), Demand: NewDemand(), Now: s.Now, Log: observe.Discard(), Counters: observe.NewCounters()}
+	var items []Item
+	for i := range groups * groupItems {
+		items = append(items, Item{ID: fmt.Sprint("i", i), Path: "/p", Tokens: 1000, Group: fmt.Sprint("g", i/groupItems)})
+	}
+	route := &fleet.Route{Name: "r", Backends: []fleet.Backend{{Service: "svc", Weight: 1}}, RunTarget: 7500 * time.Millisecond}
+	return in.newJob(Submission{ID: "j", Route: route, Model: "m", Items: items}, time.Second)
+}
+
 // TestOwnersOfAJobDoNotGrowWithTheFleet submits a job of 23 groups to 100, 300 and 1,000 engines.
 // Each owner reads the whole job and each process the job's row: neither the owners nor the row
 // may grow with the engines.
 func TestOwnersOfAJobDoNotGrowWithTheFleet(t *testing.T) {
 	const groups, size = 23, 8
 	for _, engines := range []int{100, 300, 1000} {
-		view := fleet.NewView()
-		view.SetConfig(&fleet.Config{Version: 1, Services: []fleet.Service{{Name: "svc", Models: []string{"m"}}}})
-		var list []fleet.Instance
-		for i := range engines {
-			list = append(list, fleet.Instance{ID: fmt.Sprint("e", i), Service: "svc", Addr: engineAddr(i), Slots: 6, Versions: map[string]uint64{"m": 1}})
-		}
-		view.UpdateInstances(list, nil)
-		s := rowstore.New()
-		in := &Intake{View: view, Ledger: newLedger(s), Demand: NewDemand(), Now: s.Now, Log: observe.Discard(), Counters: observe.NewCounters()}
-		var items []Item
-		for i := range groups * size {
-			items = append(items, Item{ID: fmt.Sprint("i", i), Path: "/p", Tokens: 1000, Group: fmt.Sprint("g", i/size)})
-		}
-		route := &fleet.Route{Name: "r", Backends: []fleet.Backend{{Service: "svc", Weight: 1}}, RunTarget: 7500 * time.Millisecond}
-		job := in.newJob(Submission{ID: "j", Route: route, Model: "m", Items: items}, time.Second)
+		job := fleetJob(engines, groups, size)
 		row, err := codec.Marshal(job)
 		if err != nil {
 			t.Fatal(err)
@@ -74,3 +79,17 @@
 		}
 	}
 }
+
+// Guards against a job of many groups that a large fleet can never accept, since its owners don't
+// fit into its row.
+func TestRowOfALargeJobInALargeFleetFits(t *testing.T) {
+	const engines, groups = 4500, 4500
+	row, err := codec.Marshal(fleetJob(engines, groups, 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ledger := &Ledger{RowBytes: 64 << 10}
+	if len(row) > ledger.rowLimit() {
+		t.Errorf("a row of %d bytes, want at most %d", len(row), ledger.rowLimit())
+	}
+}
