A stopping entry accepts only what it can answer, and answers what it aborts

Cause: drain went on to accept whatever came for 3.5 s, and what a request may need was never compared with the time that is left. At the end the process exited under its requests, so even those whose answer had not begun got a reset. For a grace time of 4 s or less the process was still serving when it was to be killed: with max(time.Second, …) it drained for 4.5 s.

Ruled out: the end of the grace time alone (cut off at 6.8 s of 8; a later end only moves the streams that are lost), clients that had been told to leave (their last answer came before the signal).

Change: package drain schedules the stop by the grace time, and decides: - a request whose deadline or route's timeout ends before the abort is accepted; - after 3 s, one that can't be repeated (and any stream) is refused else, with 503, "not run" and Retry-After 0, before it is sent on; - any other is accepted if the longest recent answer on its route fits into the time that is left, so that lookups with long deadlines are not turned away. At the abort, requests whose answer has not begun get 502, or 503 if they were never sent; streams are broken off, which only early ones can meet. Agents stop by the same schedule.

--- a/forward/call.go
+++ b/forward/call.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"mulberryscale.example/drain"
 	"mulberryscale.example/fleet"
 	"mulberryscale.example/loadview"
 	"mulberryscale.example/picker"
@@ -321,11 +322,14 @@
 	}
 }
 
-// contextRefusal returns the final answer to a request that has timed out or whose client has
-// gone.
+// contextRefusal returns the final answer to a request that has timed out, whose client has
+// gone, or that this process aborts since it stops.
 func (c *call) contextRefusal(ctx context.Context) *Refusal {
-	if errors.Is(context.Cause(ctx), errTimeout) {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errTimeout):
 		return c.refusal(ReasonTimeout, nil)
+	case errors.Is(cause, drain.ErrEnded):
+		return c.stopRefusal()
 	}
 	return c.refusal(ReasonClientGone, nil)
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"mulberryscale.example/drain"
 	"mulberryscale.example/fleet"
 	"mulberryscale.example/observe"
 	"mulberryscale.example/picker"
@@ -138,6 +139,8 @@
 	ReasonQuarantined = "held"
 	// ReasonNotAdmitted is for requests that the gate of their service has refused.
 	ReasonNotAdmitted = "not_admitted"
+	// ReasonStopping is for requests that would not end before this process does.
+	ReasonStopping = "stopping"
 )
 
 // Delays of retries, hedged requests and answers.
@@ -178,14 +181,20 @@
 	// at once. It is set before the first request.
 	Gates *Gates
 
+	// Stop is the state of this process's stop; nil for a process that never drains. It is set
+	// before the first request.
+	Stop *drain.Stop
+
 	picker    *picker.Picker
 	abandoned abandonedSends
+	durations *durations
 }
 
 // New returns a forwarder whose quarantine is local to this process.
 func New(view *fleet.View, sender Sender, zone string, log logrus.FieldLogger, counters *observe.Counters) *Forwarder {
 	return &Forwarder{
 		View: view, Sender: sender, Zone: zone, Log: log, Counters: counters, picker: picker.New(),
+		durations:  newDurations(time.Now()),
 		Quarantine: quarantine.Local(nil, log, counters),
 	}
 }
@@ -212,10 +221,14 @@
 	if err != nil {
 		c.keepAbandoned()
 	}
-	if answer != nil && answer.Stream != nil {
+	switch {
+	case answer == nil:
+		cancel()
+	case answer.Stream != nil:
 		answer.Stream = &observedStream{Events: answer.Stream, call: c, ctx: bounded, cancel: cancel}
-	} else {
+	default:
 		cancel()
+		c.observeDuration()
 	}
 	c.holdAnswer(answer)
 	c.countOutcome(answer, err, time.Since(began))
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -20,9 +20,12 @@
 	rowAlive   = "endpoint_there"
 )
 
-// admitAndRun runs the request unless its content is quarantined. A quarantined request is
-// refused at once, so that it does not crash all endpoints of a service.
+// admitAndRun runs the request unless this process stops too soon or its content is quarantined.
+// A quarantined request is refused at once, so that it does not crash all endpoints of a service.
 func (c *call) admitAndRun(ctx context.Context) (*Answer, error) {
+	if !c.admittedWhileStopping() {
+		return nil, c.stopRefusal()
+	}
 	state, wait := c.Quarantine.Admit(ctx, c.fingerprint)
 	if state == quarantine.Quarantined {
 		c.Quarantine.CountRefused()
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -39,4 +39,5 @@
 	s.Events.Close()
 	s.holdEvent(0)
 	s.cancel()
+	s.call.observeDuration()
 }
--- a/service/node/agent.go
+++ b/service/node/agent.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"mulberryscale.example/batch"
+	"mulberryscale.example/drain"
 	"mulberryscale.example/loadview"
 	"mulberryscale.example/platform/enginehttp"
 	"mulberryscale.example/platform/nodefile"
@@ -63,9 +64,10 @@
 	wg.Go(func() { a.servePeers(working) })
 	<-ctx.Done()
 	a.log.Info("draining")
-	bounded, cancel := context.WithTimeout(working, a.settings.Grace-stopSlack)
+	abort := drain.NewPlan(a.settings.Grace).Abort
+	bounded, cancel := context.WithTimeout(working, abort)
 	defer cancel()
-	a.worker.Drain(bounded, a.settings.Grace-stopSlack-handOverTime)
+	a.worker.Drain(bounded, abort-handOverTime)
 	stop()
 	a.log.Info("stopped")
 	a.bounded.Close()
--- a/service/node/entry.go
+++ b/service/node/entry.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 
 	"mulberryscale.example/batch"
+	"mulberryscale.example/drain"
 	"mulberryscale.example/forward"
 	"mulberryscale.example/observe"
 	"mulberryscale.example/pace"
@@ -32,17 +33,11 @@
 	// operators configure, since it cannot change while the server runs either; the
 	// operator's own limit is checked for each request.
 	maxHeader = 1 << 20
-	// unreadyTime is how long a stopping entry continues to serve: the balancer probes
-	// once a second and removes the entry after two failures, and each client learns
-	// from its next response to use another connection.
-	unreadyTime = 3500 * time.Millisecond
 	// keyDelay is the delay after the start before an entry reads the process keys.
 	keyDelay = 2 * time.Second
 	// quarantineWait is how long an entry that is otherwise ready waits for the
 	// quarantine table.
 	quarantineWait = 500 * time.Millisecond
-	// stopSlack is the margin left before the platform kills the process.
-	stopSlack = 1200 * time.Millisecond
 )
 
 // Entry serves the clients' HTTP API.
@@ -53,8 +48,11 @@
 	reader    *batch.Reader
 	demand    *batch.Demand
 	paces     *pace.Table
-	stopping  atomic.Bool
+	stop      *drain.Stop
 	inFlight  atomic.Int64
+	// requests is the context of all requests of clients; abort cancels it.
+	requests context.Context
+	abort    context.CancelCauseFunc
 }
 
 // NewEntry returns an entry with the given settings. Run starts it.
@@ -65,12 +63,14 @@
 	}
 	e := &Entry{
 		base: b, reader: batch.NewReader(b.ledger, b.store.Now, b.log), demand: batch.NewDemand(),
-		paces: pace.NewTable(b.log),
+		paces: pace.NewTable(b.log), stop: drain.New(drain.NewPlan(settings.Grace)),
 	}
+	e.requests, e.abort = context.WithCancelCause(context.Background())
 	e.demand.OnPaces = e.paces.MarkReported
 	engines := enginehttp.New()
 	e.forwarder = forward.New(b.view, engines, settings.Zone, b.log, b.counters)
 	e.forwarder.Quarantine = e.newQuarantine(engines)
+	e.forwarder.Stop = e.stop
 	if options.Gates == (forward.GateSettings{}) {
 		options.Gates = forward.DefaultGateSettings()
 	}
@@ -84,7 +84,7 @@
 		Jobs: &batch.Intake{
 			View: b.view, Ledger: b.ledger, Demand: e.demand, Paces: e.paces, Now: b.store.Now, Log: b.log, Counters: b.counters,
 		},
-		Reader: e.reader, Log: b.log, Counters: b.counters, Closing: e.stopping.Load,
+		Reader: e.reader, Log: b.log, Counters: b.counters, Closing: e.stop.Stopping,
 	}
 	if settings.FailClosed {
 		e.handler.MaxKeyAge = settings.RevokeTime
@@ -204,7 +204,7 @@
 		return nil, trace.Wrap(err, "listen for the balancer on %s", e.settings.Ready)
 	}
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		if e.stopping.Load() || !e.configured() {
+		if e.stop.Stopping() || !e.configured() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	}), ReadHeaderTimeout: headerTimeout}
@@ -220,14 +220,20 @@
 	}
 	idle := newIdleConns(e.view)
 	go idle.run(ctx)
-	server := &http.Server{
-		Handler: http.HandlerFunc(e.serveClient), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader,
-		ConnState: idle.changed,
-	}
+	server := e.clientServer()
+	server.ConnState = idle.changed
 	go e.serve(server, l)
 	return server, nil
 }
 
+// clientServer returns the server of the clients' API.
+func (e *Entry) clientServer() *http.Server {
+	return &http.Server{
+		Handler: http.HandlerFunc(e.serveClient), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader,
+		BaseContext: func(net.Listener) context.Context { return e.requests },
+	}
+}
+
 func (e *Entry) serveClient(w http.ResponseWriter, r *http.Request) {
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
@@ -239,16 +245,3 @@
 		e.log.WithError(err).WithField("addr", l.Addr().String()).Error("listener failed")
 	}
 }
-
-// drain continues to serve until the balancer and the clients have noticed, then waits
-// for the requests in flight and aborts those that exceed the grace period.
-func (e *Entry) drain(clients *http.Server) {
-	e.stopping.Store(true)
-	e.log.WithField("in_flight", e.inFlight.Load()).Info("draining")
-	time.Sleep(unreadyTime)
-	ctx, cancel := context.WithTimeout(context.Background(), max(time.Second, e.settings.Grace-unreadyTime-stopSlack))
-	defer cancel()
-	if err := clients.Shutdown(ctx); err != nil {
-		e.log.WithError(err).WithField("in_flight", e.inFlight.Load()).Warn("requests cut off")
-	}
-}
