An entry that is stopped during its start serves nobody

Change: it ends without listening. Test: TestEntryStoppedDuringItsStartServesNobody failed before (it listened).

--- a/service/node/entry.go
+++ b/service/node/entry.go
@@ -133,6 +133,23 @@
 	defer ready.Close()
 	e.awaitConfig(ctx)
 	e.awaitQuarantine(ctx)
+	if err := e.serveClients(ctx, working); err != nil {
+		return err
+	}
+	stop()
+	counting.Wait() // the usage recorder writes its last counts
+	e.log.Info("stopped")
+	e.bounded.Close()
+	return nil
+}
+
+// serveClients serves clients until ctx is cancelled, and then drains. It serves nobody if ctx is
+// cancelled already. The servers' tasks run until working is cancelled.
+func (e *Entry) serveClients(ctx, working context.Context) error {
+	if ctx.Err() != nil {
+		e.log.Info("stopped before it served")
+		return nil
+	}
 	clients, err := e.listenClients(working)
 	if err != nil {
 		return err
@@ -140,10 +157,6 @@
 	e.log.WithField("clients", e.settings.Clients).Info("serving")
 	<-ctx.Done()
 	e.drain(clients)
-	stop()
-	counting.Wait() // the usage recorder writes its last counts
-	e.log.Info("stopped")
-	e.bounded.Close()
 	return nil
 }
 
--- a/service/node/entrydrain_test.go
+++ b/service/node/entrydrain_test.go
@@ -289,3 +289,23 @@
 		})
 	}
 }
+
+// Guards against an entry that begins to listen for clients after the signal to stop, which came
+// during its start.
+func TestEntryStoppedDuringItsStartServesNobody(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	settings := &nodefile.Settings{Node: "n", Zone: "z", RowBytes: 4096, Grace: 8 * time.Second, Ready: "127.0.0.1:0", Clients: taken.Addr().String(), Store: "127.0.0.1:1"}
+	entry, err := NewEntry(settings, Options{LogLevel: "panic"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	stop()
+	if err := entry.Run(ctx); err != nil {
+		t.Errorf("listened for clients: %v", err)
+	}
+}
