--- a/internal/httponce/conn.go
+++ b/internal/httponce/conn.go
@@ -20,6 +20,7 @@
 	written uint64 // bytes handed to the network so far
 	writing int    // writes in progress
 	sealed  bool   // no further write is let through
+	retired bool   // closed by retire; the transport may still take it for an idle one
 }
 
 // watchDials returns a dial function whose connections are watched.
@@ -111,3 +112,34 @@
 	watched, ok := w.conn.(*watchedConn)
 	return ok && watched.sealIfUnwritten(w.before)
 }
+
+// retire closes the connection.
+func (c *watchedConn) retire() {
+	c.mu.Lock()
+	c.sealed, c.retired = true, true
+	c.mu.Unlock()
+	c.Conn.Close()
+}
+
+func (c *watchedConn) isRetired() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.retired
+}
+
+// retireConn closes the request's connection.
+func (w *requestWatch) retireConn() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if watched, ok := w.conn.(*watchedConn); ok {
+		watched.retire()
+	}
+}
+
+// gotRetiredConn reports whether the request was given a connection that was closed by retire.
+func (w *requestWatch) gotRetiredConn() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	watched, ok := w.conn.(*watchedConn)
+	return ok && watched.isRetired()
+}
--- a/internal/httponce/httponce.go
+++ b/internal/httponce/httponce.go
@@ -68,18 +68,47 @@
 // CloseIdle closes all idle connections.
 func (c *Client) CloseIdle() { c.http.CloseIdleConnections() }
 
+// maxRetiredConns is how many closed connections a request may be given before it is unsent.
+const maxRetiredConns = 3
+
 // Do sends a request at most once. An UnsentError proves that it was not sent;
 // any other error leaves the outcome unknown.
 func (c *Client) Do(req *http.Request) (*http.Response, error) {
-	watch := &requestWatch{}
+	for retired := 0; ; retired++ {
+		watch := &requestWatch{}
+		resp, err := c.send(req, watch)
+		if err == nil || !watch.unsent() {
+			return resp, err
+		}
+		if retired == maxRetiredConns || !watch.gotRetiredConn() || !rewind(req) {
+			return nil, &UnsentError{Err: err}
+		}
+	}
+}
+
+// send sends a request once.
+func (c *Client) send(req *http.Request, watch *requestWatch) (*http.Response, error) {
 	events := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { watch.gotConn(info.Conn) }}
-	once := req.Clone(httptrace.WithClientTrace(req.Context(), events))
+	once := req.Clone(httptrace.WithClientTrace(withWatch(req.Context(), watch), events))
 	forbidReplay(once)
-	resp, err := c.http.Do(once)
-	if err != nil && watch.unsent() {
-		return nil, &UnsentError{Err: err}
+	return c.http.Do(once)
+}
+
+// rewind gives a request that was not sent its whole body again. It reports whether that is
+// possible.
+func rewind(req *http.Request) bool {
+	if req.Body == nil || req.Body == http.NoBody {
+		return true
+	}
+	if req.GetBody == nil {
+		return false
+	}
+	body, err := req.GetBody()
+	if err != nil {
+		return false
 	}
-	return resp, err
+	req.Body = body
+	return true
 }
 
 // DoRepeatable sends an idempotent request, such as a read. The transport may retry it.
