--- a/e2e/soak_client_test.go
+++ b/e2e/soak_client_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"math/rand/v2"
@@ -42,7 +43,7 @@
 
 // do makes one attempt at an entry, with the client's own key unless a has one.
 func (c *soakClient) do(ctx context.Context, a ingress.Attempt) (*http.Response, error) {
-	a.Host, a.Deadline = soakHost, soakAttemptTimeout
+	a.Host, a.Deadline = soakHost, cmp.Or(a.Deadline, soakAttemptTimeout)
 	if a.Key == "" {
 		a.Key, a.ClaimedOrganisation = permanentKey(c.organisation), otherOrganisation(c.organisation)
 	}
@@ -56,7 +57,12 @@
 // call makes one attempt and returns the status and the body of the response. The status is
 // 0 if there was no complete response.
 func (c *soakClient) call(ctx context.Context, a ingress.Attempt) (status int, body []byte) {
-	ctx, cancel := context.WithTimeout(ctx, soakAttemptTimeout)
+	return c.callWithin(ctx, soakAttemptTimeout, a)
+}
+
+// callWithin is call with a timeout.
+func (c *soakClient) callWithin(ctx context.Context, timeout time.Duration, a ingress.Attempt) (status int, body []byte) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	resp, err := c.do(ctx, a)
 	if err != nil {
--- a/e2e/soak_config_test.go
+++ b/e2e/soak_config_test.go
@@ -15,8 +15,8 @@
 	text, err := nodefile.Encode(&nodefile.Settings{
 		Node: m.name, IP: m.ip, Zone: zoneOf(m.ip), PeerPort: portPeers, MetricsPort: portMetrics,
 		Clients: addr(m.ip, portFrontInner), Ready: addr(m.ip, portReady), Engine: addr(m.ip, portEngine), Service: serviceEngines,
-		Store: addr(m.ip, portStore+m.activeStoreLink), RowBytes: 64 << 10, ObjectBytes: 8 << 20, StoreWrites: 800,
-		Grace: 8 * time.Second, KeepResults: 2 * time.Minute, Zones: soakZones,
+		Store: addr(m.ip, portStore+m.activeStoreLink), RowBytes: 64 << 10, ObjectBytes: objectBytesOf(m.ip), StoreWrites: 800,
+		Grace: soakGrace, KeepResults: 2 * time.Minute, Zones: soakZones,
 		Duties: addr(m.ip, portDuties), ReportUsage: true, Lease: soakLease, UsageWindow: soakUsageWindow, UsageDue: soakUsageDue,
 		Pressure: w.crowded,
 	})
@@ -32,6 +32,10 @@
 	}
 }
 
+// objectBytesOf returns the size of an instance's largest objects. Instances differ, so that two
+// attempts to submit a job cut it into other objects.
+func objectBytesOf(ip string) int { return 200<<10 + int(hashOf(ip)%3)*100<<10 }
+
 // configure writes the next configuration version, which routes lookups to the other desk service.
 func (w *soakWorld) configure() {
 	w.mu.Lock()
@@ -70,6 +74,7 @@
 	add(fleetview.Route{Name: "tell", Prefix: prefixTell, Kind: fleetview.KindStream, Timeout: long, Objective: objective, Resumable: true}, serviceEngines)
 	add(fleetview.Route{Name: "say", Prefix: prefixSay, Kind: fleetview.KindStream, Timeout: long, Objective: objective}, serviceEngines)
 	add(fleetview.Route{Name: "score", Prefix: prefixScore, Kind: fleetview.KindSafe, Timeout: short, Objective: objective, MaxAttempts: soakRewardAttempts}, serviceDesk)
+	add(fleetview.Route{Name: "errand", Prefix: prefixErrand, Kind: fleetview.KindUnsafe, MaxAttempts: 2, Timeout: long, Objective: objective}, serviceDesk)
 	for _, m := range soakModels {
 		add(fleetview.Route{
 			Name: m, Prefix: "/" + m + "/", Kind: fleetview.KindBatch, Objective: time.Second, ItemTTL: time.Minute, RunTarget: 5 * time.Second,
--- a/e2e/soak_engine_test.go
+++ b/e2e/soak_engine_test.go
@@ -271,7 +271,7 @@
 	case strings.HasPrefix(a.Target, prefixScore):
 		e.score(ctx, a, w)
 	case strings.HasPrefix(a.Target, prefixLook) || strings.HasPrefix(a.Target, prefixBook) || strings.HasPrefix(a.Target, prefixPeek) ||
-		strings.HasPrefix(a.Target, prefixCrowd):
+		strings.HasPrefix(a.Target, prefixErrand) || strings.HasPrefix(a.Target, prefixCrowd):
 		e.answer(ctx, a, w)
 	default:
 		e.streamEvents(ctx, incarnation, a, w)
--- a/e2e/soak_record_test.go
+++ b/e2e/soak_record_test.go
@@ -105,6 +105,13 @@
 	r.sent[id] = q
 }
 
+// ran reports whether a request has begun to run.
+func (r *record) ran(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.runs[id] > 0
+}
+
 // requestsRefused records that a response promised that these requests did not and will not run.
 func (r *record) requestsRefused(ids ...string) {
 	r.mu.Lock()
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -64,6 +64,7 @@
 	soakWorldSlots <- struct{}{}
 	defer func() { <-soakWorldSlots }()
 	w := startSoakWith(t, seed, crowded(seed, kinds))
+	w.largeJobs = kinds == len(soakFaults) && !w.crowded
 	ctx, cancel := context.WithCancel(t.Context())
 	var callers sync.WaitGroup
 	for i := range soakCallers {
@@ -86,6 +87,7 @@
 	if kinds == len(soakFaults) {
 		w.checkCrashingRequest("soak")
 		w.checkItemsAfterCrashes("soak")
+		w.checkStopBesideLongRequests()
 	}
 	w.checkSecrets()
 	for _, p := range w.record.problems {
--- a/e2e/soak_texts_test.go
+++ b/e2e/soak_texts_test.go
@@ -72,13 +72,29 @@
 }
 
 // durationOf returns how long a request without a stream runs.
-func durationOf(id string) time.Duration { return time.Duration(5+hashOf(id)%200) * time.Millisecond }
+func durationOf(id string) time.Duration {
+	if d, ok := longDuration(id); ok {
+		return d
+	}
+	return time.Duration(5+hashOf(id)%200) * time.Millisecond
+}
 
 // abortsAnswer reports whether the engine aborts the response after it has run a request.
 func abortsAnswer(id string) bool { return hashOf(id)%40 == 7 }
 
 // bodyOf returns the body of a request or an item.
-func bodyOf(id string) string { return "body of " + id }
+func bodyOf(id string) string {
+	if strings.HasPrefix(id, largeItemPrefix) {
+		return strings.Repeat("body of "+id+" ", largeBodyRepeats)
+	}
+	return "body of " + id
+}
+
+// Items of large jobs have these ids. largeBodyRepeats makes a job too large for rows of the store.
+const (
+	largeItemPrefix  = "item-large-"
+	largeBodyRepeats = 1000
+)
 
 // isSignature reports whether a text is an instance's signature of a request.
 func isSignature(text, request string) bool {
@@ -87,7 +103,12 @@
 }
 
 // eventCountOf returns the number of events of a text, eventOf the event number n.
-func eventCountOf(id string) int { return 8 + int(hashOf(id)%25) }
+func eventCountOf(id string) int {
+	if d, ok := longDuration(id); ok {
+		return max(1, int(d/soakEventInterval))
+	}
+	return 8 + int(hashOf(id)%25)
+}
 func eventOf(id string, n int) string {
 	return fmt.Sprintf("%s.%d.%x", id, n, hashOf(id+strconv.Itoa(n))%0xffff)
 }
--- a/e2e/soak_trainer_test.go
+++ b/e2e/soak_trainer_test.go
@@ -49,7 +49,7 @@
 	for g := len(groups); g < soakGroups; g++ {
 		var items []string
 		for i := range soakGroupItems {
-			items = append(items, fmt.Sprintf("item-%s-%d-%d-%d", t.model, step, g, i))
+			items = append(items, fmt.Sprintf("%s%s-%d-%d-%d", t.itemPrefix(step), t.model, step, g, i))
 		}
 		groups = append(groups, items)
 	}
@@ -69,6 +69,14 @@
 	}
 }
 
+// itemPrefix returns the prefix of the ids of a step's items.
+func (t *soakTrainer) itemPrefix(step int) string {
+	if t.w.largeJobs && step%2 == 1 {
+		return largeItemPrefix
+	}
+	return "item-"
+}
+
 // encodeJob encodes a job, and records its items and reward calls as sent.
 func (t *soakTrainer) encodeJob(j *soakJob, step int, groups [][]string) string {
 	s := &batch.Submission{Model: t.model, Step: step, MinVersion: j.minVersion, WantedGroups: soakWantedGroups}
--- a/e2e/soak_world_test.go
+++ b/e2e/soak_world_test.go
@@ -28,12 +28,13 @@
 
 // Path prefixes of the forwarded routes.
 const (
-	prefixLook  = "/look/"  // repeatable; the operator moves it between two services
-	prefixBook  = "/book/"  // runs at most once
-	prefixTell  = "/tell/"  // a resumable stream
-	prefixScore = "/score/" // scores texts; repeatable
-	prefixSay   = "/say/"   // a stream that runs at most once
-	prefixPeek  = "/peek/"  // repeatable
+	prefixLook   = "/look/"   // repeatable; the operator moves it between two services
+	prefixBook   = "/book/"   // runs at most once
+	prefixTell   = "/tell/"   // a resumable stream
+	prefixScore  = "/score/"  // scores texts; repeatable
+	prefixSay    = "/say/"    // a stream that runs at most once
+	prefixPeek   = "/peek/"   // repeatable
+	prefixErrand = "/errand/" // runs at most once, and may take long
 )
 
 var soakModels = []string{"guide", "meter"}
@@ -78,6 +79,7 @@
 	dir       string
 	octet     int // third octet of all its addresses
 	crowded   bool
+	largeJobs bool // every other step is a job that is stored in objects
 	store     *soakStore
 	server    *http.Server
 	entries   []*soakInstance
