The soak's clients hang up while a large job is stored, and its store finishes what it began

Now a large job is first submitted at each entry by a client that hangs up after 20 to 120 ms, an object takes 25 ms, a write whose caller has gone is done all the same (as the platform's pages say), entries cut objects of three sizes, and an accepted job whose items can't be read at the end of its step is a problem.

--- a/e2e/soak_config_test.go
+++ b/e2e/soak_config_test.go
@@ -32,9 +32,12 @@
 	}
 }
 
-// objectBytesOf returns the size of an instance's largest objects. Instances differ, so that two
+// objectBytesOf returns the size of an instance's largest objects. Entries differ, so that two
 // attempts to submit a job cut it into other objects.
-func objectBytesOf(ip string) int { return 200<<10 + int(hashOf(ip)%3)*100<<10 }
+func objectBytesOf(ip string) int {
+	lastDigit := int(ip[len(ip)-1] - '0')
+	return (200 + 100*(lastDigit%soakEntries)) << 10
+}
 
 // configure writes the next configuration version, which routes lookups to the other desk service.
 func (w *soakWorld) configure() {
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -65,6 +65,9 @@
 	defer func() { <-soakWorldSlots }()
 	w := startSoakWith(t, seed, crowded(seed, kinds))
 	w.largeJobs = kinds == len(soakFaults) && !w.crowded
+	if w.largeJobs {
+		w.store.rows.SlowObjects(soakObjectTime)
+	}
 	ctx, cancel := context.WithCancel(t.Context())
 	var callers sync.WaitGroup
 	for i := range soakCallers {
--- a/e2e/soak_trainer_test.go
+++ b/e2e/soak_trainer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"mulberryscale.example/batch"
@@ -20,6 +21,8 @@
 	// how long for the job to be accepted.
 	soakStepTimeout   = 15 * time.Second
 	soakSubmitTimeout = 10 * time.Second
+	// soakObjectTime is how long the store takes to write an object.
+	soakObjectTime = 25 * time.Millisecond
 )
 
 // soakTrainer runs training steps with one model until ctx is cancelled.
@@ -61,6 +64,7 @@
 		return
 	}
 	t.readResults(ctx, j, groups)
+	t.checkReadable(j)
 	t.endJob(j)
 	for _, group := range groups {
 		if !t.complete(j, group) && len(t.carriedOver) < soakWantedGroups/2 {
@@ -110,6 +114,9 @@
 // refusals, it records that the new items must not run.
 func (t *soakTrainer) submit(ctx context.Context, j *soakJob, body string, newGroups [][]string) bool {
 	started, refusedOnly := time.Now(), true
+	if strings.HasPrefix(j.items[0], largeItemPrefix) {
+		refusedOnly = t.submitBriefly(ctx, j, body)
+	}
 	for time.Since(started) < soakSubmitTimeout && ctx.Err() == nil {
 		status, _ := t.call(ctx, ingress.Attempt{
 			Entry: t.entry(), ID: j.id, Method: http.MethodPost, Target: "/" + t.model + "/" + j.id, Body: body,
@@ -138,6 +145,20 @@
 	return false
 }
 
+// submitBriefly submits a job at each entry and hangs up after some milliseconds, while the entry
+// stores the items. It reports whether all answers, if there were any, were refusals.
+func (t *soakTrainer) submitBriefly(ctx context.Context, j *soakJob, body string) (refusedOnly bool) {
+	refusedOnly = true
+	for _, e := range t.w.entries {
+		patience := time.Duration(20+t.rng.IntN(100)) * time.Millisecond
+		status, _ := t.callWithin(ctx, patience, ingress.Attempt{
+			Entry: e.clientAddr, ID: j.id, Method: http.MethodPost, Target: "/" + t.model + "/" + j.id, Body: body,
+		})
+		refusedOnly = refusedOnly && status == http.StatusServiceUnavailable
+	}
+	return refusedOnly
+}
+
 // readResults reads a job's results until enough groups are complete or soakStepTimeout has
 // passed.
 func (t *soakTrainer) readResults(ctx context.Context, j *soakJob, groups [][]string) {
@@ -159,6 +180,21 @@
 	}
 }
 
+// checkReadable checks that the items of an accepted job can be read: one has a result by now, or
+// gives its body.
+func (t *soakTrainer) checkReadable(j *soakJob) {
+	for started := time.Now(); time.Since(started) < soakSubmitTimeout; time.Sleep(10 * soakCallInterval) {
+		if t.w.record.resultsRead(j) > 0 {
+			return
+		}
+		status, _ := t.call(t.w.t.Context(), ingress.Attempt{Entry: t.entry(), ID: j.id, Method: http.MethodGet, Target: ingress.BodyTarget(j.id, j.items[0])})
+		if status == http.StatusOK {
+			return
+		}
+	}
+	t.w.record.problem("job %s was accepted and its items can't be read", j.id)
+}
+
 func (t *soakTrainer) complete(j *soakJob, group []string) bool {
 	for _, id := range group {
 		if !t.w.record.hasResult(j, id) {
--- a/internal/standin/rowstore/rowstore.go
+++ b/internal/standin/rowstore/rowstore.go
@@ -51,6 +51,7 @@
 	muted       bool
 	blocked     bool
 	delay       time.Duration
+	objectDelay time.Duration
 	maxFeedRows int // limit of the rows in a feed's answer; 0 means no limit
 	commits     int
 	changed     chan struct{}
@@ -78,6 +79,13 @@
 	s.delay = d
 }
 
+// SlowObjects makes each write of an object wait for d, in addition to the delay of Slow.
+func (s *Store) SlowObjects(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objectDelay = d
+}
+
 // DropHistory drops the history up to now. Feeds that ask for an older version get
 // store.ErrHistoryGone and must list the rows again.
 func (s *Store) DropHistory() {
@@ -148,11 +156,10 @@
 	s.changed = make(chan struct{})
 }
 
-// wait delays a call as Slow says. If ctx is already done, the call counts as not sent and is
-// refused, as by a client; if ctx is done during the delay, the outcome is unknown.
+// wait delays a read as Slow says. If ctx is already done, the call counts as not sent.
 func (s *Store) wait(ctx context.Context) error {
 	if ctx.Err() != nil {
-		return fmt.Errorf("%w: not sent: %v", store.ErrRefused, context.Cause(ctx))
+		return notSent(ctx)
 	}
 	s.mu.Lock()
 	d := s.delay
@@ -168,6 +175,11 @@
 	}
 }
 
+// notSent returns the error of a call whose context was done before it.
+func notSent(ctx context.Context) error {
+	return fmt.Errorf("%w: not sent: %v", store.ErrRefused, context.Cause(ctx))
+}
+
 // Limits of a transaction, those of the platform's store.
 const (
 	maxEntries = 100
@@ -194,14 +206,40 @@
 	if err := checkSize(tx); err != nil {
 		return store.Snapshot{}, err
 	}
-	return s.write(ctx, func() (store.Snapshot, error) { return s.apply(tx) })
+	return s.write(ctx, 0, func() (store.Snapshot, error) { return s.apply(tx) })
 }
 
-// write applies a write with the next queued outcome.
-func (s *Store) write(ctx context.Context, apply func() (store.Snapshot, error)) (store.Snapshot, error) {
-	if err := s.wait(ctx); err != nil {
-		return store.Snapshot{}, err
+// write applies a write with the next queued outcome. extra is a delay beside that of Slow. A
+// caller that gives up during the delay gets store.ErrUnknown, and the write goes on.
+func (s *Store) write(ctx context.Context, extra time.Duration, apply func() (store.Snapshot, error)) (store.Snapshot, error) {
+	if ctx.Err() != nil {
+		return store.Snapshot{}, notSent(ctx)
+	}
+	s.mu.Lock()
+	d := s.delay + extra
+	s.mu.Unlock()
+	if d == 0 {
+		return s.writeNow(apply)
+	}
+	type answer struct {
+		snapshot store.Snapshot
+		err      error
+	}
+	done := make(chan answer, 1)
+	time.AfterFunc(d, func() {
+		snapshot, err := s.writeNow(apply)
+		done <- answer{snapshot, err}
+	})
+	select {
+	case a := <-done:
+		return a.snapshot, a.err
+	case <-ctx.Done():
+		return store.Snapshot{}, fmt.Errorf("%w: %v", store.ErrUnknown, context.Cause(ctx))
 	}
+}
+
+// writeNow applies a write with the next queued outcome, without a delay.
+func (s *Store) writeNow(apply func() (store.Snapshot, error)) (store.Snapshot, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	outcome := Done
@@ -341,9 +379,16 @@
 	return rows
 }
 
+// extraDelay returns the delay of SlowObjects.
+func (s *Store) extraDelay() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.objectDelay
+}
+
 // PutObject implements store.Objects.
 func (s *Store) PutObject(ctx context.Context, name string, body []byte) error {
-	_, err := s.write(ctx, func() (store.Snapshot, error) {
+	_, err := s.write(ctx, s.extraDelay(), func() (store.Snapshot, error) {
 		if _, ok := s.objects[name]; ok {
 			return store.Snapshot{}, store.ErrConflict
 		}
@@ -366,7 +411,7 @@
 
 // DeleteObject implements store.Objects.
 func (s *Store) DeleteObject(ctx context.Context, name string) error {
-	_, err := s.write(ctx, func() (store.Snapshot, error) {
+	_, err := s.write(ctx, s.extraDelay(), func() (store.Snapshot, error) {
 		delete(s.objects, name)
 		return store.Snapshot{}, nil
 	})
