Items of a lost engine go to free slots, not to full engines

Cause: an agent whose engine is lost dealt its items to as many agents as it has items, one each, the ones with the most free slots first. With four items and three engines with room the fourth went to an engine without any, and waited there until an idle agent happened to ask that one; whom an agent asks is drawn at random.

Ruled out: load (the test runs in a bubble of testing/synctest); the crash detection (the lost engine had no item left).

Change: each item goes to the engine that has the most free slots left.

TestItemsArePushedToFreeSlots wants the shares by itself.

--- a/batch/placement_test.go
+++ b/batch/placement_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -89,6 +90,21 @@
 	}
 }
 
+// TestItemsArePushedToFreeSlots guards against items that are pushed to a full engine while others have free slots.
+func TestItemsArePushedToFreeSlots(t *testing.T) {
+	statuses := map[string]*Status{}
+	var engines []string
+	for i, free := range []int{4, 3, 1, 0} {
+		engines = append(engines, engineAddr(i))
+		statuses[engineAddr(i)] = &Status{Up: true, Free: free}
+	}
+	for n, want := range map[int][]int{0: {0, 0, 0, 0}, 1: {1, 0, 0, 0}, 4: {3, 1, 0, 0}, 8: {4, 3, 1, 0}, 12: {5, 4, 2, 1}} {
+		if got := shareOut(n, engines, statuses); !slices.Equal(got, want) {
+			t.Errorf("%d items: got %v, want %v", n, got, want)
+		}
+	}
+}
+
 // TestItemsLeaveAnEngineThatRefusesConnections guards against an agent that sends its items to its crashed engine again
 // and again, until another agent happens to take them.
 func TestItemsLeaveAnEngineThatRefusesConnections(t *testing.T) {
--- a/batch/push.go
+++ b/batch/push.go
@@ -14,10 +14,6 @@
 // pushItems hands waiting items to other agents, and running ones if asked to. Complete
 // texts need no engine: they stay until this process stops.
 func (w *Worker) pushItems(ctx context.Context, statuses map[string]*Status, running bool) {
-	engines := byFreeSlots(statuses)
-	if len(engines) == 0 {
-		return
-	}
 	w.mu.Lock()
 	byJob := map[*workJob][]*task{}
 	for _, j := range w.jobs {
@@ -30,7 +26,7 @@
 	}
 	w.mu.Unlock()
 	for j, tasks := range byJob {
-		w.pushJobItems(ctx, j, tasks, engines)
+		w.pushJobItems(ctx, j, tasks, statuses)
 	}
 }
 
@@ -45,12 +41,32 @@
 // maxOffers is how many agents are offered the same items in a round.
 const maxOffers = 3
 
-// pushJobItems spreads items of one job over other agents, given those with the most free slots first. Items that
-// no agent accepts wait here again, also while this process stops: its next round offers them again.
-func (w *Worker) pushJobItems(ctx context.Context, j *workJob, tasks []*task, engines []string) {
-	used := min(len(engines), len(tasks))
-	for i := range used {
-		share := tasks[i*len(tasks)/used : (i+1)*len(tasks)/used]
+// shareOut divides n items among engines, each to the one that has the most free slots left. Slots that are not
+// there count too, so that the items which have to wait are spread evenly.
+func shareOut(n int, engines []string, statuses map[string]*Status) []int {
+	shares := make([]int, len(engines))
+	for range n {
+		most := 0
+		for i, e := range engines {
+			if statuses[e].Free-shares[i] > statuses[engines[most]].Free-shares[most] {
+				most = i
+			}
+		}
+		shares[most]++
+	}
+	return shares
+}
+
+// pushJobItems spreads items of one job over other agents. Items that no agent accepts wait here again, also while
+// this process stops: its next round offers them again.
+func (w *Worker) pushJobItems(ctx context.Context, j *workJob, tasks []*task, statuses map[string]*Status) {
+	engines := byFreeSlots(statuses)
+	if len(engines) == 0 {
+		return
+	}
+	for i, n := range shareOut(len(tasks), engines, statuses) {
+		share := tasks[:n]
+		tasks = tasks[n:]
 		w.mu.Lock()
 		detached, stopped := w.detach(share)
 		w.mu.Unlock()
--- a/batch/rebalance.go
+++ b/batch/rebalance.go
@@ -86,7 +86,7 @@
 		return
 	}
 	for j, tasks := range broken {
-		h.pushJobItems(ctx, j, tasks, byFreeSlots(statuses))
+		h.pushJobItems(ctx, j, tasks, statuses)
 	}
 }
 
