--- a/tablestore/store_test.go
+++ b/tablestore/store_test.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -14,19 +12,12 @@
 
 	"pgregory.net/rapid"
 
+	_ "mulberryscale.example/internal/rapidseed" // the same draws in each run
 	"mulberryscale.example/internal/standin/tableservice"
 	"mulberryscale.example/platform"
 	"mulberryscale.example/table"
 )
 
-// TestMain sets a fixed seed for rapid; -rapid.seed on the command line overrides it.
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
-
 func body(rows ...string) []byte {
 	var b strings.Builder
 	b.WriteString("rows:\n")
--- a/tablesync/holder_test.go
+++ b/tablesync/holder_test.go
@@ -2,27 +2,18 @@
 
 import (
 	"errors"
-	"flag"
 	"fmt"
-	"os"
 	"sync"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	_ "mulberryscale.example/internal/rapidseed" // the same draws in each run
 	"mulberryscale.example/table"
 	"mulberryscale.example/wire"
 )
 
-// TestMain sets a fixed seed for rapid; -rapid.seed on the command line overrides it.
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
-
 // document returns a document whose only row is named after its version.
 func document(version uint64) wire.TableDocument {
 	return wire.TableDocument{
--- a/weights/relay_test.go
+++ b/weights/relay_test.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"mulberryscale.example/api"
+	_ "mulberryscale.example/internal/rapidseed" // the same draws in each run
 	"mulberryscale.example/internal/standin/instances"
 	standin "mulberryscale.example/internal/standin/weights"
 	"mulberryscale.example/observe"
@@ -20,14 +19,6 @@
 	"mulberryscale.example/wire"
 )
 
-// TestMain fixes rapid's seed; -rapid.seed on the command line takes precedence.
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "20261202"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
-
 const (
 	testModel   = "guide"
 	testVersion = 7
