The stand-in for the store has a file for each of its concerns

Ruled out: a package for each; they share the lock and the rows.

Change: write.go, objects.go and client.go beside rowstore.go. A pure move: the lines of the four files are those of the one before but for packages and imports (compared sorted).

--- a/internal/standin/rowstore/rowstore.go
+++ b/internal/standin/rowstore/rowstore.go
@@ -6,11 +6,9 @@
 import (
 	"cmp"
 	"context"
-	"encoding/base64"
 	"fmt"
 	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -180,27 +178,6 @@
 	return fmt.Errorf("%w: not sent: %v", store.ErrRefused, context.Cause(ctx))
 }
 
-// Limits of a transaction, those of the platform's store.
-const (
-	maxEntries = 100
-	maxTxBytes = 1_000_000 // of values, in an encoding that needs four bytes for three
-)
-
-// checkSize returns store.ErrInvalid for a transaction that exceeds a limit.
-func checkSize(tx store.Tx) error {
-	if n := len(tx.Put) + len(tx.Delete); n > maxEntries {
-		return fmt.Errorf("%w: %d writes", store.ErrInvalid, n)
-	}
-	bytes := 0
-	for _, row := range tx.Put {
-		bytes += base64.StdEncoding.EncodedLen(len(row.Value))
-	}
-	if bytes > maxTxBytes {
-		return fmt.Errorf("%w: %d bytes", store.ErrInvalid, bytes)
-	}
-	return nil
-}
-
 // Commit implements store.Rows.
 func (s *Store) Commit(ctx context.Context, tx store.Tx) (store.Snapshot, error) {
 	if err := checkSize(tx); err != nil {
@@ -209,62 +186,6 @@
 	return s.write(ctx, 0, func() (store.Snapshot, error) { return s.apply(tx) })
 }
 
-// write applies a write with the next queued outcome. extra is a delay beside that of Slow. A
-// caller that gives up during the delay gets store.ErrUnknown, and the write goes on.
-func (s *Store) write(ctx context.Context, extra time.Duration, apply func() (store.Snapshot, error)) (store.Snapshot, error) {
-	if ctx.Err() != nil {
-		return store.Snapshot{}, notSent(ctx)
-	}
-	s.mu.Lock()
-	d := s.delay + extra
-	s.mu.Unlock()
-	if d == 0 {
-		return s.writeNow(apply)
-	}
-	type answer struct {
-		snapshot store.Snapshot
-		err      error
-	}
-	done := make(chan answer, 1)
-	time.AfterFunc(d, func() {
-		snapshot, err := s.writeNow(apply)
-		done <- answer{snapshot, err}
-	})
-	select {
-	case a := <-done:
-		return a.snapshot, a.err
-	case <-ctx.Done():
-		return store.Snapshot{}, fmt.Errorf("%w: %v", store.ErrUnknown, context.Cause(ctx))
-	}
-}
-
-// writeNow applies a write with the next queued outcome, without a delay.
-func (s *Store) writeNow(apply func() (store.Snapshot, error)) (store.Snapshot, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	outcome := Done
-	if len(s.outcomes) > 0 {
-		outcome, s.outcomes = s.outcomes[0], s.outcomes[1:]
-	}
-	switch outcome {
-	case Refused:
-		return store.Snapshot{}, store.ErrRefused
-	case RequestLost:
-		return store.Snapshot{}, store.ErrUnknown
-	case Late:
-		time.AfterFunc(LateBy, func() {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			_, _ = apply() // the caller already got ErrUnknown
-		})
-		return store.Snapshot{}, store.ErrUnknown
-	case ReplyLost:
-		_, _ = apply() // the reply is lost
-		return store.Snapshot{}, store.ErrUnknown
-	}
-	return apply()
-}
-
 // apply applies a transaction, or returns store.ErrConflict if one of its conditions does not
 // hold. The caller holds s.mu.
 func (s *Store) apply(tx store.Tx) (store.Snapshot, error) {
@@ -378,107 +299,3 @@
 	}
 	return rows
 }
-
-// extraDelay returns the delay of SlowObjects.
-func (s *Store) extraDelay() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.objectDelay
-}
-
-// PutObject implements store.Objects.
-func (s *Store) PutObject(ctx context.Context, name string, body []byte) error {
-	_, err := s.write(ctx, s.extraDelay(), func() (store.Snapshot, error) {
-		if _, ok := s.objects[name]; ok {
-			return store.Snapshot{}, store.ErrConflict
-		}
-		s.objects[name] = slices.Clone(body)
-		return store.Snapshot{}, nil
-	})
-	return err
-}
-
-// GetObject implements store.Objects.
-func (s *Store) GetObject(_ context.Context, name string) ([]byte, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	body, ok := s.objects[name]
-	if !ok {
-		return nil, store.ErrNotFound
-	}
-	return body, nil
-}
-
-// DeleteObject implements store.Objects.
-func (s *Store) DeleteObject(ctx context.Context, name string) error {
-	_, err := s.write(ctx, s.extraDelay(), func() (store.Snapshot, error) {
-		delete(s.objects, name)
-		return store.Snapshot{}, nil
-	})
-	return err
-}
-
-// ListObjects implements store.Objects.
-func (s *Store) ListObjects(_ context.Context, prefix string) ([]string, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var names []string
-	for name := range s.objects {
-		if strings.HasPrefix(name, prefix) {
-			names = append(names, name)
-		}
-	}
-	slices.Sort(names)
-	return names, nil
-}
-
-// Client is one process's connection to the store. Its calls can be made to fail.
-type Client struct {
-	*Store
-	mu      sync.Mutex
-	callErr error
-}
-
-// Client returns a new connection to the store.
-func (s *Store) Client() *Client { return &Client{Store: s} }
-
-// SetError makes each commit, list and feed fail with err; nil lets them succeed again.
-func (c *Client) SetError(err error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.callErr = err
-}
-
-func (c *Client) err() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.callErr
-}
-
-// Commit implements store.Rows.
-func (c *Client) Commit(ctx context.Context, tx store.Tx) (store.Snapshot, error) {
-	if err := c.err(); err != nil {
-		return store.Snapshot{}, err
-	}
-	return c.Store.Commit(ctx, tx)
-}
-
-// List implements store.Rows.
-func (c *Client) List(ctx context.Context, r store.Range) (store.Snapshot, error) {
-	if err := c.err(); err != nil {
-		return store.Snapshot{}, err
-	}
-	return c.Store.List(ctx, r)
-}
-
-// Feed implements store.Rows.
-func (c *Client) Feed(ctx context.Context, table string, after uint64, wait time.Duration) (store.Snapshot, error) {
-	if err := c.err(); err != nil {
-		return store.Snapshot{}, err
-	}
-	s, err := c.Store.Feed(ctx, table, after, wait)
-	if callErr := c.err(); callErr != nil {
-		return store.Snapshot{}, callErr
-	}
-	return s, err
-}
