--- a/review/_cases2/split_route.go
+++ b/review/_cases2/split_route.go
@@ -12,7 +12,8 @@
 
 const (
 	stepDeadline = 12 * time.Second // of the trainer, as on the sheet
-	idleBound    = 5 * time.Second  // of LOST, for an item that is at no engine
+	idleBound    = 5 * time.Second  // of LOST, for an item that is at no engine in steady state
+	stableTime   = 3 * time.Second  // StableMs
 	itemTTL      = 40 * time.Second
 )
 
@@ -56,8 +57,10 @@
 	}
 	w.submit(j, entry)
 	accepted := time.Now()
+	calm := accepted.Sub(w.began) // from when on the state is steady
 	if trouble {
 		time.AfterFunc(time.Second, small.crash)
+		calm += time.Second + stableTime
 	}
 	all := func(found map[string]result) bool { return len(found) == items }
 	found := w.read(j, time.Until(accepted.Add(stepDeadline)), all, entry)
@@ -65,8 +68,8 @@
 	w.note("the trainer has read %d of %d items %.1f s after the 202", len(found), items, time.Since(accepted).Seconds())
 	lost := 0
 	for _, x := range j.Requests {
-		if idle, unfinished := w.idleSince(x.Id, accepted.Sub(w.began), stopped); unfinished && idle >= idleBound {
-			w.note("%s, which no engine has finished or failed, has been at no engine for %.1f s", x.Id, idle.Seconds())
+		if idle, unfinished := w.idleSince(x.Id, calm, stopped); unfinished && idle >= idleBound {
+			w.note("%s, which no engine has finished or failed, has been at no engine for %.1f s of steady state", x.Id, idle.Seconds())
 			lost++
 		}
 	}
@@ -82,12 +85,12 @@
 	return lost == 0
 }
 
-// idleSince returns for how long an item has been at no engine, and whether no engine has finished or
-// failed it. Times count from the beginning of the world.
-func (w *world) idleSince(id string, accepted, now time.Duration) (idle time.Duration, unfinished bool) {
+// idleSince returns for how long an item has been at no engine since the state is steady, and whether no
+// engine has finished or failed it. Times count from the beginning of the world.
+func (w *world) idleSince(id string, calm, now time.Duration) (idle time.Duration, unfinished bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	last, ended := accepted, 0
+	last, ended := calm, 0
 	for _, e := range w.endings {
 		if e.id != id {
 			continue
@@ -95,7 +98,7 @@
 		if e.status != 0 {
 			return 0, false
 		}
-		last = e.at
+		last = max(last, e.at)
 		ended++
 	}
 	if ended < w.runs[id] {
--- a/review/_cases2/trainer.go
+++ b/review/_cases2/trainer.go
@@ -86,6 +86,9 @@
 		if err == nil && status == http.StatusOK && json.Unmarshal(data, &p) == nil {
 			for i, r := range p.Results {
 				found[r.Id] = r
+				if w.brief {
+					continue
+				}
 				w.note("read of %s: position %d is %s, %s, %d bytes, versions %v, score %q", j.id, next+i, r.Id, r.State, len(r.Output), r.Versions, r.Score)
 			}
 			next = p.Next
--- a/review/_cases2/world.go
+++ b/review/_cases2/world.go
@@ -44,6 +44,7 @@
 	prefix string // of all addresses, "127.a.b."
 	rows   *rowstore.Store
 	began  time.Time
+	brief  bool // leaves the single runs and results out of the record
 
 	mu       sync.Mutex
 	record   *os.File
@@ -128,7 +129,9 @@
 	w.runs[id]++
 	n := w.runs[id]
 	w.mu.Unlock()
-	w.note("engine %s (%s) begins to run %s, for the %d. time", e.id, e.service, id, n)
+	if !w.brief {
+		w.note("engine %s (%s) begins to run %s, for the %d. time", e.id, e.service, id, n)
+	}
 	return n
 }
 
@@ -137,7 +140,9 @@
 	w.mu.Lock()
 	w.endings = append(w.endings, ending{e.id, e.service, x.id, status, time.Since(w.began)})
 	w.mu.Unlock()
-	w.note("engine %s answers %s with %d", e.id, x.id, status)
+	if !w.brief {
+		w.note("engine %s answers %s with %d", e.id, x.id, status)
+	}
 }
 
 // endingsOf returns how often runs of a request ended with a status.
