--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,7 +1,7 @@
 #!/bin/bash
-# Plays the case "large-steps"; TROUBLE=0 plays it without the disruption. It needs the build of
+# Plays the case "streams-past-their-route-time"; TROUBLE=0 plays it without the disruption. It needs the build of
 # deploy/system.toml and review/build-2.sh. Exit status: 1 broken, 0 held, 2 could not run.
 here="$(cd "$(dirname "$0")" && pwd)" || exit 2
 cd "$here/../.." || exit 2
 [ -x target/mulberry-node ] && [ -x target/review-cases2 ] || exit 2
-exec target/review-cases2 large-steps "$here"
+exec target/review-cases2 streams-past-their-route-time "$here"
