--- a/review/_cases2/large_steps.go
+++ b/review/_cases2/large_steps.go
@@ -20,7 +20,7 @@
 	hostsOfFault  = 2 // machines on which they make one
 	largeItem     = 10000
 	usualItem     = 600 // bytes of an item's body on the sheet
-	stepsTime     = 100 * time.Second
+	stepsTime     = 90 * time.Second
 	stepTrainers  = 4
 	stepGroupSize = 8
 )
