httponce: a body that ends with a reset during the upload is not whole

Callers saw: an engine answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection; the client got the part as a complete answer.

Cause: the kernel reports a reset once. If the write in progress hears of it, the read beside it finds the connection ended and returns io.EOF, which is the end of a body without a length.

Ruled out: a reader that drops an error (it got io.EOF), and the transport's own close after the failed write (reads then fail with net.ErrClosed). A reset after the whole upload was always noticed: there is no write that could hear of it.

Change: a watched connection ends with io.EOF only if no write of it has failed and the current request is wholly written; otherwise with io.ErrUnexpectedEOF. Before the first byte of an answer the end passes as it did, so that requests remain provably unsent. An orderly end during the upload counts as broken too, since a killed endpoint ends its connections so.

Why it works: what the write has heard is asked where the read ends, under one mutex, and a write in progress is waited for, so the order in which the two return does not matter. All readers of answers share it.

--- a/internal/httponce/conn.go
+++ b/internal/httponce/conn.go
@@ -11,8 +11,8 @@
 var errSealed = errors.New("httponce: the request was given up before it was written")
 
 // watchedConn is a connection that knows whether anything of a request was handed to the
-// network. net/http's own trace events are no proof of that: they are reported when a request
-// has been written to a buffer. It is safe for concurrent use.
+// network, and whether all of it was. net/http's own trace events are no proof of the former: they
+// are reported when a request has been written to a buffer. It is safe for concurrent use.
 type watchedConn struct {
 	net.Conn
 
@@ -21,6 +21,13 @@
 	writing int    // writes in progress
 	sealed  bool   // no further write is let through
 	retired bool   // closed by retire; the transport may still take it for an idle one
+	upload  upload // of the current request
+}
+
+func newWatchedConn(conn net.Conn) *watchedConn {
+	c := &watchedConn{Conn: conn}
+	c.upload.changed.L = &c.mu
+	return c
 }
 
 // watchDials returns a dial function whose connections are watched.
@@ -30,7 +37,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &watchedConn{Conn: conn}, nil
+		return newWatchedConn(conn), nil
 	}
 }
 
@@ -40,7 +47,7 @@
 		return 0, errSealed
 	}
 	n, err := c.Conn.Write(b)
-	c.endWrite(n)
+	c.endWrite(n, err)
 	return n, err
 }
 
@@ -54,12 +61,16 @@
 	return !c.sealed
 }
 
-// endWrite notes the end of a write that handed n bytes to the network.
-func (c *watchedConn) endWrite(n int) {
+// endWrite notes the end of a write that handed n bytes to the network, and its error.
+func (c *watchedConn) endWrite(n int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writing--
 	c.written += uint64(n)
+	if err != nil && c.upload.failed == nil {
+		c.upload.failed = err
+	}
+	c.upload.changed.Broadcast()
 }
 
 // bytesWritten returns the number of bytes handed to the network so far.
@@ -98,6 +109,16 @@
 	w.conn = conn
 	if watched, ok := conn.(*watchedConn); ok {
 		w.before = watched.bytesWritten()
+		watched.beginUpload()
+	}
+}
+
+// wroteRequest notes that the request was written, or that writing it failed.
+func (w *requestWatch) wroteRequest(err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if watched, ok := w.conn.(*watchedConn); ok && err == nil {
+		watched.endUpload()
 	}
 }
 
--- a/internal/httponce/conn_test.go
+++ b/internal/httponce/conn_test.go
@@ -57,7 +57,7 @@
 func TestWriteToAClosedConnectionSendsNothing(t *testing.T) {
 	near, far := net.Pipe()
 	defer far.Close()
-	conn := &watchedConn{Conn: near}
+	conn := newWatchedConn(near)
 	watch := &requestWatch{}
 	watch.gotConn(conn)
 	near.Close()
@@ -72,7 +72,7 @@
 // TestRequestThatIsBeingWrittenHasUnknownOutcome asks while a write is in progress.
 func TestRequestThatIsBeingWrittenHasUnknownOutcome(t *testing.T) {
 	near, far := net.Pipe()
-	conn := &watchedConn{Conn: near}
+	conn := newWatchedConn(near)
 	watch := &requestWatch{}
 	watch.gotConn(conn)
 	done := make(chan struct{})
@@ -123,7 +123,7 @@
 		n, _ := far.Read(make([]byte, 8)) // ends with an error once near is closed
 		got <- n
 	}()
-	conn := &watchedConn{Conn: near}
+	conn := newWatchedConn(near)
 	watch := &requestWatch{}
 	watch.gotConn(conn)
 	if !watch.unsent() {
--- a/internal/httponce/httponce.go
+++ b/internal/httponce/httponce.go
@@ -88,7 +88,10 @@
 
 // send sends a request once.
 func (c *Client) send(req *http.Request, watch *requestWatch) (*http.Response, error) {
-	events := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { watch.gotConn(info.Conn) }}
+	events := &httptrace.ClientTrace{
+		GotConn:      func(info httptrace.GotConnInfo) { watch.gotConn(info.Conn) },
+		WroteRequest: func(info httptrace.WroteRequestInfo) { watch.wroteRequest(info.Err) },
+	}
 	once := req.Clone(httptrace.WithClientTrace(withWatch(req.Context(), watch), events))
 	forbidReplay(once)
 	return c.http.Do(once)
