httponce: an answer with a status below 200 is no answer

Callers would see: an engine in trouble answers with status 000; with X-Not-Run beside it the request counts as declined, and one that may run once is sent to another engine or answered 503, though it may have run.

Cause: a decline was read from the head before the status was looked at, and each reader had its own idea of a status that is none; orders took any for "not run".

Ruled out: status 000 passed on to a client without X-Not-Run; forward.ErrBroken before, too.

Change: httponce, which all readers share, checks the head of an answer before it returns it: a status below 200 is ErrMalformed, an unknown outcome, and the connection is closed.

Why it works: nothing of an answer is interpreted before it is known to be one.

--- a/internal/httponce/echo.go
+++ b/internal/httponce/echo.go
@@ -23,8 +23,7 @@
 	if got == "" || got == want {
 		return resp, nil
 	}
-	CloseConn(resp)
-	resp.Body.Close()
+	refuse(resp)
 	return nil, fmt.Errorf("%w: status %d to %q", ErrForeignAnswer, resp.StatusCode, got)
 }
 
--- /dev/null
+++ b/internal/httponce/head.go
@@ -0,0 +1,26 @@
+package httponce
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+)
+
+// ErrMalformed is returned for an answer with a head that no HTTP answer has. What the server did
+// with the request is unknown, whatever the rest of the head says.
+var ErrMalformed = errors.New("httponce: malformed answer")
+
+// checkHead returns an error that wraps ErrMalformed if an answer's head is malformed in a way that
+// net/http accepts.
+func checkHead(resp *http.Response) error {
+	if resp.StatusCode < http.StatusOK {
+		return fmt.Errorf("%w: status %03d is no final one", ErrMalformed, resp.StatusCode)
+	}
+	return nil
+}
+
+// refuse closes an answer's connection.
+func refuse(resp *http.Response) {
+	CloseConn(resp)
+	resp.Body.Close()
+}
--- a/internal/httponce/httponce.go
+++ b/internal/httponce/httponce.go
@@ -88,13 +88,31 @@
 
 // send sends a request once.
 func (c *Client) send(req *http.Request, watch *requestWatch) (*http.Response, error) {
+	once := watched(req, watch)
+	forbidReplay(once)
+	return c.answer(once)
+}
+
+// watched returns a copy of a request that tells watch what happens to it.
+func watched(req *http.Request, watch *requestWatch) *http.Request {
 	events := &httptrace.ClientTrace{
 		GotConn:      func(info httptrace.GotConnInfo) { watch.gotConn(info.Conn) },
 		WroteRequest: func(info httptrace.WroteRequestInfo) { watch.wroteRequest(info.Err) },
 	}
-	once := req.Clone(httptrace.WithClientTrace(withWatch(req.Context(), watch), events))
-	forbidReplay(once)
-	return c.http.Do(once)
+	return req.Clone(httptrace.WithClientTrace(withWatch(req.Context(), watch), events))
+}
+
+// answer sends a watched request and returns its answer, unless that is malformed.
+func (c *Client) answer(req *http.Request) (*http.Response, error) {
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHead(resp); err != nil {
+		refuse(resp)
+		return nil, err
+	}
+	return resp, nil
 }
 
 // rewind gives a request that was not sent its whole body again. It reports whether that is
@@ -115,7 +133,9 @@
 }
 
 // DoRepeatable sends an idempotent request, such as a read. The transport may retry it.
-func (c *Client) DoRepeatable(req *http.Request) (*http.Response, error) { return c.http.Do(req) }
+func (c *Client) DoRepeatable(req *http.Request) (*http.Response, error) {
+	return c.answer(watched(req, &requestWatch{}))
+}
 
 // forbidReplay gives the request a body that can be read only once, because
 // the transport retries only requests whose body it can get again.
