httponce: an answer with an invalid field name is no answer

Callers saw, on other systems: the name of a field held a blank; the client got the line, or a body that was not the engine's (Content-Length : 2, Transfer-Encoding : chunked). Here the entry's own server drops such a line, and the body came with what followed it, or with its chunks' framing.

Cause: net/http's client keeps a name with a blank as it stands; such a field means nothing to it, and what it means to others is open.

Ruled out: control bytes, NUL, DEL, bytes above ASCII and empty names, control bytes in values: net/http refuses them, before as now.

Change: httponce refuses a head with a name that is no token (golang.org/x/net/http/httpguts, in the module's graph already).

Why it works: all readers of answers share the check, which comes before any field is interpreted.

--- a/internal/httponce/conn.go
+++ b/internal/httponce/conn.go
@@ -30,8 +30,11 @@
 	return c
 }
 
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // watchDials returns a dial function whose connections are watched.
-func watchDials(dial func(ctx context.Context, network, addr string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
+func watchDials(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := dial(ctx, network, addr)
 		if err != nil {
--- a/internal/httponce/head.go
+++ b/internal/httponce/head.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrMalformed is returned for an answer with a head that no HTTP answer has. What the server did
@@ -16,6 +18,11 @@
 	if resp.StatusCode < http.StatusOK {
 		return fmt.Errorf("%w: status %03d is no final one", ErrMalformed, resp.StatusCode)
 	}
+	for name := range resp.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: field name %.40q", ErrMalformed, name)
+		}
+	}
 	return nil
 }
 
--- a/internal/httponce/head_test.go
+++ b/internal/httponce/head_test.go
@@ -53,6 +53,7 @@
 	for name, head := range map[string]string{
 		"status 000": "HTTP/1.1 000 OK\r\n",
 		"status 099": "HTTP/1.1 099 OK\r\n",
+		"field name": "HTTP/1.1 200 OK\r\nX Odd: v\r\n",
 	} {
 		for way, do := range map[string]func(*Client, *http.Request) (*http.Response, error){
 			"once": (*Client).Do, "repeatable": (*Client).DoRepeatable,
--- a/internal/httponce/httponce.go
+++ b/internal/httponce/httponce.go
@@ -53,14 +53,30 @@
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
 	}
+	t := newTransport(dialer.DialContext)
+	t.IdleConnTimeout = idle
+	return newClient(t)
+}
+
+// NewSingleUse is New with a connection of its own for each request, which dial opens.
+func NewSingleUse(dial DialFunc) *Client {
+	t := newTransport(dial)
+	t.DisableKeepAlives = true
+	return newClient(t)
+}
+
+func newTransport(dial DialFunc) *http.Transport {
+	return &http.Transport{
+		DialContext:            watchDials(dial),
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    maxIdlePerHost,
+		MaxResponseHeaderBytes: maxResponseHeaders,
+	}
+}
+
+func newClient(t *http.Transport) *Client {
 	return &Client{http: &http.Client{
-		Transport: &http.Transport{
-			DialContext:            watchDials(dialer.DialContext),
-			DisableCompression:     true,
-			IdleConnTimeout:        idle,
-			MaxIdleConnsPerHost:    maxIdlePerHost,
-			MaxResponseHeaderBytes: maxResponseHeaders,
-		},
+		Transport:     t,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
