httponce: an answer that bears two ids is nobody's

Callers would see: an answer that bears the id of another request beside the right one counts as theirs, if the right id stands first.

Cause: DoEchoed compared the first value of the header only.

Change: all values are compared.

Evidence: TestAnswerWithTwoIDsIsNoAnswer, on the code before: one of two orders of the ids was taken; none with the change. Found while the heads of answers were looked at; no customer has reported it.

--- a/internal/httponce/echo.go
+++ b/internal/httponce/echo.go
@@ -19,12 +19,14 @@
 	if err != nil {
 		return nil, err
 	}
-	want, got := req.Header.Get(header), resp.Header.Get(header)
-	if got == "" || got == want {
-		return resp, nil
+	want := req.Header.Get(header)
+	for _, got := range resp.Header.Values(header) {
+		if got != "" && got != want {
+			refuse(resp)
+			return nil, fmt.Errorf("%w: status %d to %.40q", ErrForeignAnswer, resp.StatusCode, got)
+		}
 	}
-	refuse(resp)
-	return nil, fmt.Errorf("%w: status %d to %q", ErrForeignAnswer, resp.StatusCode, got)
+	return resp, nil
 }
 
 // CloseConn closes the connection on which an answer of Do or DoEchoed came.
