node: a test of bodies that end late in a drain

Other operators saw requests that came late in the grace of a planned stop taken, passed on and cut with no answer.

Finding: handled already (drain.Stop.Admits, TestRequestsThroughADrain). A head early and a body late had no run: a request is judged when its body has come, so it is treated as one that comes then.

Change: a test only.

--- a/service/node/entrydrain_test.go
+++ b/service/node/entrydrain_test.go
@@ -175,20 +175,45 @@
 type callResult struct {
 	resp *http.Response
 	err  error // no complete answer
-	sent time.Time
+	// begun and sent are when its head was sent, and when its last byte was.
+	begun, sent time.Time
 }
 
 func (c *keptConn) call(id, path string, deadline time.Duration) callResult {
-	result := callResult{sent: time.Now()}
-	_, result.err = fmt.Fprintf(c.conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nContent-Length: 0\r\n\r\n",
-		path, id, deadline.Milliseconds())
+	result := callResult{begun: time.Now(), sent: time.Now()}
+	result.err = c.sendHead(id, path, deadline, 0)
+	c.readAnswer(&result)
+	return result
+}
+
+// callSlowly sends the head of a request at once, and its body at a given time.
+func (c *keptConn) callSlowly(id, path string, whole time.Time) callResult {
+	const body = "body"
+	result := callResult{begun: time.Now()}
+	result.err = c.sendHead(id, path, routeTimeout, len(body))
+	time.Sleep(time.Until(whole))
+	result.sent = time.Now()
+	if result.err == nil {
+		_, result.err = io.WriteString(c.conn, body)
+	}
+	c.readAnswer(&result)
+	return result
+}
+
+func (c *keptConn) sendHead(id, path string, deadline time.Duration, length int) error {
+	_, err := fmt.Fprintf(c.conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n",
+		path, id, deadline.Milliseconds(), length)
+	return err
+}
+
+// readAnswer reads the answer to a request that was sent without an error.
+func (c *keptConn) readAnswer(result *callResult) {
 	if result.err == nil {
 		result.resp, result.err = http.ReadResponse(c.in, nil)
 	}
 	if result.err == nil {
 		_, result.err = io.ReadAll(result.resp.Body)
 	}
-	return result
 }
 
 // judge fails the test if a client may complain about a call: it was passed on and got no complete
@@ -207,7 +232,7 @@
 		}
 		return
 	}
-	timedOut := time.Since(result.sent) >= limit-100*time.Millisecond
+	timedOut := time.Since(result.begun) >= limit-100*time.Millisecond
 	excused := sent <= excusedTime && !run.done && run.end.Sub(r.signal) >= r.grace*5/6
 	if ran && !timedOut && !excused {
 		r.t.Errorf("grace %s, %s sent %s after the signal, cut off after %s (the endpoint was done: %t): %v",
@@ -293,6 +318,32 @@
 	}
 }
 
+// Guards against a request whose head comes before the signal to stop, and the end of whose body comes late in the drain:
+// one that is read whole is answered, or cut off for the reasons that excuse any other.
+func TestBodiesThatEndInADrain(t *testing.T) {
+	for _, grace := range graceTimes {
+		t.Run(grace.String(), func(t *testing.T) { inDrainRig(t, grace, sendSlowBodiesThroughDrain) })
+	}
+}
+
+// sendSlowBodiesThroughDrain sends requests of all kinds whose bodies end at times all over the drain.
+func sendSlowBodiesThroughDrain(r *drainRig) {
+	var clients sync.WaitGroup
+	for _, kind := range []string{"safe", "unsafe", "stream"} {
+		for _, length := range []string{"10ms", "2s", "6s"} {
+			for at := -300 * time.Millisecond; at < r.grace; at += r.grace / 16 {
+				c := r.dial()
+				clients.Go(func() {
+					defer c.conn.Close()
+					id := fmt.Sprintf("%s of %s, whole at %s", kind, length, at)
+					r.judge(id, c.callSlowly(id, "/"+kind+"/"+length, r.signal.Add(at)), routeTimeout)
+				})
+			}
+		}
+	}
+	clients.Wait()
+}
+
 // Guards against an entry that begins to listen for clients after the signal to stop, which came
 // during its start.
 func TestEntryStoppedDuringItsStartServesNobody(t *testing.T) {
