batch: an entry with any number of slots ends no agent

Other operators saw one odd entry among those of the engines, with a number too large, end the machines that read the list. Here: an entry with 2^53 - 1 slots at the address of an agent's engine passes, and the agent ends when another agent takes items from it.

Cause: taskEnds allocates a time for each slot that the entry names.

Ruled out: other allocations by a number of slots; none, by a search for make in edf, flowcontrol, scaling, background, picker, reward and batch.

Change: no more slots than items that run or wait are looked at; the others would stay free, so the estimates are the same.

Evidence: TestItemsAreTakenFromAnEngineWithTooManySlots, on the code before: fatal error: runtime: out of memory. With the change nine of twelve items are taken for 2^40, 2^53 - 1 and 2^63 - 1 slots: the share that matches the paces.

--- a/batch/speed.go
+++ b/batch/speed.go
@@ -67,7 +67,8 @@
 	}
 	own := s.pace.Pace(time.Now())
 	ends := make(map[*task]time.Duration, len(w.running)+len(w.waiting))
-	slots := make([]time.Duration, max(1, instance.Slots, len(w.running))) // until each is free
+	used := min(instance.Slots, len(w.running)+len(w.waiting))   // the list may name any number
+	slots := make([]time.Duration, max(1, used, len(w.running))) // until each is free
 	next := 0
 	for t := range w.running {
 		ends[t] = s.duration(s.remainingWork(t), own)
