--- a/service/node/watch_test.go
+++ b/service/node/watch_test.go
@@ -79,6 +79,38 @@
 	})
 }
 
+// TestOddEntryHidesNoOther guards against an entry of another writer that ends the process, or ends the reading of the list,
+// so that the entries beside it and after it are not read.
+func TestOddEntryHidesNoOther(t *testing.T) {
+	odd := func(old, new string) string { return strings.Replace(string(instanceRow("odd").Value), old, new, 1) }
+	for name, value := range map[string]string{
+		"deeply nested":       odd(`{`, `{"Rack":`+strings.Repeat("[", 20000)+strings.Repeat("]", 20000)+`,`),
+		"deep in a field":     odd(`"s"`, strings.Repeat(`{"a":`, 9000)+"1"+strings.Repeat("}", 9000)),
+		"not closed":          strings.Repeat(`[`, 60000),
+		"number out of range": odd(`"Slots":4`, `"Slots":1e999`),
+		"500 digits":          odd(`"Sequence":1`, `"Sequence":`+strings.Repeat("9", 500)),
+		"too many slots":      odd(`"Slots":4`, `"Slots":9007199254740991`),
+		"port 0":              odd(`:80"`, `:0"`),
+		"port 70000":          odd(`:80"`, `:70000"`),
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newListRig(t)
+				if _, err := r.store.Commit(t.Context(), store.Tx{Put: []store.Row{rowOf("odd", value), instanceRow("beside")}}); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(time.Second)
+				r.put("after")
+				r.remove("b")
+				time.Sleep(time.Second)
+				if r.known("odd") || r.known("b") || !r.known("a") || !r.known("beside") || !r.known("after") {
+					t.Errorf("got %v", r.view.Snapshot().Instances)
+				}
+			})
+		})
+	}
+}
+
 // TestEntriesThatExpireDuringStoreOutage checks that instances whose entries expired during an
 // outage of the store are kept for returnGrace after it.
 func TestEntriesThatExpireDuringStoreOutage(t *testing.T) {
