--- a/internal/httponce/echo.go
+++ b/internal/httponce/echo.go
@@ -22,7 +22,7 @@
 	want := req.Header.Get(header)
 	for _, got := range resp.Header.Values(header) {
 		if got != "" && got != want {
-			refuse(resp)
+			discard(resp)
 			return nil, fmt.Errorf("%w: status %d to %.40q", ErrForeignAnswer, resp.StatusCode, got)
 		}
 	}
--- a/internal/httponce/head.go
+++ b/internal/httponce/head.go
@@ -26,8 +26,8 @@
 	return nil
 }
 
-// refuse closes an answer's connection.
-func refuse(resp *http.Response) {
+// discard closes the connection of an answer that is not returned.
+func discard(resp *http.Response) {
 	CloseConn(resp)
 	resp.Body.Close()
 }
--- a/internal/httponce/httponce.go
+++ b/internal/httponce/httponce.go
@@ -125,7 +125,7 @@
 		return nil, err
 	}
 	if err := checkHead(resp); err != nil {
-		refuse(resp)
+		discard(resp)
 		return nil, err
 	}
 	return resp, nil
