forward: a request has one limit, from its arrival to its last byte

Cause: Forwarder.Do made the limit from Route.Timeout each time it was called, and Resume calls it.

Change: Request.Arrived, set once; the limit is an instant from which Do, Resume, the time told to endpoints and gated waits take what is left. The same class: ungated sends told the client's deadline only, reward calls were sent with the time of before their wait, the time of a submission began after its body, requests whose time was up were sent (now 503 at once).

TestCallIsSentUnchangedByItsRoute checks the time that the endpoint is told in place of the request's Deadline field, with the same bound: the bound by the route's timeout is applied in forward now.

--- a/batch/intake.go
+++ b/batch/intake.go
@@ -54,6 +54,8 @@
 	MinVersion   uint64
 	WantedGroups int // complete groups that the client waits for; 0 is all
 	Items        []Item
+	// Arrived is when the submission arrived; zero for now. The route's timeout counts from then.
+	Arrived time.Time
 	// Deadline is when the client stops waiting; zero if it did not say.
 	Deadline time.Time
 }
@@ -80,14 +82,11 @@
 		return fmt.Errorf("%w: the store has not been reached yet", store.ErrRefused)
 	}
 	began := time.Now()
-	limit := acceptTimeout
-	if !s.Deadline.IsZero() {
-		limit = min(limit, time.Until(s.Deadline)-answerReserve)
-	}
-	if s.Route.Timeout > 0 {
-		limit = min(limit, s.Route.Timeout-answerReserve)
+	limit := s.limit(began)
+	if !began.Before(limit) {
+		return fmt.Errorf("%w: no time is left to accept the job", store.ErrRefused)
 	}
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := context.WithDeadline(ctx, limit)
 	defer cancel()
 	job := in.newJob(s, now)
 	err := in.Ledger.Submit(ctx, job, s.Items)
@@ -106,6 +105,25 @@
 	return nil
 }
 
+// limit returns when the submission is given up, so that its answer is written in time.
+func (s *Submission) limit(now time.Time) time.Time {
+	limit := now.Add(acceptTimeout)
+	if !s.Deadline.IsZero() {
+		limit = earlier(limit, s.Deadline.Add(-answerReserve))
+	}
+	if s.Route.Timeout > 0 {
+		limit = earlier(limit, cmp.Or(s.Arrived, now).Add(s.Route.Timeout-answerReserve))
+	}
+	return limit
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // check returns an error if the submission is malformed.
 func (s *Submission) check() error {
 	if s.ID == "" {
--- a/batch/reward.go
+++ b/batch/reward.go
@@ -16,8 +16,8 @@
 	Call *RewardCall
 	// QueueTime orders waiting calls, the lowest first, see Job.queueTime.
 	QueueTime time.Duration
-	// TimeLeft is the time left until the item expires.
-	TimeLeft time.Duration
+	// Expires is when the item expires.
+	Expires time.Time
 }
 
 // RewardResponse is the outcome of an attempt that the service answered.
@@ -74,7 +74,7 @@
 func (w *Worker) score(ctx context.Context, t *task) (string, error) {
 	for unanswered := 0; ; {
 		began := time.Now()
-		response, err := w.Rewards.Score(ctx, RewardRequest{Call: t.item.Reward, QueueTime: t.j.job.queueTime(), TimeLeft: w.timeLeft(t.j.job)})
+		response, err := w.Rewards.Score(ctx, RewardRequest{Call: t.item.Reward, QueueTime: t.j.job.queueTime(), Expires: time.Now().Add(w.timeLeft(t.j.job))})
 		if err == nil {
 			return response.Score, nil
 		}
--- a/forward/call.go
+++ b/forward/call.go
@@ -93,6 +93,9 @@
 		cancels[next.to.Incarnation()] = c.send(ctx, next, risky)
 		return true
 	}
+	if ctx.Err() != nil {
+		return nil, c.contextRefusal(ctx)
+	}
 	start("")
 	hedge := time.NewTimer(c.hedgeAfter())
 	defer hedge.Stop()
@@ -190,13 +193,7 @@
 	c.unanswered[to.Incarnation()] = abandonedSend{to: to, sent: c.lastSent}
 	c.sent++
 	c.pending++
-	left := c.request.Route.Timeout
-	if !c.request.Deadline.IsZero() {
-		left = time.Until(c.request.Deadline)
-	}
-	if c.gate != nil { // it may have waited for long
-		left = min(left, time.Until(c.deadline)+answerSlack)
-	}
+	left := time.Until(c.request.limit())
 	meterEnd := func() {}
 	if c.Meter != nil {
 		meterEnd = c.Meter(to)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -30,6 +30,9 @@
 	Host   string
 	Header http.Header // the headers to pass on
 	Body   []byte
+	// Arrived is when the request arrived; zero for when it is first forwarded. The route's timeout
+	// counts from then, however often the request is sent.
+	Arrived time.Time
 	// Deadline is when the client stops waiting; zero for never.
 	Deadline time.Time
 	// LastEventID is the id of the last event of a stream that the client has received.
@@ -45,6 +48,23 @@
 	return quarantine.FingerprintOf(r.Organisation, r.Host, r.Method, r.Target, string(r.Body))
 }
 
+// noteArrival sets when the request arrived, unless that is known.
+func (r *Request) noteArrival(now time.Time) {
+	if r.Arrived.IsZero() {
+		r.Arrived = now
+	}
+}
+
+// limit returns when the request's final answer is due: when its route's timeout has passed since
+// its arrival, or when the client stops waiting, whichever comes first.
+func (r *Request) limit() time.Time {
+	limit := r.Arrived.Add(r.Route.Timeout)
+	if !r.Deadline.IsZero() && r.Deadline.Before(limit) {
+		return r.Deadline
+	}
+	return limit
+}
+
 // Answer is an endpoint's answer.
 type Answer struct {
 	Status int
@@ -154,7 +174,7 @@
 	// minHedge is the shortest hedging delay; it keeps short objectives from doubling every
 	// request.
 	minHedge = 50 * time.Millisecond
-	// answerSlack is taken off the route's timeout to leave time for writing the answer.
+	// answerSlack is the time before a request's limit that is left for writing the answer.
 	answerSlack = 20 * time.Millisecond
 )
 
@@ -203,17 +223,15 @@
 func (f *Forwarder) Do(ctx context.Context, r *Request) (*Answer, error) {
 	began := time.Now()
 	f.picker.Prune(f.View.Snapshot())
-	limit := r.Route.Timeout - answerSlack
-	if !r.Deadline.IsZero() {
-		limit = min(limit, time.Until(r.Deadline)-answerSlack)
-	}
-	bounded, cancel := context.WithTimeoutCause(ctx, limit, errTimeout)
+	r.noteArrival(began)
+	deadline := r.limit().Add(-answerSlack)
+	bounded, cancel := context.WithDeadlineCause(ctx, deadline, errTimeout)
 	c := &call{
-		Forwarder: f, request: r, fingerprint: r.fingerprint(), service: r.Route.Backend(r.ID), config: f.View.Snapshot().Config, arrived: began, deadline: began.Add(limit),
+		Forwarder: f, request: r, fingerprint: r.fingerprint(), service: r.Route.Backend(r.ID), config: f.View.Snapshot().Config, arrived: r.Arrived, deadline: deadline,
 		tried: map[fleet.Incarnation]bool{}, unanswered: map[fleet.Incarnation]abandonedSend{}, results: make(chan attempt, maxParallel),
 	}
 	if c.gate = f.Gates.of(c.service); c.gate != nil && !r.Deadline.IsZero() {
-		c.age = c.gate.ages.age(clientKind{r.Organisation, r.Route.Name}, r.Deadline.Sub(began), began)
+		c.age = c.gate.ages.age(clientKind{r.Organisation, r.Route.Name}, r.Deadline.Sub(r.Arrived), began)
 	}
 	c.countArrival()
 	answer, err := c.admitAndRun(bounded)
--- a/forward/resume.go
+++ b/forward/resume.go
@@ -8,8 +8,13 @@
 )
 
 // Resume continues a stream that broke off, at another endpoint after the last event that the
-// client has received.
+// client has received. What is left of the request's limit bounds it. If its error is a *Refusal,
+// that never says that the request has not run.
 func (f *Forwarder) Resume(ctx context.Context, r *Request, lastEventID string) (Events, error) {
+	r.noteArrival(time.Now())
+	if time.Until(r.limit()) <= answerSlack {
+		return nil, &Refusal{Reason: ReasonTimeout}
+	}
 	if !r.Route.Resumable {
 		return nil, fmt.Errorf("forward: route %s is not resumable", r.Route.Name)
 	}
@@ -17,9 +22,6 @@
 	resumed.LastEventID = lastEventID
 	defer func() { r.Reached = resumed.Reached }()
 	for resumed.Reached < r.Route.MaxAttempts {
-		if !r.Deadline.IsZero() && time.Until(r.Deadline) <= answerSlack {
-			return nil, errTimeout
-		}
 		restore, ok := f.takeResumed(&resumed)
 		if !ok {
 			return nil, errBudget
@@ -28,6 +30,7 @@
 		var refusal *Refusal
 		if errors.As(err, &refusal) && refusal.NotRun {
 			restore()
+			refusal.NotRun = false // the stream ran before it broke off
 		}
 		if err != nil {
 			return nil, err
--- a/reward/caller.go
+++ b/reward/caller.go
@@ -95,7 +95,7 @@
 	c.Forward.Counters.Observe(observe.NameRewardWait, route.Name, time.Since(queuedAt))
 	answer, err := c.Forward.Do(ctx, &forward.Request{
 		ID: call.ID, Route: &route, Method: http.MethodPost, Target: call.Path, Host: call.Host, Header: http.Header{},
-		Body: call.Body, Deadline: time.Now().Add(min(request.TimeLeft, route.Timeout)),
+		Body: call.Body, Deadline: request.Expires,
 	})
 	gate.Leave(c.capacity(service), func(w *background.Window, now time.Time) {
 		switch {
--- a/reward/caller_test.go
+++ b/reward/caller_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,10 +22,11 @@
 	err    error
 	sent   []forward.Request
 	to     []string
+	left   []time.Duration
 }
 
-func (s *fakeSender) Send(_ context.Context, to fleet.Instance, r *forward.Request, _ time.Duration) (*forward.Answer, error) {
-	s.sent, s.to = append(s.sent, *r), append(s.to, to.Service)
+func (s *fakeSender) Send(_ context.Context, to fleet.Instance, r *forward.Request, left time.Duration) (*forward.Answer, error) {
+	s.sent, s.to, s.left = append(s.sent, *r), append(s.to, to.Service), append(s.left, left)
 	return s.answer, s.err
 }
 
@@ -48,7 +51,7 @@
 
 // newRequest returns a reward call with ten seconds left.
 func newRequest(path string) batch.RewardRequest {
-	return batch.RewardRequest{Call: &batch.RewardCall{ID: "r1", Host: "s.example", Path: path, Body: []byte("body")}, TimeLeft: 10 * time.Second}
+	return batch.RewardRequest{Call: &batch.RewardCall{ID: "r1", Host: "s.example", Path: path, Body: []byte("body")}, Expires: time.Now().Add(10 * time.Second)}
 }
 
 func TestAnswerClassification(t *testing.T) {
@@ -98,8 +101,8 @@
 	if r.Method != "POST" || r.Target != "/s/%41?q=%20" || r.Host != "s.example" || string(r.Body) != "body" || r.ID != "r1" || len(r.Header) != 0 {
 		t.Errorf("sent %+v", r)
 	}
-	if s.to[0] != "scores" || time.Until(r.Deadline) > 3*time.Second {
-		t.Errorf("sent to %s with %v left", s.to[0], time.Until(r.Deadline))
+	if s.to[0] != "scores" || s.left[0] > 3*time.Second {
+		t.Errorf("sent to %s with %v left", s.to[0], s.left[0])
 	}
 }
 
@@ -142,3 +145,43 @@
 		})
 	}
 }
+
+// slowSender answers each request after a second, and records the time that it was told.
+type slowSender struct {
+	fakeSender
+	mu sync.Mutex
+}
+
+func (s *slowSender) Send(ctx context.Context, to fleet.Instance, r *forward.Request, left time.Duration) (*forward.Answer, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.left = append(s.left, left)
+	answer := s.answer
+	s.mu.Unlock()
+	defer s.mu.Lock()
+	time.Sleep(time.Second)
+	return answer, nil
+}
+
+// TestWaitingCallExpiresWithItsItem guards against reward calls that are sent with the time that their item had left
+// before they waited for their turn.
+func TestWaitingCallExpiresWithItsItem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &slowSender{fakeSender: fakeSender{answer: &forward.Answer{Status: 200, Signature: "s"}}}
+		c := newTestCaller(&s.fakeSender)
+		c.Forward.Sender = s
+		c.View.Snapshot().Config.Routes[0].Objective = 3 * time.Second // no hedges
+		const calls, timeLeft = 12, 2500 * time.Millisecond
+		request := newRequest("/s/1")
+		request.Expires = time.Now().Add(timeLeft)
+		var wg sync.WaitGroup
+		for range calls {
+			wg.Go(func() { _, _ = c.Score(t.Context(), request) })
+		}
+		wg.Wait()
+		slices.Sort(s.left)
+		if first, last := s.left[len(s.left)-1], s.left[0]; first != timeLeft || last > timeLeft-time.Second {
+			t.Errorf("the first call was told %s, one that waited %s", first, last)
+		}
+	})
+}
