batch: a job outlives the engines of the service it was accepted for

Cause: Intake stores one service in the job and agents of all other services ignored its row. Ruled out: orphan search, the list of instances (the agents of the other pool never had the job).

Change: currentService, a pure function of job, configuration and list; agents adopt jobs that their service runs by it, or whose items another agent offers them. Orphan searches ask all agents that may hold items. Jobs are accepted for a service that has engines; jobs without owners run, also without a model.

Weighed: any idle agent of the route takes items (a herd, and the split's shares are lost), a row that says where the job is now (needs a writer, and a store that can be reached).

Also: the answers of a test's sender in package reward are no longer shared (the race detector saw the test's writes).

--- a/batch/drain.go
+++ b/batch/drain.go
@@ -19,19 +19,12 @@
 		w.pushWaiting(ctx)
 	}
 	for w.itemsLeft() > 0 && pause.Sleep(ctx, drainPollInterval) == nil {
-		statuses := w.queryCapacity(ctx)
-		w.pushItems(ctx, statuses, true)
+		w.pushItems(ctx, w.queryCapacity(ctx, w.openJobs()), true)
 	}
 	for w.hasUnsavedResults() && pause.Sleep(ctx, drainPollInterval) == nil {
 	}
 }
 
-// queryCapacity returns the statuses of agents that may take items of this one.
-func (w *Worker) queryCapacity(ctx context.Context) map[string]*Status {
-	jobs := w.openJobs()
-	return w.queryStatuses(ctx, jobs, sampleEngines(w.peerEngines(jobs), pushFanout))
-}
-
 // drainPollInterval is how often Drain checks what is left.
 const drainPollInterval = 100 * time.Millisecond
 
@@ -48,8 +41,7 @@
 	n := len(w.waiting)
 	w.mu.Unlock()
 	if n > 0 {
-		statuses := w.queryCapacity(ctx)
-		w.pushItems(ctx, statuses, false)
+		w.pushItems(ctx, w.queryCapacity(ctx, w.openJobs()), false)
 	}
 }
 
--- a/batch/handover.go
+++ b/batch/handover.go
@@ -135,6 +135,7 @@
 // accept takes over items that another agent hands to this one, and returns how many; 0 if
 // it does not accept work of the job.
 func (w *Worker) accept(from string, handed *Handover) int {
+	w.adoptOffered(handed.Job)
 	w.mu.Lock()
 	j, ok := w.jobs[handed.Job]
 	refuse := !ok || j.ended || w.stopping
--- a/batch/intake.go
+++ b/batch/intake.go
@@ -185,8 +185,13 @@
 
 // newJob returns the job of a submission, owned by the engines that serve its model.
 func (in *Intake) newJob(s Submission, now time.Duration) *Job {
-	service := s.Route.Backend(s.ID)
 	snap := in.View.Snapshot()
+	service, ok := s.Route.BackendAmong(s.ID, func(service string) bool {
+		return hasEngines(snap, service) && servesModel(snap.Config, service, s.Model)
+	})
+	if !ok {
+		service = s.Route.Backend(s.ID)
+	}
 	engines := engineAddrs(snap.OfService(service))
 	ready := len(engines)
 	if config := snap.Config.Service(service); config != nil && s.Model != "" {
@@ -198,7 +203,7 @@
 		work += s.Items[i].expectedWork()
 	}
 	return &Job{
-		Priority: s.priority(snap.Config), ID: s.scopedID(), Organisation: s.Organisation, Route: s.Route.Name, Host: s.Host, Service: service, Model: s.Model, Step: s.Step,
+		Priority: s.priority(snap.Config), ID: s.scopedID(), Organisation: s.Organisation, Route: s.Route.Name, Prefix: s.Route.Prefix, Host: s.Host, Service: service, Model: s.Model, Step: s.Step,
 		MinVersion: s.MinVersion, SingleVersion: s.Route.SingleVersion, Items: len(s.Items), WantedGroups: s.WantedGroups,
 		MaxAttempts: s.Route.MaxAttempts, ItemTTL: s.Route.ItemTTL, Accepted: now, Owners: engines, Ready: ready, Work: work,
 		GroupItems: groupSize(s.Items), RunTarget: s.Route.RunTarget, Paces: in.pacesOf(snap, engines, now),
--- a/batch/job.go
+++ b/batch/job.go
@@ -39,9 +39,10 @@
 // Job is the header of an accepted job, without the contents of its items.
 type Job struct {
 	// ID is the client's id of the job, scoped to its organisation, see ScopedID.
-	ID      string `cbor:"1,keyasint"`
-	Route   string `cbor:"2,keyasint"`
-	Host    string `cbor:"3,keyasint"`
+	ID    string `cbor:"1,keyasint"`
+	Route string `cbor:"2,keyasint"`
+	Host  string `cbor:"3,keyasint"`
+	// Service is the service for which it was accepted, see currentService.
 	Service string `cbor:"4,keyasint"`
 	Model   string `cbor:"5,keyasint,omitempty"`
 	Step    int    `cbor:"6,keyasint,omitempty"`
@@ -69,6 +70,8 @@
 	Objects []string `cbor:"24,keyasint,omitempty"`
 	// ItemsSum is the SHA-256 digest of the encoded items.
 	ItemsSum []byte `cbor:"25,keyasint,omitempty"`
+	// Prefix is the path prefix of its route. By it and Host the route is found in later configurations.
+	Prefix string `cbor:"26,keyasint,omitempty"`
 	// Work is the expected work of all items together, in generated tokens.
 	Work int `cbor:"17,keyasint,omitempty"`
 	// Organisation is the name of the organisation that owns the job; empty for none.
--- a/batch/openjobs.go
+++ b/batch/openjobs.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -10,10 +11,10 @@
 	"mulberryscale.example/observe"
 )
 
-// addJob adds a job to those known here if it is of this worker's service and not
-// expired, and starts it if this engine owns a part of it.
+// addJob adds a job to those known here if it is not expired, and starts it if this engine owns a
+// part of it. A job of another service is only remembered.
 func (w *Worker) addJob(job *Job, now time.Duration) {
-	if job.Service != w.Service || now-job.Accepted > job.ItemTTL+jobRetention {
+	if now-job.Accepted > job.ItemTTL+jobRetention {
 		return
 	}
 	w.mu.Lock()
@@ -21,20 +22,34 @@
 	if _, known := w.jobs[job.ID]; known {
 		return
 	}
-	j := &workJob{job: job, tasks: map[int]*task{}, done: map[int]bool{}, transfers: transfers{}, orphansChecked: time.Now()}
-	j.outbox = newOutbox(w, j)
-	w.jobs[job.ID] = j
+	if job.Service != w.Service {
+		w.foreign[job.ID], w.foreignChecked = job, nil
+		return
+	}
+	j := w.open(job)
 	owner := slices.Contains(job.Owners, w.Engine)
-	log := w.Log.WithFields(logrus.Fields{
-		observe.FieldJob: job.ID, "model": job.Model, "items": job.Items, "owners": len(job.Owners), "owner": owner,
-		"min_version": job.MinVersion, "age_ms": (now - job.Accepted).Milliseconds(),
-	})
-	log.Log(jobLogLevel(owner), "job seen")
+	w.jobLogger(job).WithFields(logrus.Fields{"owner": owner, "age_ms": (now - job.Accepted).Milliseconds()}).
+		Log(jobLogLevel(owner), "job seen")
 	if owner {
 		go w.startJob(j, now-job.Accepted > newJobAge)
 	}
 }
 
+// open adds a job to those whose items may run here. It is called with w.mu held.
+func (w *Worker) open(job *Job) *workJob {
+	j := &workJob{job: job, tasks: map[int]*task{}, done: map[int]bool{}, transfers: transfers{}, orphansChecked: time.Now()}
+	j.outbox = newOutbox(w, j)
+	w.jobs[job.ID] = j
+	return j
+}
+
+// jobLogger returns the logger for a job.
+func (w *Worker) jobLogger(job *Job) logrus.FieldLogger {
+	return w.Log.WithFields(logrus.Fields{
+		observe.FieldJob: job.ID, "model": job.Model, "items": job.Items, "owners": len(job.Owners), "min_version": job.MinVersion,
+	})
+}
+
 // jobLogLevel is the level of log lines about a job: lines of agents that are not
 // involved in it only repeat those of its owners.
 func jobLogLevel(involved bool) logrus.Level {
@@ -163,6 +178,7 @@
 func (w *Worker) endJob(id string, removed bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	delete(w.foreign, id)
 	j, ok := w.jobs[id]
 	if !ok {
 		// Its row may arrive later, out of order: remember that it has ended.
@@ -199,6 +215,7 @@
 func (w *Worker) removeExpiredJobs(now time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	maps.DeleteFunc(w.foreign, func(_ string, job *Job) bool { return now-job.Accepted > job.ItemTTL+jobRetention })
 	for id, j := range w.jobs {
 		if now-j.job.Accepted <= j.job.ItemTTL+jobRetention {
 			continue
--- a/batch/orphans.go
+++ b/batch/orphans.go
@@ -62,8 +62,8 @@
 	if len(jobs) == 0 {
 		return
 	}
-	others := h.peerEngines(jobs)
-	scan := h.orphanScans.due(time.Now(), len(others)+1)
+	others := h.otherEngines(jobs, h.holders)
+	scan := h.orphanScans.due(time.Now(), len(h.peerEngines(jobs))+1)
 	if !scan && len(others) > 0 && h.orphanScans.neighbourDue(time.Now()) {
 		next := neighbour(h.Engine, others)
 		_, alive := h.queryStatuses(ctx, jobs, []string{next})[next]
@@ -143,9 +143,9 @@
 	if len(open) == 0 {
 		return
 	}
-	engines := []string{w.Engine}
+	engines, participants := []string{w.Engine}, w.participants(j)
 	for e, s := range statuses {
-		if s.Up {
+		if s.Up && slices.Contains(participants, e) {
 			engines = append(engines, e)
 		}
 	}
--- a/batch/push.go
+++ b/batch/push.go
@@ -11,6 +11,30 @@
 	"mulberryscale.example/observe"
 )
 
+// queryCapacity returns the statuses of agents that may take items of this one, whose engine takes no work. If no other
+// engine of the jobs' services does either, they are agents of all services that may run the jobs.
+func (w *Worker) queryCapacity(ctx context.Context, jobs []*workJob) map[string]*Status {
+	statuses := w.queryStatuses(ctx, jobs, sampleEngines(w.peerEngines(jobs), pushFanout))
+	if len(byFreeSlots(statuses)) > 0 {
+		return statuses
+	}
+	return w.queryStatuses(ctx, jobs, sampleEngines(w.otherEngines(jobs, w.holders), pushFanout))
+}
+
+// statusesFor returns those of the statuses whose agents may run items of a job.
+func (w *Worker) statusesFor(j *workJob, statuses map[string]*Status) map[string]*Status {
+	snap := w.View.Snapshot()
+	services := possibleServices(j.job, snap.Config)
+	usable := make(map[string]*Status, len(statuses))
+	for engine, status := range statuses {
+		instance, listed := snap.AtAddr(engine)
+		if !listed || slices.Contains(services, instance.Service) {
+			usable[engine] = status
+		}
+	}
+	return usable
+}
+
 // pushItems hands waiting items to other agents, and running ones if asked to. Complete
 // texts need no engine: they stay until this process stops.
 func (w *Worker) pushItems(ctx context.Context, statuses map[string]*Status, running bool) {
@@ -26,7 +50,7 @@
 	}
 	w.mu.Unlock()
 	for j, tasks := range byJob {
-		w.pushJobItems(ctx, j, tasks, statuses)
+		w.pushJobItems(ctx, j, tasks, w.statusesFor(j, statuses))
 	}
 }
 
--- a/batch/rig_test.go
+++ b/batch/rig_test.go
@@ -102,6 +102,7 @@
 	view         *fleet.View
 	stops        map[string]context.CancelFunc
 	ledger       *Ledger
+	services     []string // of the engines, by number
 	// withRewards gives each item a reward call.
 	withRewards bool
 	// knownPaces are the paces of the engines that the jobs of submitStep name; nil for none.
@@ -111,19 +112,25 @@
 func engineAddr(i int) string { return fmt.Sprintf("10.0.0.%d:80", i+1) }
 
 func newWorkerRig(t *testing.T, n int) *workerRig {
+	config := &fleet.Config{Version: 1, Services: []fleet.Service{{Name: "svc", Models: []string{"m"}}}}
+	return newWorkerRigOf(t, config, slices.Repeat([]string{"svc"}, n))
+}
+
+// newWorkerRigOf is newWorkerRig for engines of several services.
+func newWorkerRigOf(t *testing.T, config *fleet.Config, services []string) *workerRig {
 	s := rowstore.New()
 	rig := &workerRig{
-		t: t, store: s, storeClients: map[string]*rowstore.Client{}, view: fleet.NewView(), stops: map[string]context.CancelFunc{}, ledger: newLedger(s),
+		t: t, services: services, store: s, storeClients: map[string]*rowstore.Client{}, view: fleet.NewView(), stops: map[string]context.CancelFunc{}, ledger: newLedger(s),
 		engines: &fakeEngines{engines: map[string]*fakeEngine{}, lengths: map[string]int{}, open: map[string]int{}, doubled: map[string]bool{}},
 		rewards: &fakeRewards{latency: 200 * time.Millisecond, nextErrors: map[string][]error{}, laterErrors: map[string]error{}},
 		peers:   &fakePeers{workers: map[string]*Worker{}, unreachable: map[string]bool{}, callsByEngine: map[string]int{}, callsByPair: map[[2]string]int{}, open: map[string]int{}},
 	}
-	rig.view.SetConfig(&fleet.Config{Version: 1, Services: []fleet.Service{{Name: "svc", Models: []string{"m"}}}})
-	for i := range n {
+	rig.view.SetConfig(config)
+	for i := range services {
 		rig.engines.engines[engineAddr(i)] = &fakeEngine{version: 1, startErrors: map[string][]error{}, breakAfter: map[string]int{}}
 		rig.register(i, false)
 	}
-	for i := range n {
+	for i := range services {
 		rig.start(i)
 	}
 	time.Sleep(100 * time.Millisecond)
@@ -133,7 +140,7 @@
 // register lists an engine as an instance.
 func (r *workerRig) register(i int, draining bool) {
 	r.view.UpdateInstances([]fleet.Instance{{
-		ID: fmt.Sprint("engine-", i), Service: "svc", Addr: engineAddr(i), Slots: 4, Draining: draining,
+		ID: fmt.Sprint("engine-", i), Service: r.services[i], Addr: engineAddr(i), Slots: 4, Draining: draining,
 	}}, nil)
 }
 
@@ -145,7 +152,7 @@
 	withFallback := &relay.Store{Direct: client, Peers: &rigPeers{r, addr}}
 	w := NewWorker(WorkerConfig{
 		Direct: client,
-		Node:   fmt.Sprint("agent-", i), Incarnation: fmt.Sprint(time.Now().UnixNano()), Engine: addr, Service: "svc",
+		Node:   fmt.Sprint("agent-", i), Incarnation: fmt.Sprint(time.Now().UnixNano()), Engine: addr, Service: r.services[i],
 		PeerPort: 7000, View: r.view, Ledger: newLedger(withFallback), Demand: NewDemand(), Engines: r.engines, Peers: r.peers, Rewards: r.rewards,
 		Now: r.store.Now, Log: observe.Discard(), Counters: observe.NewCounters(),
 	})
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -62,13 +62,17 @@
 
 	assignmentCache assignmentCache
 
-	mu       sync.Mutex
-	jobs     map[string]*workJob
-	waiting  []*task // in the order of compareTasks
-	running  map[*task]struct{}
-	scoring  map[*task]struct{} // tasks with complete text that wait for their score
-	stopping bool
-	engine   engineState
+	mu   sync.Mutex
+	jobs map[string]*workJob
+	// foreign are the jobs that other services run, by id; foreignChecked is the snapshot for which adoptJobs last
+	// looked at them.
+	foreign        map[string]*Job
+	foreignChecked *fleet.Snapshot
+	waiting        []*task // in the order of compareTasks
+	running        map[*task]struct{}
+	scoring        map[*task]struct{} // tasks with complete text that wait for their score
+	stopping       bool
+	engine         engineState
 	// idleChecked is when items that are at no engine were last looked for.
 	idleChecked time.Time
 	// pace is how long the engine takes for items; overloaded is set while groups that cannot
@@ -110,7 +114,7 @@
 // NewWorker returns a worker; it does nothing until Run is called.
 func NewWorker(cfg WorkerConfig) *Worker {
 	return &Worker{
-		WorkerConfig: cfg, wakeup: make(chan struct{}, 1), engineLost: make(chan struct{}, 1), started: make(chan struct{}), jobs: map[string]*workJob{},
+		WorkerConfig: cfg, wakeup: make(chan struct{}, 1), engineLost: make(chan struct{}, 1), started: make(chan struct{}), jobs: map[string]*workJob{}, foreign: map[string]*Job{},
 		running: map[*task]struct{}{}, scoring: map[*task]struct{}{}, engine: newEngineState(),
 	}
 }
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"net"
 	"slices"
 	"strings"
 	"time"
@@ -70,18 +71,41 @@
 	if len(r.Backends) == 0 {
 		return ""
 	}
-	total := 0.0
+	return choose(r.Backends, request)
+}
+
+// BackendAmong is Backend with services that are usable: a request whose service is not goes to another one of
+// the route, by their weights, and all others stay where they are. ok is false if none is usable.
+func (r *Route) BackendAmong(request string, usable func(service string) bool) (service string, ok bool) {
+	if service := r.Backend(request); service != "" && usable(service) {
+		return service, true
+	}
+	var left []Backend
 	for _, b := range r.Backends {
+		if b.Weight > 0 && usable(b.Service) {
+			left = append(left, b)
+		}
+	}
+	if len(left) == 0 {
+		return "", false
+	}
+	return choose(left, request), true
+}
+
+// choose returns the service of one of the backends, by their weights and a hash of the request.
+func choose(backends []Backend, request string) string {
+	total := 0.0
+	for _, b := range backends {
 		total += b.Weight
 	}
 	at := unitInterval(xxhash.Sum64String(request)) * total
-	for _, b := range r.Backends {
+	for _, b := range backends {
 		if at < b.Weight {
 			return b.Service
 		}
 		at -= b.Weight
 	}
-	return r.Backends[len(r.Backends)-1].Service
+	return backends[len(backends)-1].Service
 }
 
 // unitInterval maps a hash to [0, 1) with the precision of a float64.
@@ -148,6 +172,14 @@
 	}
 }
 
+// HostName returns the host of a Host header, without its port.
+func HostName(header string) string {
+	if host, _, err := net.SplitHostPort(header); err == nil {
+		return host
+	}
+	return header
+}
+
 // Match returns the route for a host and path, or nil.
 func (c *Config) Match(host, path string) *Route {
 	for _, r := range c.routesOf(host) {
--- a/forward/gated.go
+++ b/forward/gated.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math"
-	"net"
 	"slices"
 	"strings"
 	"time"
@@ -186,12 +185,8 @@
 	if config == nil || config == c.config {
 		return true
 	}
-	host := c.request.Host
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
 	path, _, _ := strings.Cut(c.request.Target, "?")
-	route := config.Match(host, path)
+	route := config.Match(fleet.HostName(c.request.Host), path)
 	if route == nil || route.Kind != c.request.Route.Kind || route.Backend(c.request.ID) != c.service {
 		return false
 	}
--- a/reward/caller_test.go
+++ b/reward/caller_test.go
@@ -156,11 +156,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.left = append(s.left, left)
-	answer := s.answer
+	answer := *s.answer
 	s.mu.Unlock()
 	defer s.mu.Lock()
 	time.Sleep(time.Second)
-	return answer, nil
+	return &answer, nil
 }
 
 // TestWaitingCallExpiresWithItsItem guards against reward calls that are sent with the time that their item had left
