forward: a split route serves without one of its services

Change: Route.BackendAmong; requests whose service is usable stay there. A gated request may be sent to any service that the route names by then, where it was refused if the draw of another split gave it another one.

--- a/batch/intake.go
+++ b/batch/intake.go
@@ -187,7 +187,7 @@
 func (in *Intake) newJob(s Submission, now time.Duration) *Job {
 	snap := in.View.Snapshot()
 	service, ok := s.Route.BackendAmong(s.ID, func(service string) bool {
-		return hasEngines(snap, service) && servesModel(snap.Config, service, s.Model)
+		return snap.HasInstances(service) && servesModel(snap.Config, service, s.Model)
 	})
 	if !ok {
 		service = s.Route.Backend(s.ID)
--- a/batch/jobservice.go
+++ b/batch/jobservice.go
@@ -13,7 +13,7 @@
 
 // currentService returns the service whose engines run a job now.
 func currentService(job *Job, snap *fleet.Snapshot) string {
-	if !snap.Listed || hasEngines(snap, job.Service) {
+	if !snap.Listed || snap.HasInstances(job.Service) {
 		return job.Service
 	}
 	route := routeOf(job, snap.Config)
@@ -21,7 +21,7 @@
 		return job.Service
 	}
 	usable := func(service string) bool {
-		return hasEngines(snap, service) && servesModel(snap.Config, service, job.Model)
+		return snap.HasInstances(service) && servesModel(snap.Config, service, job.Model)
 	}
 	if service, ok := route.BackendAmong(job.ID, usable); ok {
 		return service
@@ -62,9 +62,6 @@
 	return route
 }
 
-// hasEngines reports whether a service has engines that accept new work.
-func hasEngines(snap *fleet.Snapshot, service string) bool { return len(snap.OfService(service)) > 0 }
-
 // servesModel reports whether the engines of a service load a model; any serve a job without one.
 func servesModel(config *fleet.Config, service, model string) bool {
 	s := config.Service(service)
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -92,6 +92,11 @@
 	return choose(left, request), true
 }
 
+// SendsTo reports whether the route sends requests to a service.
+func (r *Route) SendsTo(service string) bool {
+	return slices.ContainsFunc(r.Backends, func(b Backend) bool { return b.Service == service && b.Weight > 0 })
+}
+
 // choose returns the service of one of the backends, by their weights and a hash of the request.
 func choose(backends []Backend, request string) string {
 	total := 0.0
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -55,6 +55,9 @@
 // OfService returns the instances of a service that accept new work, ordered by address.
 func (s *Snapshot) OfService(service string) []Instance { return s.byService[service] }
 
+// HasInstances reports whether a service has instances that accept new work.
+func (s *Snapshot) HasInstances(service string) bool { return len(s.byService[service]) > 0 }
+
 // AtAddr returns the instance at an address, or false. Of several instances, the one that is not
 // draining wins, then the one with the newer row.
 func (s *Snapshot) AtAddr(addr string) (Instance, bool) {
--- a/forward/gated.go
+++ b/forward/gated.go
@@ -187,7 +187,7 @@
 	}
 	path, _, _ := strings.Cut(c.request.Target, "?")
 	route := config.Match(fleet.HostName(c.request.Host), path)
-	if route == nil || route.Kind != c.request.Route.Kind || route.Backend(c.request.ID) != c.service {
+	if route == nil || route.Kind != c.request.Route.Kind || !route.SendsTo(c.service) {
 		return false
 	}
 	if c.request.Organisation == "" {
--- a/reward/caller.go
+++ b/reward/caller.go
@@ -86,7 +86,7 @@
 	}
 	route := *matched
 	route.MaxAttempts = min(maxSends, matched.MaxAttempts)
-	service := route.Backend(call.ID)
+	service := c.Forward.ServiceOf(&route, call.ID)
 	gate := c.gate(service)
 	queuedAt := time.Now()
 	if err := gate.Enter(ctx, request.QueueTime, c.capacity(service)); err != nil {
