httponce: an id goes out once on each connection

The late copy of its first 500 counted as the answer to its second run.

Cause: the second run went out on the connection of the first, and the copy bears the right id. The rule for that knew one kind of answer (a decline) and two kinds of request. Ruled out: counting in batch, which got two failures.

Weighed: closing the connection after each answer to a request that may be sent again (a new connection for each failure and decline, also where the next attempt goes elsewhere).

--- a/internal/httponce/conn.go
+++ b/internal/httponce/conn.go
@@ -22,6 +22,7 @@
 	sealed  bool   // no further write is let through
 	retired bool   // closed by retire; the transport may still take it for an idle one
 	upload  upload // of the current request
+	carried carriedIDs
 }
 
 func newWatchedConn(conn net.Conn) *watchedConn {
@@ -99,21 +100,29 @@
 // requestWatch follows one request from the moment at which it gets a connection. It is safe
 // for concurrent use.
 type requestWatch struct {
+	id string // empty for none
+
 	mu   sync.Mutex
 	conn net.Conn // nil until the request has one
 	// before is the number of bytes that the connection had written when the request got it.
 	before uint64
 }
 
-// gotConn notes the request's connection.
+// gotConn notes the request's connection. It closes one that may not carry the request.
 func (w *requestWatch) gotConn(conn net.Conn) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.conn = conn
-	if watched, ok := conn.(*watchedConn); ok {
-		w.before = watched.bytesWritten()
-		watched.beginUpload()
+	watched, ok := conn.(*watchedConn)
+	if !ok {
+		return
+	}
+	w.before = watched.bytesWritten()
+	if w.id != "" && !watched.carry(w.id) {
+		watched.retire()
+		return
 	}
+	watched.beginUpload()
 }
 
 // wroteRequest notes that the request was written, or that writing it failed.
@@ -137,6 +146,14 @@
 	return ok && watched.sealIfUnwritten(w.before)
 }
 
+// carry adds the id of a request to those that the connection has carried. It reports false if the connection may
+// not carry the request.
+func (c *watchedConn) carry(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.carried.add(id)
+}
+
 // retire closes the connection.
 func (c *watchedConn) retire() {
 	c.mu.Lock()
--- a/internal/httponce/echo.go
+++ b/internal/httponce/echo.go
@@ -11,15 +11,15 @@
 // answer to a former one. What the server did with this request is unknown.
 var ErrForeignAnswer = errors.New("httponce: answer to another request")
 
-// DoEchoed sends a request as Do does, to a server that echoes a header of the request in its
-// answer. After an answer with another value it closes the connection, since the next answer on it
+// DoEchoed sends a request as Do does, to a server that echoes a header of the request, its id, in its
+// answer. It uses no connection that has carried the same id. After an answer with another value it closes the connection, since the next answer on it
 // may be a foreign one too, and returns ErrForeignAnswer. An answer without the header passes.
 func (c *Client) DoEchoed(req *http.Request, header string) (*http.Response, error) {
-	resp, err := c.Do(req)
+	want := req.Header.Get(header)
+	resp, err := c.do(req, want)
 	if err != nil {
 		return nil, err
 	}
-	want := req.Header.Get(header)
 	for _, got := range resp.Header.Values(header) {
 		if got != "" && got != want {
 			discard(resp)
@@ -29,8 +29,8 @@
 	return resp, nil
 }
 
-// CloseConn closes the connection on which an answer of Do or DoEchoed came.
-func CloseConn(resp *http.Response) {
+// closeConn closes the connection on which an answer came.
+func closeConn(resp *http.Response) {
 	if watch, ok := resp.Request.Context().Value(watchKey{}).(*requestWatch); ok {
 		watch.retireConn()
 	}
--- a/internal/httponce/head.go
+++ b/internal/httponce/head.go
@@ -28,6 +28,6 @@
 
 // discard closes the connection of an answer that is not returned.
 func discard(resp *http.Response) {
-	CloseConn(resp)
+	closeConn(resp)
 	resp.Body.Close()
 }
--- a/internal/httponce/httponce.go
+++ b/internal/httponce/httponce.go
@@ -47,18 +47,24 @@
 
 // NewWithIdleTimeout is New with connections that are closed after being idle for idle.
 func NewWithIdleTimeout(idle time.Duration) *Client {
-	dialer := &net.Dialer{
+	t := newTransport(newDialer().DialContext)
+	t.IdleConnTimeout = idle
+	return newClient(t)
+}
+
+// NewOneShot is New with a connection of its own for each request.
+func NewOneShot() *Client { return NewSingleUse(newDialer().DialContext) }
+
+func newDialer() *net.Dialer {
+	return &net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
 	}
-	t := newTransport(dialer.DialContext)
-	t.IdleConnTimeout = idle
-	return newClient(t)
 }
 
-// NewSingleUse is New with a connection of its own for each request, which dial opens.
+// NewSingleUse is NewOneShot with connections that dial opens.
 func NewSingleUse(dial DialFunc) *Client {
 	t := newTransport(dial)
 	t.DisableKeepAlives = true
@@ -84,14 +90,18 @@
 // CloseIdle closes all idle connections.
 func (c *Client) CloseIdle() { c.http.CloseIdleConnections() }
 
-// maxRetiredConns is how many closed connections a request may be given before it is unsent.
-const maxRetiredConns = 3
+// maxRetiredConns is how many closed connections a request may be given before it is unsent: all that are kept to a
+// server may have carried its id.
+const maxRetiredConns = maxIdlePerHost + 3
 
 // Do sends a request at most once. An UnsentError proves that it was not sent;
 // any other error leaves the outcome unknown.
-func (c *Client) Do(req *http.Request) (*http.Response, error) {
+func (c *Client) Do(req *http.Request) (*http.Response, error) { return c.do(req, "") }
+
+// do is Do for a request with an id, which goes out on a connection that has not carried that id.
+func (c *Client) do(req *http.Request, id string) (*http.Response, error) {
 	for retired := 0; ; retired++ {
-		watch := &requestWatch{}
+		watch := &requestWatch{id: id}
 		resp, err := c.send(req, watch)
 		if err == nil || !watch.unsent() {
 			return resp, err
--- a/internal/standin/rawanswer/rawanswer.go
+++ b/internal/standin/rawanswer/rawanswer.go
@@ -10,7 +10,8 @@
 	"testing"
 )
 
-// Script returns the bytes that are sent for the n-th request, counted from 0.
+// Script returns the bytes that are sent for the n-th request, counted from 0. The RemoteAddr of the request tells its
+// connection.
 type Script func(n int, r *http.Request) string
 
 // Always returns a script that answers all requests with the same bytes.
@@ -77,6 +78,7 @@
 		if err != nil {
 			return
 		}
+		req.RemoteAddr = conn.RemoteAddr().String()
 		if _, err := io.Copy(io.Discard, req.Body); err != nil {
 			return
 		}
