--- a/internal/standin/rawanswer/rawanswer.go
+++ b/internal/standin/rawanswer/rawanswer.go
@@ -14,6 +14,19 @@
 // connection.
 type Script func(n int, r *http.Request) string
 
+// Ending is what happens to a connection after an answer.
+type Ending int
+
+// Endings.
+const (
+	Keep  Ending = iota // it stays open
+	Close               // it is closed in order
+	Reset               // it is reset
+)
+
+// Endings returns the ending after the n-th request, counted from 0.
+type Endings func(n int) Ending
+
 // Always returns a script that answers all requests with the same bytes.
 func Always(answer string) Script { return func(int, *http.Request) string { return answer } }
 
@@ -24,7 +37,7 @@
 
 	listener net.Listener
 	script   Script
-	closes   bool
+	endings  Endings
 
 	mu       sync.Mutex
 	conns    int
@@ -32,19 +45,24 @@
 }
 
 // Start starts a server, which ends with the test. It keeps connections open.
-func Start(t *testing.T, script Script) *Server { return start(t, script, false) }
+func Start(t *testing.T, script Script) *Server {
+	return StartEnding(t, script, func(int) Ending { return Keep })
+}
 
 // StartClosing is Start with connections that are closed after an answer.
-func StartClosing(t *testing.T, script Script) *Server { return start(t, script, true) }
+func StartClosing(t *testing.T, script Script) *Server {
+	return StartEnding(t, script, func(int) Ending { return Close })
+}
 
-func start(t *testing.T, script Script, closes bool) *Server {
+// StartEnding is Start with connections that end after an answer as endings says.
+func StartEnding(t *testing.T, script Script, endings Endings) *Server {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	s := &Server{Addr: l.Addr().String(), listener: l, script: script, closes: closes}
+	s := &Server{Addr: l.Addr().String(), listener: l, script: script, endings: endings}
 	go s.accept()
 	return s
 }
@@ -82,15 +100,24 @@
 		if _, err := io.Copy(io.Discard, req.Body); err != nil {
 			return
 		}
-		if _, err := io.WriteString(conn, s.answer(req)); err != nil || s.closes {
+		answer, ending := s.answer(req)
+		if _, err := io.WriteString(conn, answer); err != nil {
+			return
+		}
+		switch ending {
+		case Close:
+			return
+		case Reset:
+			_ = conn.(*net.TCPConn).SetLinger(0) // fails if the caller has closed it
 			return
 		}
 	}
 }
 
-func (s *Server) answer(r *http.Request) string {
+func (s *Server) answer(r *http.Request) (string, Ending) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.requests++
-	return s.script(s.requests-1, r)
+	n := s.requests - 1
+	return s.script(n, r), s.endings(n)
 }
--- a/service/node/brokenanswers_test.go
+++ b/service/node/brokenanswers_test.go
@@ -37,13 +37,16 @@
 }
 
 // post sends a request and returns its status.
-func post(t *testing.T, url string, body []byte) (int, error) {
+func post(t *testing.T, url string, body []byte) (int, error) { return postID(t, url, "r-1", body) }
+
+// postID is post for a request with a given id.
+func postID(t *testing.T, url, id string, body []byte) (int, error) {
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return 0, err
 	}
 	req.Host = "h.example"
-	req.Header.Set("X-Request-Id", "r-1")
+	req.Header.Set("X-Request-Id", id)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, err
@@ -89,3 +92,43 @@
 		}
 	}
 }
+
+// Guards against a client that gets a 200 with an empty or short body, since its endpoint stopped in the middle of its
+// answer's head: on a new connection and on a kept one, closed or reset.
+func TestClientGetsNoAnswerOfACutHead(t *testing.T) {
+	const framing = "Content-Length: 15\r\n"
+	whole := func(r *http.Request) string {
+		return "HTTP/1.1 200 OK\r\n" + framing + "X-Server-Stamp: s\r\nX-Request-Id: " + r.Header.Get("X-Request-Id") + "\r\n\r\n"
+	}
+	const body = "id: 1\ndata: x\n\n"
+	cut := 0
+	script := func(n int, r *http.Request) string {
+		if n%2 == 0 {
+			return whole(r) + body
+		}
+		return whole(r)[:cut]
+	}
+	for _, ending := range []rawanswer.Ending{rawanswer.Close, rawanswer.Reset} {
+		endings := func(n int) rawanswer.Ending {
+			if n%2 == 0 {
+				return rawanswer.Keep
+			}
+			return ending
+		}
+		endpoint := rawanswer.StartEnding(t, script, endings)
+		url := startEntryBefore(t, endpoint.Addr)
+		sample := httptest.NewRequest(http.MethodPost, "/", nil)
+		sample.Header.Set("X-Request-Id", "cut-000-unsafe")
+		for at := range len(whole(sample)) {
+			cut = at
+			for _, kind := range []string{"unsafe", "stream"} {
+				if status, err := postID(t, url+"/"+kind+"/x", fmt.Sprintf("all-%03d-%s", at, kind), nil); err != nil || status != http.StatusOK {
+					t.Fatalf("%s, whole: status %d, %v", kind, status, err)
+				}
+				if status, err := postID(t, url+"/"+kind+"/x", fmt.Sprintf("cut-%03d-%s", at, kind), nil); err != nil || status != http.StatusBadGateway {
+					t.Errorf("%s, ending %d, cut after %d bytes: status %d, %v", kind, ending, at, status, err)
+				}
+			}
+		}
+	}
+}
