forward: a resumed stream follows its route

Callers would see a stream broken off for good: its route has moved since it arrived, the former service has no endpoints any more, and the entry resumes it at that one only.

Change: serviceOf takes the services of the route as it was, then those of the route that the configuration in force has for the same host and path. Package forward finds that route in one place now.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -219,15 +219,6 @@
 	}
 }
 
-// ServiceOf returns the service that gets a request of a route: the one that the route's weights give it, or another
-// one of the route if that has no endpoints.
-func (f *Forwarder) ServiceOf(route *fleet.Route, request string) string {
-	if service, ok := route.BackendAmong(request, f.View.Snapshot().HasInstances); ok {
-		return service
-	}
-	return route.Backend(request)
-}
-
 // Do forwards a request and returns an endpoint's answer or a *Refusal.
 func (f *Forwarder) Do(ctx context.Context, r *Request) (*Answer, error) {
 	began := time.Now()
@@ -236,7 +227,7 @@
 	deadline := r.limit().Add(-answerSlack)
 	bounded, cancel := context.WithDeadlineCause(ctx, deadline, errTimeout)
 	c := &call{
-		Forwarder: f, request: r, fingerprint: r.fingerprint(), service: f.ServiceOf(r.Route, r.ID), config: f.View.Snapshot().Config, arrived: r.Arrived, deadline: deadline,
+		Forwarder: f, request: r, fingerprint: r.fingerprint(), service: f.serviceOf(r), config: f.View.Snapshot().Config, arrived: r.Arrived, deadline: deadline,
 		tried: map[fleet.Incarnation]bool{}, unanswered: map[fleet.Incarnation]abandonedSend{}, results: make(chan attempt, maxParallel),
 	}
 	if c.gate = f.Gates.of(c.service); c.gate != nil && !r.Deadline.IsZero() {
--- a/forward/gated.go
+++ b/forward/gated.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -185,9 +184,8 @@
 	if config == nil || config == c.config {
 		return true
 	}
-	path, _, _ := strings.Cut(c.request.Target, "?")
-	route := config.Match(fleet.HostName(c.request.Host), path)
-	if route == nil || route.Kind != c.request.Route.Kind || !route.SendsTo(c.service) {
+	route := c.request.routeIn(config)
+	if route == nil || !route.SendsTo(c.service) {
 		return false
 	}
 	if c.request.Organisation == "" {
--- a/forward/resume.go
+++ b/forward/resume.go
@@ -50,7 +50,7 @@
 // takeResumed reports whether a stream may be resumed. restore gives the send back if it is not
 // made.
 func (f *Forwarder) takeResumed(r *Request) (restore func(), ok bool) {
-	gate := f.Gates.of(f.ServiceOf(r.Route, r.ID))
+	gate := f.Gates.of(f.serviceOf(r))
 	if gate == nil {
 		return func() {}, true
 	}
