--- a/batch/intake.go
+++ b/batch/intake.go
@@ -203,10 +203,12 @@
 		work += s.Items[i].expectedWork()
 	}
 	return &Job{
-		Priority: s.priority(snap.Config), ID: s.scopedID(), Organisation: s.Organisation, Route: s.Route.Name, Prefix: s.Route.Prefix, Host: s.Host, Service: service, Model: s.Model, Step: s.Step,
-		MinVersion: s.MinVersion, SingleVersion: s.Route.SingleVersion, Items: len(s.Items), WantedGroups: s.WantedGroups,
-		MaxAttempts: s.Route.MaxAttempts, ItemTTL: s.Route.ItemTTL, Accepted: now, Owners: engines, Ready: ready, Work: work,
-		GroupItems: groupSize(s.Items), RunTarget: s.Route.RunTarget, Paces: in.pacesOf(snap, engines, now),
+		ID: s.scopedID(), Organisation: s.Organisation, Priority: s.priority(snap.Config),
+		Route: s.Route.Name, Prefix: s.Route.Prefix, Host: s.Host, Service: service,
+		Model: s.Model, Step: s.Step, MinVersion: s.MinVersion, SingleVersion: s.Route.SingleVersion,
+		Items: len(s.Items), WantedGroups: s.WantedGroups, GroupItems: groupSize(s.Items), Work: work,
+		MaxAttempts: s.Route.MaxAttempts, ItemTTL: s.Route.ItemTTL, RunTarget: s.Route.RunTarget, Accepted: now,
+		Owners: engines, Ready: ready, Paces: in.pacesOf(snap, engines, now),
 	}
 }
 
--- a/batch/orphans.go
+++ b/batch/orphans.go
@@ -62,15 +62,15 @@
 	if len(jobs) == 0 {
 		return
 	}
-	others := h.otherEngines(jobs, h.holders)
-	scan := h.orphanScans.due(time.Now(), len(h.peerEngines(jobs))+1)
-	if !scan && len(others) > 0 && h.orphanScans.neighbourDue(time.Now()) {
-		next := neighbour(h.Engine, others)
+	peers := h.peerEngines(jobs)
+	scan := h.orphanScans.due(time.Now(), len(peers)+1)
+	if !scan && len(peers) > 0 && h.orphanScans.neighbourDue(time.Now()) {
+		next := neighbour(h.Engine, peers)
 		_, alive := h.queryStatuses(ctx, jobs, []string{next})[next]
 		scan = !alive
 	}
 	if scan {
-		h.reassignOrphans(ctx, jobs, h.queryStatuses(ctx, jobs, others))
+		h.reassignOrphans(ctx, jobs, h.queryStatuses(ctx, jobs, h.otherEngines(jobs, h.holders)))
 	}
 }
 
--- a/batch/push.go
+++ b/batch/push.go
@@ -12,13 +12,15 @@
 )
 
 // queryCapacity returns the statuses of agents that may take items of this one, whose engine takes no work. If no other
-// engine of the jobs' services does either, they are agents of all services that may run the jobs.
+// engine of the services that run the jobs does either, they are agents of other services that may run them.
 func (w *Worker) queryCapacity(ctx context.Context, jobs []*workJob) map[string]*Status {
-	statuses := w.queryStatuses(ctx, jobs, sampleEngines(w.peerEngines(jobs), pushFanout))
+	peers := w.peerEngines(jobs)
+	statuses := w.queryStatuses(ctx, jobs, sampleEngines(peers, pushFanout))
 	if len(byFreeSlots(statuses)) > 0 {
 		return statuses
 	}
-	return w.queryStatuses(ctx, jobs, sampleEngines(w.otherEngines(jobs, w.holders), pushFanout))
+	others := slices.DeleteFunc(w.otherEngines(jobs, w.holders), func(e string) bool { return slices.Contains(peers, e) })
+	return w.queryStatuses(ctx, jobs, sampleEngines(others, pushFanout))
 }
 
 // statusesFor returns those of the statuses whose agents may run items of a job.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -227,7 +227,8 @@
 	deadline := r.limit().Add(-answerSlack)
 	bounded, cancel := context.WithDeadlineCause(ctx, deadline, errTimeout)
 	c := &call{
-		Forwarder: f, request: r, fingerprint: r.fingerprint(), service: f.serviceOf(r), config: f.View.Snapshot().Config, arrived: r.Arrived, deadline: deadline,
+		Forwarder: f, request: r, fingerprint: r.fingerprint(), service: f.serviceOf(r), config: f.View.Snapshot().Config,
+		arrived: r.Arrived, deadline: deadline,
 		tried: map[fleet.Incarnation]bool{}, unanswered: map[fleet.Incarnation]abandonedSend{}, results: make(chan attempt, maxParallel),
 	}
 	if c.gate = f.Gates.of(c.service); c.gate != nil && !r.Deadline.IsZero() {
