e2e: the soak's engines send answers again, late

In worlds of every fourth seed engines send three in ten answers a second time, where the answer to the next request on the connection is due, and items may fail once only.

The product is unchanged; that a decline without any id is believed stays open (docs/incidents/copies-on-a-kept-connection.md).

--- a/e2e/soak_config_test.go
+++ b/e2e/soak_config_test.go
@@ -46,7 +46,11 @@
 	version := w.config
 	w.mu.Unlock()
 	desk := []string{serviceDesk2, serviceDesk}[version%2]
-	row, err := operator.ConfigRow(soakConfig(uint64(version), desk))
+	config := soakConfig(uint64(version), desk)
+	if w.copies != nil {
+		w.copies.configure(config)
+	}
+	row, err := operator.ConfigRow(config)
 	w.write(w.t.Context(), row, err)
 }
 
--- a/e2e/soak_engine_test.go
+++ b/e2e/soak_engine_test.go
@@ -34,6 +34,7 @@
 	models        []string
 	registry      *registry
 	record        *record
+	copies        *answerCopies
 	faultLock     sync.Mutex // held by the fault that stops and restarts the engine
 
 	mu          sync.Mutex
@@ -68,6 +69,9 @@
 	if err != nil {
 		return err
 	}
+	if e.copies != nil {
+		l = &copyingListener{Listener: l, copies: e.copies}
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.starts++
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -17,7 +17,7 @@
 //	go test ./e2e -run 'TestSoak$' -soak.first 100 -soak.seeds 50 -soak.logs DIR
 var (
 	soakFirst = flag.Uint64("soak.first", 1, "first seed of the soak")
-	soakSeeds = flag.Int("soak.seeds", 2, "number of seeds of the soak")
+	soakSeeds = flag.Int("soak.seeds", 3, "number of seeds of the soak")
 	soakLogs  = flag.String("soak.logs", "", "directory for the logs of seeds that failed")
 	soakTime  = flag.Duration("soak.time", 8*time.Second, "how long a seed's faults go on")
 )
@@ -63,7 +63,14 @@
 func soak(t *testing.T, seed uint64, kinds int) {
 	soakWorldSlots <- struct{}{}
 	defer func() { <-soakWorldSlots }()
-	w := startSoakWith(t, seed, crowded(seed, kinds))
+	var copies *answerCopies
+	if copiesAnswers(seed, kinds) {
+		copies = &answerCopies{}
+	}
+	w := startSoakWith(t, seed, crowded(seed, kinds), copies)
+	if copies != nil {
+		copies.on.Store(true)
+	}
 	w.largeJobs = kinds == len(soakFaults) && !w.crowded
 	if w.largeJobs {
 		w.store.rows.SlowObjects(soakObjectTime)
@@ -82,6 +89,10 @@
 		callers.Go(func() { w.sendCrowd(ctx) })
 	}
 	w.injectFaults(kinds)
+	if copies != nil {
+		copies.on.Store(false)
+		t.Logf("%d answers sent again", copies.copied.Load())
+	}
 	cancel()
 	callers.Wait()
 	w.checkRecovery()
--- a/e2e/soak_world_test.go
+++ b/e2e/soak_world_test.go
@@ -79,7 +79,8 @@
 	dir       string
 	octet     int // third octet of all its addresses
 	crowded   bool
-	largeJobs bool // every other step is a job that is stored in objects
+	copies    *answerCopies // nil if engines send each answer once
+	largeJobs bool          // every other step is a job that is stored in objects
 	store     *soakStore
 	server    *http.Server
 	entries   []*soakInstance
@@ -135,15 +136,16 @@
 func addr(ip string, port int) string { return net.JoinHostPort(ip, fmt.Sprint(port)) }
 
 // startSoak starts a deployment without a crowd and waits until its entries are ready.
-func startSoak(t *testing.T, seed uint64) *soakWorld { return startSoakWith(t, seed, false) }
+func startSoak(t *testing.T, seed uint64) *soakWorld { return startSoakWith(t, seed, false, nil) }
 
-func startSoakWith(t *testing.T, seed uint64, crowded bool) *soakWorld {
+// startSoakWith is startSoak with or without a crowd, and with engines that send answers again unless copies is nil.
+func startSoakWith(t *testing.T, seed uint64, crowded bool, copies *answerCopies) *soakWorld {
 	soakWorlds.Lock()
 	soakWorlds.next++
 	octet := soakWorlds.next % 250
 	soakWorlds.Unlock()
 	w := &soakWorld{
-		t: t, seed: seed, dir: t.TempDir(), octet: octet, crowded: crowded, store: newSoakStore(), record: newRecord(), stop: make(chan struct{}),
+		t: t, seed: seed, dir: t.TempDir(), octet: octet, crowded: crowded, copies: copies, store: newSoakStore(), record: newRecord(), stop: make(chan struct{}),
 	}
 	w.duties = newSoakDuties(w.record)
 	w.registry = &registry{store: w.store, rng: rand.New(rand.NewPCG(seed, 1)), lastHeartbeat: map[string]time.Time{}}
@@ -225,7 +227,7 @@
 func (w *soakWorld) startEngineAt(service, ip, listen, advertised string, models []string) *soakEngine {
 	e := &soakEngine{
 		service: service, zone: zoneOf(ip), listen: listen, addr: advertised, models: models,
-		registry: w.registry, record: w.record,
+		registry: w.registry, record: w.record, copies: w.copies,
 	}
 	if err := e.start(false); err != nil {
 		w.t.Fatal(err)
