--- a/internal/httponce/echo.go
+++ b/internal/httponce/echo.go
@@ -12,8 +12,9 @@
 var ErrForeignAnswer = errors.New("httponce: answer to another request")
 
 // DoEchoed sends a request as Do does, to a server that echoes a header of the request, its id, in its
-// answer. It uses no connection that has carried the same id. After an answer with another value it closes the connection, since the next answer on it
-// may be a foreign one too, and returns ErrForeignAnswer. An answer without the header passes.
+// answer. It uses no connection that has carried the same id. After an answer with another value it
+// closes the connection, since the next answer on it may be a foreign one too, and returns
+// ErrForeignAnswer. An answer without the header passes.
 func (c *Client) DoEchoed(req *http.Request, header string) (*http.Response, error) {
 	want := req.Header.Get(header)
 	resp, err := c.do(req, want)
