buildid: each process tells which program it runs

Ruled out as an identity: the stamped commit (absent with -buildvcs=false or without git), the file's time (set anew by a copy), a constant in the source (goes stale), -X in the deploy file's build line (cannot compute anything).

Change: package buildid reads the Go build ID that the linker writes into the binary, and tells its last part, the hash of the content. It stands in each process's line "starting" (new for the own interface's daemons), at /debug/vars (`build`) and in `version`.

Conclusion: this does not answer the users' report; it lets their engineers tell an old binary from a fault.

--- a/daemon/command.go
+++ b/daemon/command.go
@@ -10,6 +10,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"mulberryscale.example/internal/buildid"
 	"mulberryscale.example/settings"
 )
 
@@ -124,9 +125,13 @@
 	}
 }
 
-// Version returns the module's version and commit, marked as modified if the build
-// had uncommitted changes.
+// Version returns the module's version, its commit if the build stamped it, marked as
+// modified if there were uncommitted changes, and the id of the program.
 func Version() string {
+	return stampedVersion() + " build " + buildid.Own()
+}
+
+func stampedVersion() string {
 	info, ok := debug.ReadBuildInfo()
 	if !ok {
 		return "unknown"
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 	"github.com/sirupsen/logrus"
 
+	"mulberryscale.example/internal/buildid"
 	"mulberryscale.example/observe"
 )
 
@@ -82,6 +83,7 @@
 	if r.DrainTimeout <= 0 {
 		r.DrainTimeout = DefaultDrainTimeout
 	}
+	r.log().WithField(observe.FieldBuild, buildid.Own()).Info("starting")
 	admin, err := r.startAdmin()
 	if err != nil {
 		return err
--- a/observe/counters.go
+++ b/observe/counters.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"mulberryscale.example/api"
+	"mulberryscale.example/internal/buildid"
 )
 
 const (
@@ -34,6 +35,7 @@
 func NewCounters() *Counters {
 	c := &Counters{root: new(expvar.Map).Init()}
 	start := time.Now()
+	c.Gauge(NameBuild, func() any { return buildid.Own() })
 	c.Gauge(NameUptime, func() any { return time.Since(start).Seconds() })
 	c.Gauge(NameGoroutines, func() any { return readMetric("/sched/goroutines:goroutines") })
 	c.Gauge(NameHeap, func() any { return readMetric("/memory/classes/heap/objects:bytes") })
--- a/observe/fields.go
+++ b/observe/fields.go
@@ -50,4 +50,5 @@
 const (
 	FieldSuppressed = "suppressed" // identical lines dropped since the last one that was written
 	FieldProcess    = "process"    // id of the process that writes the line
+	FieldBuild      = "build"      // id of the program, see package buildid
 )
--- a/observe/names.go
+++ b/observe/names.go
@@ -15,6 +15,8 @@
 
 // Gauges of every process.
 const (
+	// NameBuild is a gauge: the id of the running program, see package buildid; a text.
+	NameBuild Name = "build"
 	// NameUptime is a gauge: seconds since the process created its Counters.
 	NameUptime Name = "uptime_seconds"
 	// NameGoroutines is a gauge: current number of goroutines.
--- a/service/node/agent.go
+++ b/service/node/agent.go
@@ -52,7 +52,7 @@
 
 // Run runs the agent until ctx is cancelled, then hands its remaining items over.
 func (a *Agent) Run(ctx context.Context) error {
-	a.log.WithField("engine", a.settings.Engine).Info("starting")
+	a.logStart().WithField("engine", a.settings.Engine).Info("starting")
 	working, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var wg sync.WaitGroup
--- a/service/node/entry.go
+++ b/service/node/entry.go
@@ -104,7 +104,7 @@
 // Run serves until ctx is cancelled, then drains. It returns an error if it cannot
 // listen.
 func (e *Entry) Run(ctx context.Context) error {
-	e.log.WithField("clients", e.settings.Clients).Info("starting")
+	e.logStart().WithField("clients", e.settings.Clients).Info("starting")
 	working, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var wg sync.WaitGroup
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -16,6 +16,7 @@
 	"mulberryscale.example/batch"
 	"mulberryscale.example/fleet"
 	"mulberryscale.example/forward"
+	"mulberryscale.example/internal/buildid"
 	"mulberryscale.example/loadview"
 	"mulberryscale.example/observe"
 	"mulberryscale.example/platform/duties"
@@ -79,6 +80,11 @@
 	return b, nil
 }
 
+// logStart returns the logger for the first line of a process, which tells which program runs.
+func (b *base) logStart() logrus.FieldLogger {
+	return b.log.WithField(observe.FieldBuild, buildid.Own())
+}
+
 // logRelayed logs when calls to the store begin or cease to go through agents.
 func (b *base) logRelayed(relayed bool) {
 	log := b.log.WithField("dependency", "store")
