batch: an owner that returns leaves items to their holders

An agent is killed, the others take its items over, it starts again after 4 s: on 8 of its 8 items ran at two engines at once (TestOwnerThatReturnsLeavesItemsToTheirHolders, which fails there). Callers saw no wrong result, the store lists an item once.

Cause: startJob took who an item is assigned to for who holds it. Ruled out: the search for orphans and handovers, which ask first.

Change: for a job older than newJobAge the agent asks all that may hold items, once, and enqueues those that nobody holds. New jobs start without a call.

After: 0 of 8 doubled; package batch's tests of owners, crashes and restarts pass twice with the race detector.

--- a/batch/openjobs.go
+++ b/batch/openjobs.go
@@ -65,7 +65,7 @@
 const newJobAge = 300 * time.Millisecond
 
 // startJob loads a job's items and enqueues this worker's part of them; old says that
-// the job may have results and saved text already.
+// the job may have results and saved text already, and that other agents may hold its items.
 func (w *Worker) startJob(j *workJob, old bool) {
 	for !w.load(j, old) {
 		if pause.Sleep(w.ctx, writeRetryPause) != nil {
@@ -73,15 +73,37 @@
 		}
 	}
 	saved := w.resumableTexts(j, old)
+	own := w.ownItems(j)
+	if old {
+		own = w.unheld(j, own)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, i := range own {
+		w.enqueue(j, saved[i].newTask(i))
+	}
+	w.wake()
+}
+
+// ownItems returns the indexes of the items of a job that are assigned to this worker.
+func (w *Worker) ownItems(j *workJob) []int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	self := slices.Index(j.job.Owners, w.Engine)
+	var own []int
 	for i, owner := range j.owners {
 		if owner == self {
-			w.enqueue(j, saved[i].newTask(i))
+			own = append(own, i)
 		}
 	}
-	w.wake()
+	return own
+}
+
+// unheld returns those of the items that no other agent holds.
+func (w *Worker) unheld(j *workJob, items []int) []int {
+	jobs := []*workJob{j}
+	orphans, _ := w.orphansOf(j, w.queryStatuses(w.ctx, jobs, w.otherEngines(jobs, w.holders)))
+	return slices.DeleteFunc(items, func(i int) bool { return !slices.Contains(orphans, i) })
 }
 
 // resumableTexts returns the texts, by item index, from which a job's items can be
