batch: a job outlives the agents of its service

Cause: currentService asked whether the service has instances. Engines run nothing by themselves, agents run items on them. Ruled out: items that are found as orphaned and not taken (no such line); the choice of another service, which works once the entry has expired (10.1 s with the engine lost too).

Change: agents of the route's other services, together about once in 0.6 s, ask the agents of the service that runs a job. After one second without an answer from any of them the job runs elsewhere, as if the service had no engines. An agent that reaches nobody of its own service concludes nothing. Routes with one service: no call, no change.

Weighed: rows with a lease of each agent in the store (a write per agent each second on all sites, priced); the entry telling agents (entries don't know either).

--- a/batch/jobservice.go
+++ b/batch/jobservice.go
@@ -7,22 +7,21 @@
 )
 
 // A job belongs to its route. It runs on the engines of the service that the route's weights gave it when it was
-// accepted, as long as that service has engines: the engines of a split route keep their shares. When it has none
-// left, the job runs on the engines of another service that its route names by then. All agents decide so from the
-// same configuration and list of instances.
+// accepted, as long as that service has engines and agents: the engines of a split route keep their shares. When it
+// has none left, the job runs on the engines of another service that its route names by then. All agents decide so
+// from the same configuration and list of instances, and each from the agents that it has found silent.
 
 // currentService returns the service whose engines run a job now.
-func currentService(job *Job, snap *fleet.Snapshot) string {
-	if !snap.Listed || snap.HasInstances(job.Service) {
+func (w *Worker) currentService(job *Job, snap *fleet.Snapshot) string {
+	runs := func(service string) bool { return snap.HasInstances(service) && !w.lostServices.has(service) }
+	if !snap.Listed || runs(job.Service) {
 		return job.Service
 	}
 	route := routeOf(job, snap.Config)
 	if route == nil {
 		return job.Service
 	}
-	usable := func(service string) bool {
-		return snap.HasInstances(service) && servesModel(snap.Config, service, job.Model)
-	}
+	usable := func(service string) bool { return runs(service) && servesModel(snap.Config, service, job.Model) }
 	if service, ok := route.BackendAmong(job.ID, usable); ok {
 		return service
 	}
@@ -79,7 +78,7 @@
 	}
 	w.foreignChecked = snap
 	for _, job := range w.foreign {
-		if currentService(job, snap) == w.Service {
+		if w.currentService(job, snap) == w.Service {
 			w.adopt(job)
 		}
 	}
@@ -100,5 +99,5 @@
 func (w *Worker) adopt(job *Job) {
 	delete(w.foreign, job.ID)
 	w.open(job)
-	w.jobLogger(job).WithField("service", job.Service).Info("job of another service adopted, which has no engine left")
+	w.jobLogger(job).WithField("service", job.Service).Info("job of another service adopted")
 }
--- /dev/null
+++ b/batch/lostservice.go
@@ -0,0 +1,167 @@
+package batch
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"mulberryscale.example/fleet"
+)
+
+// lostAfter is how long none of the agents of a service may answer before other services run its jobs.
+const lostAfter = time.Second
+
+// lostServices are the services none of whose agents answers, as this agent sees it. Their engines may be sound and
+// registered, but nobody runs anything on them. It is safe for concurrent use.
+type lostServices struct {
+	mu          sync.Mutex
+	silentSince map[string]time.Time
+	lost        map[string]bool
+}
+
+func newLostServices() *lostServices {
+	return &lostServices{silentSince: map[string]time.Time{}, lost: map[string]bool{}}
+}
+
+// has reports whether a service is lost.
+func (l *lostServices) has(service string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lost[service]
+}
+
+// all returns the lost services, sorted.
+func (l *lostServices) all() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Sorted(maps.Keys(l.lost))
+}
+
+// pending reports whether a service that is not lost yet was silent when its agents were last asked.
+func (l *lostServices) pending() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.silentSince) > len(l.lost)
+}
+
+// note records whether an agent of a service answered, and reports whether the service is lost or regained by that.
+func (l *lostServices) note(service string, answered bool, now time.Time) (changed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	was := l.lost[service]
+	if answered {
+		delete(l.silentSince, service)
+		delete(l.lost, service)
+		return was
+	}
+	since, silent := l.silentSince[service]
+	if !silent {
+		l.silentSince[service] = now
+		return false
+	}
+	if was || now.Sub(since) < lostAfter {
+		return false
+	}
+	l.lost[service] = true
+	return true
+}
+
+// watchServices asks the agents of other services that run jobs which this one may run. All agents of this service
+// share the calls, unless a service is silent.
+func (h *rebalancer) watchServices(ctx context.Context) {
+	agents := len(h.View.Snapshot().OfService(h.Service))
+	if !h.serviceChecks.due(time.Now(), agents) && !h.lostServices.pending() {
+		return
+	}
+	for service, engines := range h.enginesElsewhere() {
+		h.checkService(ctx, service, engines)
+	}
+}
+
+// checkService notes whether any agent of a service answers. An agent that reaches no agent of its own service
+// either is cut off itself and concludes nothing.
+func (w *Worker) checkService(ctx context.Context, service string, engines []string) {
+	answered := w.anyAnswers(ctx, engines)
+	if !answered && w.isCutOff(ctx) {
+		return
+	}
+	if !w.lostServices.note(service, answered, time.Now()) {
+		return
+	}
+	w.mu.Lock()
+	w.foreignChecked = nil // its jobs run elsewhere now
+	w.mu.Unlock()
+	log := w.Log.WithField("service", service)
+	if answered {
+		log.Info("service has agents again")
+		return
+	}
+	log.Warn("service has no agent left: its jobs run on other services of their routes")
+}
+
+// anyAnswers reports whether any of the agents answers, of which it asks a few first.
+func (w *Worker) anyAnswers(ctx context.Context, engines []string) bool {
+	first := sampleEngines(engines, stealFanout)
+	if len(w.queryStatuses(ctx, nil, first)) > 0 {
+		return true
+	}
+	rest := slices.DeleteFunc(slices.Clone(engines), func(e string) bool { return slices.Contains(first, e) })
+	return len(w.queryStatuses(ctx, nil, rest)) > 0
+}
+
+// isCutOff reports whether this agent reaches no other agent of its service, though there are some.
+func (w *Worker) isCutOff(ctx context.Context) bool {
+	peers := engineAddrs(w.View.Snapshot().OfService(w.Service))
+	peers = slices.DeleteFunc(peers, func(e string) bool { return e == w.Engine })
+	return len(peers) > 0 && !w.anyAnswers(ctx, peers)
+}
+
+// enginesElsewhere returns, by service, the engines whose agents run open jobs that this worker's service may run:
+// those of the services that run them now, and those of lost services, which may have agents again.
+func (w *Worker) enginesElsewhere() map[string][]string {
+	snap := w.View.Snapshot()
+	engines := map[string][]string{}
+	for _, job := range w.jobsElsewhere(snap) {
+		watched := append(w.lostServices.all(), w.currentService(job, snap))
+		for _, service := range possibleServices(job, snap.Config) {
+			if service != w.Service && slices.Contains(watched, service) {
+				engines[service] = sortedUnion(engines[service], w.helpers(job, service, snap), ownersIn(job, service, snap))
+			}
+		}
+	}
+	maps.DeleteFunc(engines, func(_ string, list []string) bool { return len(list) == 0 })
+	return engines
+}
+
+// jobsElsewhere returns the open jobs of other services that this worker's service may run.
+func (w *Worker) jobsElsewhere(snap *fleet.Snapshot) []*Job {
+	now, known := w.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var list []*Job
+	add := func(job *Job) {
+		age := now - job.Accepted
+		if known && job.Service != w.Service && age >= minRebalanceAge && age <= job.ItemTTL && mayRunOn(job, snap.Config, w.Service) {
+			list = append(list, job)
+		}
+	}
+	for _, job := range w.foreign {
+		add(job)
+	}
+	for _, j := range w.jobs {
+		if !j.ended && !j.finished {
+			add(j.job)
+		}
+	}
+	return list
+}
+
+// ownersIn returns the owners of a job that are engines of a service.
+func ownersIn(job *Job, service string, snap *fleet.Snapshot) []string {
+	return slices.DeleteFunc(slices.Clone(job.Owners), func(owner string) bool {
+		instance, listed := snap.AtAddr(owner)
+		return !listed || instance.Service != service
+	})
+}
--- a/batch/orphans.go
+++ b/batch/orphans.go
@@ -28,15 +28,22 @@
 // does not grow with the number of agents: four a second for its neighbour and its
 // share of the scans.
 type orphanScans struct {
-	draw      func() float64 // uniform in [0, 1)
-	next      time.Time      // time of the next scan
-	neighbour time.Time      // when the neighbour was last asked
+	sharedInterval
+	neighbour time.Time // when the neighbour was last asked
 }
 
-func newOrphanScans(draw func() float64) *orphanScans { return &orphanScans{draw: draw} }
+func newOrphanScans(draw func() float64) *orphanScans {
+	return &orphanScans{sharedInterval: sharedInterval{draw: draw}}
+}
+
+// sharedInterval spreads calls over agents, at random times: all of them together make one per orphanScanInterval.
+type sharedInterval struct {
+	draw func() float64 // uniform in [0, 1)
+	next time.Time
+}
 
-// due reports whether a scan by one of n agents is due, and draws the time of the next.
-func (l *orphanScans) due(now time.Time, n int) bool {
+// due reports whether a call by one of n agents is due, and draws the time of the next.
+func (l *sharedInterval) due(now time.Time, n int) bool {
 	first := l.next.IsZero()
 	if !first && now.Before(l.next) {
 		return false
--- a/batch/participants.go
+++ b/batch/participants.go
@@ -12,7 +12,7 @@
 		return true
 	}
 	snap := w.View.Snapshot()
-	if currentService(j.job, snap) != w.Service {
+	if w.currentService(j.job, snap) != w.Service {
 		return false
 	}
 	if j.job.Model == "" {
@@ -32,7 +32,7 @@
 // the service that runs it now.
 func (w *Worker) participants(j *workJob) []string {
 	snap := w.View.Snapshot()
-	return sortedUnion(j.job.Owners, w.helpers(j.job, currentService(j.job, snap), snap))
+	return sortedUnion(j.job.Owners, w.helpers(j.job, w.currentService(j.job, snap), snap))
 }
 
 // holders returns the engines whose agents may hold items of a job, sorted: its owners, and the helpers of all
--- a/batch/rebalance.go
+++ b/batch/rebalance.go
@@ -34,8 +34,9 @@
 // rebalance exchanges items with other agents until ctx is cancelled: it hands over those
 // that this engine cannot run, takes some from busier agents and reassigns orphaned ones.
 func (w *Worker) rebalance(ctx context.Context) {
-	h := &rebalancer{Worker: w, orphanScans: newOrphanScans(rand.Float64)}
+	h := &rebalancer{Worker: w, orphanScans: newOrphanScans(rand.Float64), serviceChecks: sharedInterval{draw: rand.Float64}}
 	for w.awaitRebalance(ctx) == nil {
+		h.watchServices(ctx)
 		w.adoptJobs()
 		jobs := w.openJobs()
 		if len(jobs) == 0 {
@@ -64,6 +65,8 @@
 type rebalancer struct {
 	*Worker
 	orphanScans *orphanScans
+	// serviceChecks decides when the agents of other services are asked.
+	serviceChecks sharedInterval
 	// stealPause is the current pause between rounds that ask for items, lastSteal the
 	// time of the last one and newestJob when the newest job at that time was accepted.
 	stealPause time.Duration
--- a/batch/rig_test.go
+++ b/batch/rig_test.go
@@ -44,6 +44,7 @@
 	mu            sync.Mutex
 	workers       map[string]*Worker   // by host
 	unreachable   map[string]bool      // by host
+	cutOff        map[string]bool      // by host: agents that reach nobody and that nobody reaches
 	callsByEngine map[string]int       // by the caller's engine
 	callsByPair   map[[2]string]int    // by the caller's engine and the called one's host
 	latency       time.Duration        // of each call, to the agent and back
@@ -78,7 +79,8 @@
 	}
 	host, _, _ := net.SplitHostPort(addr)
 	p.mu.Lock()
-	w, isCut := p.workers[host], p.unreachable[host]
+	from, _, _ := net.SplitHostPort(req.From)
+	w, isCut := p.workers[host], p.unreachable[host] || p.cutOff[host] || p.cutOff[from]
 	p.callsByEngine[req.From]++
 	p.callsByPair[[2]string{req.From, host}]++
 	p.mu.Unlock()
@@ -123,7 +125,7 @@
 		t: t, services: services, store: s, storeClients: map[string]*rowstore.Client{}, view: fleet.NewView(), stops: map[string]context.CancelFunc{}, ledger: newLedger(s),
 		engines: &fakeEngines{engines: map[string]*fakeEngine{}, lengths: map[string]int{}, open: map[string]int{}, doubled: map[string]bool{}},
 		rewards: &fakeRewards{latency: 200 * time.Millisecond, nextErrors: map[string][]error{}, laterErrors: map[string]error{}},
-		peers:   &fakePeers{workers: map[string]*Worker{}, unreachable: map[string]bool{}, callsByEngine: map[string]int{}, callsByPair: map[[2]string]int{}, open: map[string]int{}},
+		peers:   &fakePeers{workers: map[string]*Worker{}, unreachable: map[string]bool{}, cutOff: map[string]bool{}, callsByEngine: map[string]int{}, callsByPair: map[[2]string]int{}, open: map[string]int{}},
 	}
 	rig.view.SetConfig(config)
 	for i := range services {
@@ -184,6 +186,14 @@
 	delete(r.peers.workers, host)
 }
 
+// cutOff cuts an agent off from the others.
+func (r *workerRig) cutOff(i int) {
+	host, _, _ := net.SplitHostPort(engineAddr(i))
+	r.peers.mu.Lock()
+	defer r.peers.mu.Unlock()
+	r.peers.cutOff[host] = true
+}
+
 // submitLong submits a job with one item that runs for four seconds, and returns after two
 // seconds, when all other items are done.
 func (r *workerRig) submitLong(id string, n int, long string) {
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -61,6 +61,7 @@
 	started chan struct{}
 
 	assignmentCache assignmentCache
+	lostServices    *lostServices
 
 	mu   sync.Mutex
 	jobs map[string]*workJob
@@ -115,7 +116,7 @@
 func NewWorker(cfg WorkerConfig) *Worker {
 	return &Worker{
 		WorkerConfig: cfg, wakeup: make(chan struct{}, 1), engineLost: make(chan struct{}, 1), started: make(chan struct{}), jobs: map[string]*workJob{}, foreign: map[string]*Job{},
-		running: map[*task]struct{}{}, scoring: map[*task]struct{}{}, engine: newEngineState(),
+		running: map[*task]struct{}{}, scoring: map[*task]struct{}{}, engine: newEngineState(), lostServices: newLostServices(),
 	}
 }
 
