batch: services are watched beside the rebalancing

Read once more: a check of a silent service takes up to 0.8 s of timeouts, in the loop that exchanges items and finds orphans, and a service that was lost and has agents again was noticed only at an agent's next turn, n * 0.6 s on average for n agents; until then these would take items of its jobs.

Change: a goroutine of its own; lost services are asked once a second. The tests of lost services pass four times, and with the race detector.

--- a/batch/lostservice.go
+++ b/batch/lostservice.go
@@ -3,15 +3,22 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"mulberryscale.example/fleet"
+	"mulberryscale.example/internal/pause"
 )
 
-// lostAfter is how long none of the agents of a service may answer before other services run its jobs.
-const lostAfter = time.Second
+const (
+	// lostAfter is how long none of the agents of a service may answer before other services run its jobs.
+	lostAfter = time.Second
+	// regainInterval is how often an agent asks the agents of a lost service, so that it soon leaves that one's jobs
+	// to it again.
+	regainInterval = time.Second
+)
 
 // lostServices are the services none of whose agents answers, as this agent sees it. Their engines may be sound and
 // registered, but nobody runs anything on them. It is safe for concurrent use.
@@ -39,11 +46,14 @@
 	return slices.Sorted(maps.Keys(l.lost))
 }
 
-// pending reports whether a service that is not lost yet was silent when its agents were last asked.
-func (l *lostServices) pending() bool {
+// nextCheck returns after which time the agents of silent services are asked again; false if there are none.
+func (l *lostServices) nextCheck() (after time.Duration, any bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.silentSince) > len(l.lost)
+	if len(l.silentSince) > len(l.lost) {
+		return 0, true
+	}
+	return regainInterval, len(l.lost) > 0
 }
 
 // note records whether an agent of a service answered, and reports whether the service is lost or regained by that.
@@ -68,15 +78,22 @@
 	return true
 }
 
-// watchServices asks the agents of other services that run jobs which this one may run. All agents of this service
-// share the calls, unless a service is silent.
-func (h *rebalancer) watchServices(ctx context.Context) {
-	agents := len(h.View.Snapshot().OfService(h.Service))
-	if !h.serviceChecks.due(time.Now(), agents) && !h.lostServices.pending() {
-		return
-	}
-	for service, engines := range h.enginesElsewhere() {
-		h.checkService(ctx, service, engines)
+// watchServices asks the agents of other services that run jobs which this one may run, until ctx is done. All agents
+// of this service share the calls, unless a service is silent.
+func (w *Worker) watchServices(ctx context.Context) {
+	checks := sharedInterval{draw: rand.Float64}
+	var last time.Time
+	for pause.Sleep(ctx, rebalanceInterval) == nil {
+		now := time.Now()
+		due := checks.due(now, max(1, len(w.View.Snapshot().OfService(w.Service))))
+		after, silent := w.lostServices.nextCheck()
+		if !due && !(silent && now.Sub(last) >= after) {
+			continue
+		}
+		last = now
+		for service, engines := range w.enginesElsewhere() {
+			w.checkService(ctx, service, engines)
+		}
 	}
 }
 
--- a/batch/rebalance.go
+++ b/batch/rebalance.go
@@ -34,9 +34,8 @@
 // rebalance exchanges items with other agents until ctx is cancelled: it hands over those
 // that this engine cannot run, takes some from busier agents and reassigns orphaned ones.
 func (w *Worker) rebalance(ctx context.Context) {
-	h := &rebalancer{Worker: w, orphanScans: newOrphanScans(rand.Float64), serviceChecks: sharedInterval{draw: rand.Float64}}
+	h := &rebalancer{Worker: w, orphanScans: newOrphanScans(rand.Float64)}
 	for w.awaitRebalance(ctx) == nil {
-		h.watchServices(ctx)
 		w.adoptJobs()
 		jobs := w.openJobs()
 		if len(jobs) == 0 {
@@ -66,8 +65,6 @@
 type rebalancer struct {
 	*Worker
 	orphanScans *orphanScans
-	// serviceChecks decides when the agents of other services are asked.
-	serviceChecks sharedInterval
 	// latePushed is when items that will be late were last offered to other services.
 	latePushed time.Time
 	// stealPause is the current pause between rounds that ask for items, lastSteal the
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -115,8 +115,9 @@
 // NewWorker returns a worker; it does nothing until Run is called.
 func NewWorker(cfg WorkerConfig) *Worker {
 	return &Worker{
-		WorkerConfig: cfg, wakeup: make(chan struct{}, 1), engineLost: make(chan struct{}, 1), started: make(chan struct{}), jobs: map[string]*workJob{}, foreign: map[string]*Job{},
-		running: map[*task]struct{}{}, scoring: map[*task]struct{}{}, engine: newEngineState(), lostServices: newLostServices(),
+		WorkerConfig: cfg, wakeup: make(chan struct{}, 1), engineLost: make(chan struct{}, 1), started: make(chan struct{}),
+		lostServices: newLostServices(), jobs: map[string]*workJob{}, foreign: map[string]*Job{},
+		running: map[*task]struct{}{}, scoring: map[*task]struct{}{}, engine: newEngineState(),
 	}
 }
 
@@ -129,6 +130,7 @@
 	wg.Go(func() { w.schedule(ctx) })
 	wg.Go(func() { w.watchEngine(ctx) })
 	wg.Go(func() { w.rebalance(ctx) })
+	wg.Go(func() { w.watchServices(ctx) })
 	wg.Go(func() { w.saveTexts(ctx) })
 	wg.Go(func() { w.expire(ctx) })
 	wg.Wait()
