e2e: the soak splits batch routes and loses a service's only agent

The variants of a world are one type now, where they were two arguments; a check of the crowd passes it. No check was changed.

--- a/e2e/load_test.go
+++ b/e2e/load_test.go
@@ -21,7 +21,7 @@
 // accounts for each of its requests: it guards against counts that are lost between the gates, the
 // metrics listeners and the operator.
 func TestOperatorSeesTheCrowd(t *testing.T) {
-	w := startSoakWith(t, 1, true, nil)
+	w := startSoakWith(t, 1, soakVariant{crowded: true})
 	ctx, cancel := context.WithTimeout(t.Context(), calmCrowdTime)
 	defer cancel()
 	w.sendCrowd(ctx)
--- a/e2e/soak_config_test.go
+++ b/e2e/soak_config_test.go
@@ -14,7 +14,7 @@
 func (w *soakWorld) writeSettings(m *soakInstance) {
 	text, err := nodefile.Encode(&nodefile.Settings{
 		Node: m.name, IP: m.ip, Zone: zoneOf(m.ip), PeerPort: portPeers, MetricsPort: portMetrics,
-		Clients: addr(m.ip, portFrontInner), Ready: addr(m.ip, portReady), Engine: addr(m.ip, portEngine), Service: serviceEngines,
+		Clients: addr(m.ip, portFrontInner), Ready: addr(m.ip, portReady), Engine: addr(m.ip, portEngine), Service: m.service,
 		Store: addr(m.ip, portStore+m.activeStoreLink), RowBytes: 64 << 10, ObjectBytes: objectBytesOf(m.ip), StoreWrites: 800,
 		Grace: soakGrace, KeepResults: 2 * time.Minute, Zones: soakZones,
 		Duties: addr(m.ip, portDuties), ReportUsage: true, Lease: soakLease, UsageWindow: soakUsageWindow, UsageDue: soakUsageDue,
@@ -50,6 +50,9 @@
 	if w.copies != nil {
 		w.copies.configure(config)
 	}
+	if w.split {
+		splitRoutes(config, splitWeights[version%len(splitWeights)])
+	}
 	row, err := operator.ConfigRow(config)
 	w.write(w.t.Context(), row, err)
 }
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -67,7 +67,7 @@
 	if copiesAnswers(seed, kinds) {
 		copies = &answerCopies{}
 	}
-	w := startSoakWith(t, seed, crowded(seed, kinds), copies)
+	w := startSoakWith(t, seed, soakVariant{crowded: crowded(seed, kinds), copies: copies, split: splitsRoutes(seed, kinds)})
 	if copies != nil {
 		copies.on.Store(true)
 	}
@@ -101,6 +101,9 @@
 	if kinds == len(soakFaults) {
 		w.checkCrashingRequest("soak")
 		w.checkItemsAfterCrashes("soak")
+		if w.split {
+			w.checkJobWithoutItsAgent("soak")
+		}
 		w.checkStopBesideLongRequests()
 	}
 	w.checkSecrets()
--- a/e2e/soak_trainer_test.go
+++ b/e2e/soak_trainer_test.go
@@ -98,7 +98,7 @@
 			}
 			s.Items = append(s.Items, item)
 			t.w.record.requestSent(id, &request{
-				method: http.MethodPost, target: item.Path, body: bodyOf(id), model: t.model, services: []string{serviceEngines},
+				method: http.MethodPost, target: item.Path, body: bodyOf(id), model: t.model, services: t.w.modelServices(),
 				organisation: t.organisation,
 			})
 		}
--- a/e2e/soak_world_test.go
+++ b/e2e/soak_world_test.go
@@ -57,6 +57,7 @@
 // soakInstance is an instance that runs an entry or an agent process.
 type soakInstance struct {
 	name, ip, role  string
+	service         string // of the engine beside it
 	process         *process
 	settings        string
 	storeLinks      []*link
@@ -80,6 +81,7 @@
 	octet     int // third octet of all its addresses
 	crowded   bool
 	copies    *answerCopies // nil if engines send each answer once
+	split     bool          // batch routes are split over two services
 	largeJobs bool          // every other step is a job that is stored in objects
 	store     *soakStore
 	server    *http.Server
@@ -136,16 +138,23 @@
 func addr(ip string, port int) string { return net.JoinHostPort(ip, fmt.Sprint(port)) }
 
 // startSoak starts a deployment without a crowd and waits until its entries are ready.
-func startSoak(t *testing.T, seed uint64) *soakWorld { return startSoakWith(t, seed, false, nil) }
+func startSoak(t *testing.T, seed uint64) *soakWorld { return startSoakWith(t, seed, soakVariant{}) }
 
-// startSoakWith is startSoak with or without a crowd, and with engines that send answers again unless copies is nil.
-func startSoakWith(t *testing.T, seed uint64, crowded bool, copies *answerCopies) *soakWorld {
+// soakVariant is what differs between deployments of the soak.
+type soakVariant struct {
+	crowded bool
+	copies  *answerCopies // nil if engines send each answer once
+	split   bool          // batch routes are split over two services
+}
+
+// startSoakWith is startSoak for a variant.
+func startSoakWith(t *testing.T, seed uint64, v soakVariant) *soakWorld {
 	soakWorlds.Lock()
 	soakWorlds.next++
 	octet := soakWorlds.next % 250
 	soakWorlds.Unlock()
 	w := &soakWorld{
-		t: t, seed: seed, dir: t.TempDir(), octet: octet, crowded: crowded, copies: copies, store: newSoakStore(), record: newRecord(), stop: make(chan struct{}),
+		t: t, seed: seed, dir: t.TempDir(), octet: octet, crowded: v.crowded, copies: v.copies, split: v.split, store: newSoakStore(), record: newRecord(), stop: make(chan struct{}),
 	}
 	w.duties = newSoakDuties(w.record)
 	w.registry = &registry{store: w.store, rng: rand.New(rand.NewPCG(seed, 1)), lastHeartbeat: map[string]time.Time{}}
@@ -157,7 +166,7 @@
 		w.entries = append(w.entries, w.startInstance("entry", 10+i))
 	}
 	for i := range soakAgents {
-		w.agents = append(w.agents, w.startInstance("agent", 50+i))
+		w.agents = append(w.agents, w.startInstance("agent", splitAgent+i))
 	}
 	for i, service := range []string{serviceDesk, serviceDesk, serviceDesk2} {
 		w.startDesk(service, 100+i)
@@ -196,7 +205,7 @@
 
 func (w *soakWorld) startInstance(role string, n int) *soakInstance {
 	ip := w.ip(n)
-	m := &soakInstance{name: fmt.Sprintf("%s-%d", role, n), ip: ip, role: role, settings: filepath.Join(w.dir, fmt.Sprintf("%s-%d.yaml", role, n))}
+	m := &soakInstance{name: fmt.Sprintf("%s-%d", role, n), ip: ip, role: role, service: serviceEngines, settings: filepath.Join(w.dir, fmt.Sprintf("%s-%d.yaml", role, n))}
 	for _, port := range []int{portStore, portStore2} {
 		m.storeLinks = append(m.storeLinks, w.link(addr(ip, port), addr(w.ip(1), portStore)))
 	}
@@ -205,7 +214,8 @@
 		m.link = w.link(m.clientAddr, addr(ip, portFrontInner))
 	} else {
 		m.link = w.link(addr(ip, portEngine), addr(ip, portEngineIn))
-		m.engine = w.startEngine(serviceEngines, ip, soakModels)
+		m.service = w.modelService(n)
+		m.engine = w.startEngine(m.service, ip, soakModels)
 		w.startDutyServer(m)
 	}
 	w.writeSettings(m)
