forward: a request goes on at another service of its route

Callers of a split route saw 502, 503 or 504 for the share of a service whose only endpoint has crashed, until the list of instances drops it (three heartbeats).

Cause: a call draws its service once and picks among that one's endpoints only. Ruled out: the choice of the service, which leaves out those without endpoints.

Change: once all endpoints of its service were tried, the next send goes to those of the route's other services; MaxAttempts, hedging and what may be sent again are as they were.

--- a/forward/call.go
+++ b/forward/call.go
@@ -178,8 +178,13 @@
 		AvoidRisky: risky && c.riskyWait < maxRiskyWait,
 	}
 	to, ok := c.picker.Take(query, risky)
-	if !ok && query.AvoidRisky {
+	switch {
+	case ok:
+	case query.AvoidRisky:
 		c.awaitLowRisk(query)
+	case !risky:
+		query.Candidates = c.otherEndpoints()
+		to, ok = c.picker.Take(query, risky)
 	}
 	return to, ok
 }
--- a/forward/service.go
+++ b/forward/service.go
@@ -30,6 +30,19 @@
 	return r.Route.Backend(r.ID)
 }
 
+// otherEndpoints returns the endpoints of the other services of the request's route. They are for the next send once
+// all endpoints of its service were tried: one that has crashed is listed for seconds.
+func (c *call) otherEndpoints() []fleet.Instance {
+	snap := c.View.Snapshot()
+	var endpoints []fleet.Instance
+	for _, b := range c.request.Route.Backends {
+		if b.Service != c.service && b.Weight > 0 {
+			endpoints = append(endpoints, snap.OfService(b.Service)...)
+		}
+	}
+	return endpoints
+}
+
 // routeIn returns the route that a configuration has for a request; nil if it has none of the same kind.
 func (r *Request) routeIn(config *fleet.Config) *fleet.Route {
 	if config == nil {
--- a/forward/service_test.go
+++ b/forward/service_test.go
@@ -1,8 +1,11 @@
 package forward
 
 import (
+	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"mulberryscale.example/fleet"
 )
@@ -24,3 +27,42 @@
 		})
 	}
 }
+
+// TestRequestGoesOnAtAnotherServiceOfItsRoute guards against requests that are refused, or broken off, since the only
+// endpoint of the service that their route's weights give them has crashed and is listed for some seconds more, though
+// another service of the route has endpoints. What may run once only goes on only if it was not run.
+func TestRequestGoesOnAtAnotherServiceOfItsRoute(t *testing.T) {
+	ok := answers(200, 20*time.Millisecond)
+	for name, c := range map[string]struct {
+		kind   fleet.Kind
+		first  func(context.Context) (*Answer, error)
+		status int // 0: a refusal
+		sent   []string
+	}{
+		"safe, unsent":     {fleet.KindSafe, fails(ErrUnsent), 200, []string{"a", "b"}},
+		"safe, broken":     {fleet.KindSafe, fails(ErrBroken), 200, []string{"a", "b"}},
+		"safe, silent":     {fleet.KindSafe, hangs, 200, []string{"a", "b"}},
+		"safe, answered":   {fleet.KindSafe, ok, 200, []string{"a"}},
+		"unsafe, unsent":   {fleet.KindUnsafe, fails(ErrUnsent), 200, []string{"a", "b"}},
+		"unsafe, declined": {fleet.KindUnsafe, declines, 200, []string{"a", "b"}},
+		"unsafe, broken":   {fleet.KindUnsafe, fails(ErrBroken), 0, []string{"a"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, sender := rig(c.first, ok)
+				f.View.UpdateInstances([]fleet.Instance{{ID: "a", Service: "small", Zone: "here", Addr: "10.0.0.1:1", Slots: 4}}, nil)
+				f.View.SetConfig(&fleet.Config{Version: 2, Services: []fleet.Service{{Name: "s"}, {Name: "small"}}})
+				r := request(c.kind)
+				r.Route.Backends = []fleet.Backend{{Service: "small", Weight: 1e9}, {Service: "s", Weight: 1}}
+				answer, err := f.Do(t.Context(), r)
+				status := 0
+				if err == nil {
+					status = answer.Status
+				}
+				if status != c.status || !slices.Equal(sender.sent, c.sent) {
+					t.Errorf("status %d, %v, sent to %v; want status %d, sent to %v", status, err, sender.sent, c.status, c.sent)
+				}
+			})
+		})
+	}
+}
