batch: a silence counts only while it is watched

Read once more as a newcomer: an agent that found a service silent once, just before the last open job of it ended, kept that moment. The next job, minutes later, would have counted the service as lost at the first call without an answer.

Change: the silence of services that aren't asked any more is forgotten; lost ones stay lost until one of their agents answers, as before.

Test: TestSilenceBeforeAnotherJobDoesNotCount (without the call of forgetUnwatched the service is lost at once).

--- a/batch/lostservice.go
+++ b/batch/lostservice.go
@@ -46,8 +46,19 @@
 	return slices.Sorted(maps.Keys(l.lost))
 }
 
+// forgetUnwatched forgets the silence of services that are not lost and whose agents are not asked any more. It says
+// nothing of the time until they are asked again.
+func (l *lostServices) forgetUnwatched(watched map[string][]string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.silentSince, func(service string, _ time.Time) bool {
+		_, asked := watched[service]
+		return !asked && !l.lost[service]
+	})
+}
+
 // nextCheck returns after which time the agents of silent services are asked again; false if there are none.
-func (l *lostServices) nextCheck() (after time.Duration, any bool) {
+func (l *lostServices) nextCheck() (after time.Duration, silent bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.silentSince) > len(l.lost) {
@@ -91,7 +102,9 @@
 			continue
 		}
 		last = now
-		for service, engines := range w.enginesElsewhere() {
+		watched := w.enginesElsewhere()
+		w.lostServices.forgetUnwatched(watched)
+		for service, engines := range watched {
 			w.checkService(ctx, service, engines)
 		}
 	}
--- a/batch/lostservice_test.go
+++ b/batch/lostservice_test.go
@@ -55,3 +55,23 @@
 		}
 	})
 }
+
+// TestSilenceBeforeAnotherJobDoesNotCount guards against a service that counts as lost after one call without an answer,
+// since a call was not answered either when a job was last watched.
+func TestSilenceBeforeAnotherJobDoesNotCount(t *testing.T) {
+	l, now := newLostServices(), time.Now()
+	l.note("s", false, now)
+	l.forgetUnwatched(nil)
+	now = now.Add(time.Minute)
+	if l.note("s", false, now) {
+		t.Error("lost after one call of its second silence")
+	}
+	l.forgetUnwatched(map[string][]string{"s": nil})
+	if !l.note("s", false, now.Add(lostAfter)) {
+		t.Errorf("not lost after %v of silence", lostAfter)
+	}
+	l.forgetUnwatched(nil)
+	if !l.has("s") {
+		t.Error("no longer lost, though none of its agents has answered")
+	}
+}
